Serve the platform's protocol on real sockets round the decision module

Seen: the inherited module only ran on the simulator's wire.

Ruled out: gevent monkey patching; the sockets name gevent's own classes.

--- /dev/null
+++ b/ashlift/__init__.py
@@ -0,0 +1,1 @@
+"""ashlift: the gatekeeper on real sockets, round the decisions of mintfront."""
--- /dev/null
+++ b/ashlift/jobs.py
@@ -0,0 +1,104 @@
+"""What the core takes in and gives back, and the ports through which it acts. No input or output here."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from mintfront.interface import Counted, Result, ServerList, Timer
+
+
+class Verdict(Enum):
+    """How a job ended."""
+
+    SERVED = "served"  # an execute node answered it
+    PASSED = "passed"  # it may pass; it asked for nothing more
+    REFUSED = "refused"  # not served; asking again is harmless
+    FAILED = "failed"  # not served, and nothing is promised
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a job."""
+
+    verdict: Verdict
+    body: bytes = b""
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One request for the core, whichever front or record it came from.
+
+    `cargo` is what an execute node is to be sent, known to the node adapter alone; a job without any asks
+    only whether it may pass.
+    """
+
+    kind: int  # class, as the settings number it
+    plan: int
+    customer: str
+    patience_ms: float  # counted from `came_ms`
+    came_ms: float
+    reply: Callable[[Answer], None] = field(repr=False)
+    cargo: Any = field(default=None, repr=False)
+    units: float = 1.0
+    set_size: int = 1
+    retry: bool = False
+    number: int = -1  # given by the owner
+    claims: int = 0  # started so far
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client of this job is gone."""
+
+    job: Job
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimEnded:
+    """How one claim ended; the body counts only where the result is OK."""
+
+    number: int
+    attempt: int
+    server: str
+    result: Result
+    waited_ms: float
+    body: bytes = field(default=b"", repr=False)
+
+
+Message = Job | Left | ClaimEnded | Counted | ServerList | Timer
+
+
+class Inbox(Protocol):
+    """The queue through which everything reaches the owner."""
+
+    def put(self, item: Message, /) -> Any:
+        """Append; never blocks."""
+
+
+class Nodes(Protocol):
+    """Carries claims to execute nodes. Each start ends in one ClaimEnded."""
+
+    def start(self, job: Job, attempt: int, server: str, timeout_ms: float) -> None:
+        """Begin a claim; returns at once."""
+
+    def cancel(self, number: int, attempt: int) -> None:
+        """Close the claim's connection before returning."""
+
+
+class Counter(Protocol):
+    """The shared quota counter. Each call ends in one Counted, after the give-up time at the latest."""
+
+    def add(self, name: int, amount: float, expire_ms: float) -> None:
+        """Begin a call; returns at once."""
+
+
+class Clock(Protocol):
+    """One clock for all times of the module, and timers by it."""
+
+    def now(self) -> float:
+        """Milliseconds."""
+
+    def later(self, in_ms: float, call: Callable[..., Any], *args: Any) -> Any:
+        """Call in so many ms; the returned timer has `close()`."""
--- /dev/null
+++ b/ashlift/net/counter.py
@@ -0,0 +1,170 @@
+"""The shared quota counter on the platform: text lines, many calls on one connection, answers in order."""
+
+import logging
+import math
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from ashlift.jobs import Clock, Inbox
+from ashlift.metrics import Metrics
+from mintfront.interface import Counted, Result
+
+log = logging.getLogger("ashlift.counter")
+CONNECT_S = 0.25
+IDLE_MS = 2_000.0  # the counter closes idle connections after 10 s or less: ours are given up before
+SILENT_MS = 1_000.0  # an answer overdue for so long: nothing will come on this connection
+LINE_MOST = 256
+
+
+@dataclass(slots=True, eq=False)
+class _Call:
+    name: int
+    line: bytes
+    at: float
+    timer: Any = None
+    ended: bool = False
+    written: bool = False
+
+
+class TextCounter:
+    """Calls are queued, written together, and ended by their answer or their own timer."""
+
+    def __init__(self, address: tuple[str, int], timeout_ms: float, clock: Clock, inbox: Inbox,
+                 metrics: Metrics) -> None:  # fmt: skip
+        self._address, self._timeout_ms = address, timeout_ms
+        self._clock, self._inbox, self._metrics = clock, inbox, metrics
+        self._unsent: deque[_Call] = deque()
+        self._wake = Event()
+        self._link: _CounterLink | None = None
+
+    def add(self, name: int, amount: float, expire_ms: float) -> None:
+        number = f"{int(amount)}" if amount == int(amount) else f"{amount:.6f}"
+        call = _Call(name, f"bump {name} {number} {max(1, round(expire_ms))}\r\n".encode(), self._clock.now())
+        call.timer = self._clock.later(self._timeout_ms, self._give_up, call)
+        self._unsent.append(call)
+        self._wake.set()
+
+    def run(self) -> None:
+        """Write for ever. A connect that does not come up holds nobody up: each call has its own timer."""
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            try:
+                self._write()
+            except (OSError, gevent.Timeout) as error:
+                self._metrics.add("counter.broken")
+                log.debug("counter: %s", error)
+                self._fail_unsent()
+
+    def _write(self) -> None:
+        link, now = self._link, self._clock.now()
+        if link is not None and link.stale(now):
+            link.close()
+            link = None
+        if link is None or link.closed:
+            link = self._link = self._dial()
+        calls = []
+        while self._unsent:
+            call = self._unsent.popleft()
+            if not call.ended:
+                call.written = True  # from here on it may have been added
+                calls.append(call)
+        if calls:
+            link.write(calls)
+
+    def _dial(self) -> "_CounterLink":
+        with gevent.Timeout(CONNECT_S):
+            sock = socket.create_connection(self._address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._metrics.add("counter.dialled")
+        return _CounterLink(sock, self._clock, self.end)
+
+    def _fail_unsent(self) -> None:
+        while self._unsent:
+            self.end(self._unsent.popleft(), Result.CONNECT_FAILED)
+
+    def _give_up(self, call: _Call) -> None:
+        """A call not written yet was never added; one that was may have been."""
+        self.end(call, Result.TIMEOUT if call.written else Result.CONNECT_FAILED)
+
+    def end(self, call: _Call, result: Result, total: float = 0.0) -> None:
+        """Guards against two ends of one call: an answer after the give-up time only keeps the order."""
+        if call.ended:
+            self._metrics.add("counter.late")
+            return
+        call.ended = True
+        call.timer.close()
+        self._metrics.add(f"counter.{result.value.replace(' ', '_')}")
+        self._inbox.put(Counted(call.name, result, self._clock.now() - call.at, total))
+
+
+class _CounterLink:
+    """One connection, and the calls written to it whose answers are to come."""
+
+    def __init__(self, sock: socket.socket, clock: Clock, end: Any) -> None:
+        self._sock, self._clock, self._end = sock, clock, end
+        self._pending: deque[_Call] = deque()
+        self._used = clock.now()
+        self.closed = False
+        gevent.spawn(self._read)
+
+    def stale(self, now: float) -> bool:
+        if self._pending:
+            return now - self._pending[0].at > SILENT_MS
+        return now - self._used > IDLE_MS
+
+    def write(self, calls: list[_Call]) -> None:
+        self._used = self._clock.now()
+        self._pending.extend(calls)
+        try:
+            with gevent.Timeout(CONNECT_S):
+                self._sock.sendall(b"".join(call.line for call in calls))
+        except (OSError, gevent.Timeout):
+            self.close()
+
+    def close(self) -> None:
+        """What was written and not answered may have been added."""
+        self.closed = True
+        self._sock.close()
+        while self._pending:
+            self._end(self._pending.popleft(), Result.TIMEOUT)
+
+    def _read(self) -> None:
+        rest = b""
+        try:
+            while len(rest) <= LINE_MOST:
+                data = self._sock.recv(16384)
+                if not data:
+                    break
+                *lines, rest = (rest + data).split(b"\n")
+                self._used = self._clock.now()
+                for line in lines:
+                    if not self._pending:
+                        raise ValueError("an answer to no call")
+                    self._end(self._pending.popleft(), *read_answer(line))
+        except (OSError, ValueError) as error:
+            log.debug("counter connection ended: %s", error)
+        if not self.closed:
+            self.close()
+
+
+def read_answer(line: bytes) -> tuple[Result, float]:
+    """What one answer line says; a line that says nothing clear leaves open whether it was added."""
+    match line.split():
+        case [b"ok", total]:
+            try:
+                level = float(total)
+            except ValueError:
+                level = math.nan
+            return (Result.OK, level) if math.isfinite(level) else (Result.TIMEOUT, 0.0)
+        case [b"busy"]:
+            return Result.FULL, 0.0
+        case [b"error", *_]:
+            return Result.CONNECT_FAILED, 0.0  # nothing added
+        case _:
+            return Result.TIMEOUT, 0.0
--- /dev/null
+++ b/ashlift/net/machine_list.py
@@ -0,0 +1,132 @@
+"""The machine list: a watch on discovery, and what it last said of each execute node."""
+
+import json
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+import httptools
+from gevent import socket
+
+from ashlift.jobs import Inbox
+from ashlift.metrics import Metrics
+from mintfront.interface import Server, ServerList, ServerState
+
+log = logging.getLogger("ashlift.machine_list")
+SILENT_S = 5.0  # without even an empty line, which come every 2 s: the watch is dead though nobody said so
+CONNECT_S = 2.0
+BACKOFF_S = (0.1, 3.0)  # first and longest pause before a new watch
+WATCH_ENDS = (OSError, gevent.Timeout, httptools.HttpParserError)
+LINE_MOST = 4 << 20  # bytes of one unfinished line
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """One execute node as last told."""
+
+    address: tuple[str, int]
+    server: Server
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+class MachineList:
+    """Keeps the list for the node adapter and tells the owner of changes."""
+
+    def __init__(self, discovery: tuple[str, int], zones: tuple[str, ...], inbox: Inbox,
+                 metrics: Metrics) -> None:  # fmt: skip
+        self._discovery, self._zones, self._inbox, self._metrics = discovery, zones, inbox, metrics
+        self._index = 0
+        self.machines: dict[str, Machine] = {}
+
+    def ready(self, name: str) -> Machine | None:
+        """The node, if new work may go to it."""
+        machine = self.machines.get(name)
+        return machine if machine is not None and machine.server.state is ServerState.READY else None
+
+    def take(self, news: dict[str, Any]) -> None:
+        """Take one message of discovery. The table changes here and now, ahead of the owner's queue, so that
+        a claim about to be written sees a drain that the module has not heard of."""
+        entries = [self._entry(row) for row in news["instances"]]
+        complete = bool(news.get("reset", False))
+        if complete:
+            self.machines.clear()
+        for machine in entries:
+            if machine.server.state is ServerState.GONE:
+                self.machines.pop(machine.server.name, None)
+            else:
+                self.machines[machine.server.name] = machine
+        self._index = int(news["generation"])
+        self._metrics.add("machine_list.news")
+        self._inbox.put(ServerList(tuple(machine.server for machine in entries), complete))
+
+    def _entry(self, row: dict[str, Any]) -> Machine:
+        state = ServerState(row["lifecycle"])
+        zone = self._zones.index(row["zone"]) if row.get("zone") in self._zones else 0
+        address = ("", 0) if state is ServerState.GONE else parse_address(row["hostPort"])
+        # Size is left at 1: the settings say that weights tell nothing. `startedAtMs` is Unix time, and so
+        # is the module's clock.
+        server = Server(row["instanceId"], state, int(row.get("cell") or 0), zone,
+                        ready_at_ms=float(row.get("startedAtMs") or 0.0))  # fmt: skip
+        return Machine(address, server)
+
+    def run(self) -> None:
+        """Watch for ever; one that ends or falls silent is begun anew, with growing pauses."""
+        pause = BACKOFF_S[0]
+        while True:
+            before = self._metrics.counts["machine_list.lines"]
+            try:
+                self._watch()
+            except (*WATCH_ENDS, ValueError, KeyError, TypeError) as error:
+                log.warning("watch ended: %s: %s", type(error).__name__, error)
+            self._metrics.add("machine_list.watches_ended")
+            heard = self._metrics.counts["machine_list.lines"] > before
+            pause = BACKOFF_S[0] if heard else min(BACKOFF_S[1], 2 * pause)
+            gevent.sleep(pause)
+
+    def _watch(self) -> None:
+        with gevent.Timeout(CONNECT_S):
+            sock = socket.create_connection(self._discovery)
+        with sock:
+            host, port = self._discovery
+            path = f"/discovery/hosts?stream=1&index={self._index}"
+            sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+            reader = _Lines()
+            parser = httptools.HttpResponseParser(reader)
+            while not reader.ended:
+                with gevent.Timeout(SILENT_S):
+                    data = sock.recv(65536)
+                if not data:
+                    return
+                parser.feed_data(data)
+                if reader.lines and parser.get_status_code() != 200:
+                    raise ValueError(f"discovery answers {parser.get_status_code()}")
+                lines, reader.lines = reader.lines, []
+                for line in lines:
+                    self._metrics.add("machine_list.lines")
+                    if line.strip():
+                        self.take(json.loads(line))
+
+
+class _Lines:
+    """Cuts a chunked answer into lines."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.rest = b""
+        self.ended = False
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self.rest = (self.rest + body).split(b"\n")
+        self.lines += lines
+        if len(self.rest) > LINE_MOST:
+            raise ValueError("a line of the machine list does not end")
+
+    def on_message_complete(self) -> None:
+        self.ended = True
--- /dev/null
+++ b/ashlift/net/nodes.py
@@ -0,0 +1,260 @@
+"""Claims on execute nodes: one HTTP exchange each, over connections that are kept and used again."""
+
+import errno
+from collections import deque
+from dataclasses import dataclass
+
+import gevent
+import httptools
+from gevent import socket
+
+from ashlift.jobs import ClaimEnded, Clock, Inbox, Job
+from ashlift.metrics import Metrics
+from ashlift.net.machine_list import MachineList
+from mintfront.interface import Result
+
+BODY_MOST = 64 * 1024
+IDLE_EACH = 64  # idle connections kept to one node
+SWEEP_S = 1.0
+IDLE_SHARE = 0.6  # of the time after which a node closes an idle connection: ours goes well before that
+
+
+@dataclass(frozen=True, slots=True)
+class Cargo:
+    """What of a job an execute node gets unchanged."""
+
+    method: bytes
+    target: bytes
+    trace: bytes
+    body: bytes = b""
+
+
+@dataclass(slots=True, eq=False)
+class _Link:
+    sock: socket.socket
+    address: tuple[str, int]
+    idle_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class _Claim:
+    job: Job
+    attempt: int
+    server: str
+    timeout_ms: float
+    sock: socket.socket | None = None
+    cancelled: bool = False
+    written: bool = False  # its last byte is
+
+
+class _Reply:
+    """Collects one answer from httptools."""
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.never_ran = self.done = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"x-never-ran" and value.strip() == b"1":
+            self.never_ran = True
+
+    def on_body(self, body: bytes) -> None:
+        self.parts.append(body)
+        self.size += len(body)
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+
+@dataclass(slots=True)
+class Limits:
+    """Bounds of the node connections."""
+
+    dial_ms: float
+    idle_ms: float
+    links: int  # open connections to all nodes together
+
+
+class NodePool:
+    """Starts claims, each in a greenlet of its own, and owns every connection to a node."""
+
+    def __init__(self, machines: MachineList, limits: Limits, clock: Clock, inbox: Inbox,
+                 metrics: Metrics) -> None:  # fmt: skip
+        self._machines, self._limits, self._clock = machines, limits, clock
+        self._inbox, self._metrics = inbox, metrics
+        self._idle: dict[tuple[str, int], deque[_Link]] = {}
+        self._open = 0
+        self._claims: dict[tuple[int, int], _Claim] = {}
+
+    def start(self, job: Job, attempt: int, server: str, timeout_ms: float) -> None:
+        claim = _Claim(job, attempt, server, timeout_ms)
+        self._claims[job.number, attempt] = claim
+        gevent.spawn(self._run, claim)
+
+    def cancel(self, number: int, attempt: int) -> None:
+        """Guards against two claims out at once: the connection is closed before this returns."""
+        claim = self._claims.get((number, attempt))
+        if claim is not None:
+            claim.cancelled = True
+            if claim.sock is not None:
+                claim.sock.close()
+
+    def _run(self, claim: _Claim) -> None:
+        began = self._clock.now()
+        body = b""
+        try:
+            result, body = self._exchange(claim)
+        except Exception as error:  # whatever breaks in one claim is that claim's end and no other's
+            if claim.cancelled:
+                result = Result.CANCELLED
+            elif isinstance(error, (OSError, gevent.Timeout, httptools.HttpParserError)):
+                result = Result.RESET if claim.written else Result.CONNECT_FAILED
+            else:
+                self._metrics.add("claims.faults")
+                result = Result.RESET
+        finally:
+            del self._claims[claim.job.number, claim.attempt]
+        waited = self._clock.now() - began
+        self._inbox.put(ClaimEnded(claim.job.number, claim.attempt, claim.server, result, waited, body))
+
+    def _exchange(self, claim: _Claim) -> tuple[Result, bytes]:
+        machine = self._machines.ready(claim.server)
+        if claim.cancelled:
+            return Result.CANCELLED, b""
+        if machine is None or (claim.timeout_ms < 0):
+            return Result.MOOT, b""
+        timer = gevent.Timeout(claim.timeout_ms / 1000 if claim.timeout_ms > 0 else None)
+        timer.start()
+        link: _Link | None = None
+        keep = False
+        began = self._clock.now()
+        try:
+            link = self._take(machine.address) or self._dial(claim, machine.address)
+            if link is None:
+                return Result.MOOT, b""
+            claim.sock = link.sock
+            # A drain told while the connection was coming up counts: looked at again before the first byte.
+            if self._machines.ready(claim.server) is not machine:
+                self._metrics.add("claims.withdrawn")
+                keep = True
+                return Result.MOOT, b""
+            left = claim.timeout_ms - (self._clock.now() - began)
+            link.sock.sendall(self._request(claim, machine.address, left))
+            claim.written = True
+            result, body, keep = self._read(link.sock)
+            return result, body
+        except gevent.Timeout as over:
+            if over is not timer:
+                raise
+            return (Result.TIMEOUT if claim.written else Result.CONNECT_FAILED), b""
+        finally:
+            timer.close()
+            claim.sock = None
+            if link is not None:
+                self._give(link) if keep and not claim.cancelled else self._close(link)
+
+    def _request(self, claim: _Claim, address: tuple[str, int], left_ms: float) -> bytes:
+        cargo: Cargo = claim.job.cargo
+        length = b"Content-Length: %d\r\n" % len(cargo.body) if cargo.body or cargo.method != b"GET" else b""
+        return b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nX-Trace-Id: %b\r\nX-Expires-In: %.3f\r\n%b\r\n%b" % (
+            cargo.method, cargo.target, address[0].encode(), address[1], cargo.trace,
+            max(0.001, left_ms / 1000), length, cargo.body,
+        )  # fmt: skip
+
+    def _read(self, sock: socket.socket) -> tuple[Result, bytes, bool]:
+        """Result, body, and whether the connection may be used again."""
+        reply = _Reply()
+        parser = httptools.HttpResponseParser(reply)
+        while not reply.done:
+            data = sock.recv(65536)
+            if not data:
+                # Also where the answer had no length: nobody could tell whether it is whole.
+                return Result.RESET, b"", False
+            parser.feed_data(data)
+            if reply.size > BODY_MOST:
+                return Result.ERROR, b"", False
+        status, keep = parser.get_status_code(), parser.should_keep_alive()
+        if status == 200:
+            return Result.OK, b"".join(reply.parts), keep
+        if status in (503, 504) and reply.never_ran:
+            return Result.FULL, b"", keep
+        return Result.ERROR, b"", keep
+
+    # ---- connections
+
+    def _take(self, address: tuple[str, int]) -> _Link | None:
+        """The idle connection used last, if it still stands.
+
+        Guards against writing to a connection that the node has closed meanwhile: that would be a reset, and
+        the job might have run. Such a connection is readable, with an end or an error in it.
+        """
+        links = self._idle.get(address)
+        while links:
+            link = links.pop()
+            if self._clock.now() - link.idle_at < IDLE_SHARE * self._limits.idle_ms and _stands(link.sock):
+                return link
+            self._close(link)
+        return None
+
+    def _dial(self, claim: _Claim, address: tuple[str, int]) -> _Link | None:
+        if self._open >= self._limits.links and not self._drop_oldest():
+            self._metrics.add("nodes.no_room")
+            return None
+        self._open += 1
+        self._metrics.add("nodes.dialled")
+        sock = claim.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        link = _Link(sock, address)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with gevent.Timeout(self._limits.dial_ms / 1000, OSError(errno.ETIMEDOUT, "dial")):
+                sock.connect(address)
+        except BaseException:
+            self._close(link)
+            raise
+        return link
+
+    def _drop_oldest(self) -> bool:
+        idle = [links for links in self._idle.values() if links]
+        if not idle:
+            return False
+        self._close(min(idle, key=lambda links: links[0].idle_at).popleft())
+        return True
+
+    def _give(self, link: _Link) -> None:
+        links = self._idle.setdefault(link.address, deque())
+        link.idle_at = self._clock.now()
+        links.append(link)
+        if len(links) > IDLE_EACH:
+            self._close(links.popleft())
+
+    def _close(self, link: _Link) -> None:
+        self._open -= 1
+        link.sock.close()
+
+    def sweep(self) -> None:
+        """Close what has stood idle long, or leads to a node that is not on the list (any more)."""
+        wanted = {machine.address for machine in self._machines.machines.values()}
+        for address, links in list(self._idle.items()):
+            oldest = self._clock.now() - IDLE_SHARE * self._limits.idle_ms
+            while links and (links[0].idle_at < oldest or address not in wanted):
+                self._close(links.popleft())
+            if not links:
+                del self._idle[address]
+
+    def run(self) -> None:
+        """Sweep for ever."""
+        while True:
+            gevent.sleep(SWEEP_S)
+            self.sweep()
+
+
+def _stands(sock: socket.socket) -> bool:
+    """Whether nothing has come on an idle connection, neither an end nor a stray byte."""
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK)  # type: ignore[attr-defined]  # the plain socket does not wait
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/ashlift/owner.py
@@ -0,0 +1,125 @@
+"""The one greenlet that owns the decision module: messages in by the queue, actions out by the ports."""
+
+import logging
+from typing import assert_never
+
+from gevent.queue import SimpleQueue
+
+from ashlift.jobs import Answer, ClaimEnded, Clock, Counter, Job, Left, Message, Nodes, Verdict
+from ashlift.metrics import Metrics
+from mintfront import interface as i
+from mintfront.control import Gateway
+
+log = logging.getLogger("ashlift.owner")
+
+
+class Owner:
+    """Feeds the Gateway in order and does what it says. Nothing else touches the Gateway."""
+
+    def __init__(self, gateway: Gateway, clock: Clock, metrics: Metrics) -> None:
+        self._gateway, self._clock, self._metrics = gateway, clock, metrics
+        self.inbox: SimpleQueue[Message] = SimpleQueue()
+        self._jobs: dict[int, Job] = {}  # those that are owed an answer
+        self._timers: dict[int, object] = {}  # kept alive until they ring
+        self._next = 1
+        self._nodes: Nodes | None = None
+        self._counter: Counter | None = None
+
+    def connect(self, nodes: Nodes | None, counter: Counter | None) -> None:
+        """Name the ports; they in turn were given the inbox."""
+        self._nodes, self._counter = nodes, counter
+
+    @property
+    def owed(self) -> int:
+        """Jobs taken and not answered yet, those still in the queue included."""
+        return len(self._jobs) + sum(isinstance(item, Job) for item in self.inbox.queue)
+
+    def run(self) -> None:
+        """Take messages for ever."""
+        while True:
+            self.take(self.inbox.get())
+
+    def take(self, message: Message) -> None:
+        """Handle one message. A fault of the module costs the job it struck an answer, not the others."""
+        try:
+            for action in self._feed(message):
+                self._do(action)
+        except Exception:
+            log.exception("the module failed on %s", type(message).__name__)
+            self._metrics.add("module.faults")
+            job = message if isinstance(message, Job) else None
+            if job is not None:
+                self._answer(job.number, Answer(Verdict.FAILED))
+
+    def _feed(self, message: Message) -> list[i.Action]:
+        now, event = self._clock.now(), self._event(message)
+        return self._gateway.handle(now, event) if event is not None else []
+
+    def _event(self, message: Message) -> i.Event | None:
+        match message:
+            case Job():
+                return self._request(message)
+            case Left():
+                if self._jobs.pop(message.job.number, None) is None:
+                    return None  # answered while the news was in the queue
+                self._metrics.add("jobs.left")
+                return i.ClientLeft(message.job.number)
+            case ClaimEnded():
+                return self._outcome(message)
+            case i.Timer():
+                self._timers.pop(message.token, None)
+        return message
+
+    def _request(self, job: Job) -> i.Request:
+        job.number, self._next = self._next, self._next + 1
+        self._jobs[job.number] = job
+        self._metrics.add("jobs.taken")
+        # The client counts from when it sent: what the job lay unread is off its patience.
+        left = max(0.0, job.patience_ms - (self._clock.now() - job.came_ms))
+        return i.Request(
+            job.number, job.kind, job.plan, job.customer, left, job.units, job.set_size, job.retry
+        )  # fmt: skip
+
+    def _outcome(self, ended: ClaimEnded) -> i.Outcome:
+        served = ended.result is i.Result.OK
+        self._metrics.add(f"claims.{ended.result.value.replace(' ', '_')}")
+        if served:
+            self._answer(ended.number, Answer(Verdict.SERVED, ended.body))
+        final = ended.number not in self._jobs
+        return i.Outcome(ended.number, ended.attempt, ended.server, ended.result, ended.waited_ms, final)
+
+    def _answer(self, number: int, answer: Answer) -> None:
+        """Guards against a second final answer: the job is forgotten with its first."""
+        job = self._jobs.pop(number, None)
+        if job is not None:
+            self._metrics.add(f"answers.{answer.verdict.value}")
+            job.reply(answer)
+
+    def _do(self, action: i.Action) -> None:
+        match action:
+            case i.SetTimer():
+                put = self.inbox.put
+                self._timers[action.token] = self._clock.later(action.in_ms, put, i.Timer(action.token))
+            case i.Send():
+                job = self._jobs.get(action.request)
+                if job is not None and self._nodes is not None:
+                    job.claims += 1
+                    self._metrics.add("claims.sent")
+                    self._nodes.start(job, job.claims - 1, action.server, action.timeout_ms)
+            case i.Cancel():
+                if self._nodes is not None:
+                    self._nodes.cancel(action.request, action.attempt)
+            case i.Refuse():
+                self._answer(action.request, Answer(Verdict.REFUSED, b"", action.retry_after_ms))
+            case i.Fail():
+                self._answer(action.request, Answer(Verdict.FAILED))
+            case i.Count():
+                if self._counter is not None:
+                    self._metrics.add("counter.calls")
+                    self._counter.add(action.name, action.amount, action.expire_ms)
+            case i.Log():
+                log.info("%s", action.text)
+            case i.Subscribe() | i.Probe():
+                pass  # the machine list is pushed here, and nodes may not be probed
+            case _:
+                assert_never(action)
--- a/mintfront/wirehost.py
+++ b/mintfront/wirehost.py
@@ -28,7 +28,7 @@
     """A line or a setting that cannot be right; the text names the key."""
 
 
-def _number(table: Json, where: str, key: str, low: float = 0.0, high: float = math.inf) -> float:
+def number(table: Json, where: str, key: str, low: float = 0.0, high: float = math.inf) -> float:
     value = table.get(key)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise WireError(f"setting {where}{key} is missing or not a number")
@@ -37,28 +37,28 @@
     return float(value)
 
 
-def _flag(table: Json, where: str, key: str) -> bool:
+def flag(table: Json, where: str, key: str) -> bool:
     value = table.get(key, False)
     if not isinstance(value, bool):
         raise WireError(f"setting {where}{key} is not true or false")
     return value
 
 
-def _word(table: Json, where: str, key: str, words: dict[str, Any]) -> Any:
+def word(table: Json, where: str, key: str, words: dict[str, Any]) -> Any:
     value = table.get(key)
     if not isinstance(value, str) or value not in words:
         raise WireError(f"setting {where}{key} is missing or unknown: {value!r}")
     return words[value]
 
 
-def _table(table: Json, key: str) -> Json:
+def table(table: Json, key: str) -> Json:
     value = table.get(key)
     if not isinstance(value, dict):
         raise WireError(f"setting {key} is missing or not a table")
     return value
 
 
-def _rows(table: Json, key: str) -> list[Json]:
+def rows(table: Json, key: str) -> list[Json]:
     rows = table.get(key)
     if not isinstance(rows, list) or not rows or not all(isinstance(row, dict) for row in rows):
         raise WireError(f"setting {key} is missing or empty")
@@ -67,69 +67,69 @@
 
 def _class(row: Json, at: int) -> i.RequestClass:
     where = f"Categories[{at}]."
-    effect = _word(row, where, "Effect", EFFECTS)
+    effect = word(row, where, "Effect", EFFECTS)
     keyed = effect is i.Effect.KEYED
     return i.RequestClass(
         effect=effect,
-        aim_ms=_number(row, where, "TargetMs"),
-        give_up_ms=_number(row, where, "GiveUpMs"),
-        worth=_number(row, where, "Value"),
-        late_share=_number(row, where, "LateShare", 0.0, 1.0),
-        key_scope=_word(row, where, "KeyScope", SCOPES) if keyed else i.KeyScope.ALL,
-        key_ttl_ms=_number(row, where, "KeyTtlMs") if keyed else 0.0,
+        aim_ms=number(row, where, "TargetMs"),
+        give_up_ms=number(row, where, "GiveUpMs"),
+        worth=number(row, where, "Value"),
+        late_share=number(row, where, "LateShare", 0.0, 1.0),
+        key_scope=word(row, where, "KeyScope", SCOPES) if keyed else i.KeyScope.ALL,
+        key_ttl_ms=number(row, where, "KeyTtlMs") if keyed else 0.0,
     )
 
 
 def _plan(row: Json, at: int) -> i.Plan:
     where = f"Plans[{at}]."
-    rate = _number(row, where, "QuotaRate")
-    ceiling = _number(row, where, "CeilingRate")
+    rate = number(row, where, "QuotaRate")
+    ceiling = number(row, where, "CeilingRate")
     return i.Plan(
         rate=rate,
-        burst=_number(row, where, "MostAtOnce", 1e-9 if rate else 0.0),
-        max_out=int(_number(row, where, "MaxOut")),
-        price=_number(row, where, "Pays"),
-        over_worth=_number(row, where, "OverWorth"),
-        over_cost=_number(row, where, "OverrunCost"),
+        burst=number(row, where, "MostAtOnce", 1e-9 if rate else 0.0),
+        max_out=int(number(row, where, "MaxOut")),
+        price=number(row, where, "Pays"),
+        over_worth=number(row, where, "OverWorth"),
+        over_cost=number(row, where, "OverrunCost"),
         ceiling_rate=ceiling,
-        ceiling_burst=_number(row, where, "HardBurst", 1e-9 if ceiling else 0.0),
-        ceiling_slack=_number(row, where, "CeilingSlack"),
+        ceiling_burst=number(row, where, "HardBurst", 1e-9 if ceiling else 0.0),
+        ceiling_slack=number(row, where, "CeilingSlack"),
     )
 
 
 def read_settings(facts: Json) -> i.Settings:
     """Translate and check the settings; unknown keys are skipped."""
-    info, limits, rules = _table(facts, "FamilyInfo"), _table(facts, "Limits"), _table(facts, "Rules")
-    report = _table(facts, "Report")
-    discovery = _word(facts, "", "Discovery", {"automatic": False, "subscribe": True})
-    counter = _flag(info, "FamilyInfo.", "MayCount")
-    size = int(_number(facts, "", "GroupSize", 1))
+    info, limits, rules = table(facts, "FamilyInfo"), table(facts, "Limits"), table(facts, "Rules")
+    report = table(facts, "Report")
+    discovery = word(facts, "", "Discovery", {"automatic": False, "subscribe": True})
+    counter = flag(info, "FamilyInfo.", "MayCount")
+    size = int(number(facts, "", "GroupSize", 1))
     return i.Settings(
-        classes=tuple(_class(row, at) for at, row in enumerate(_rows(facts, "Categories"))),
-        plans=tuple(_plan(row, at) for at, row in enumerate(_rows(facts, "Plans"))),
-        me=int(_number(facts, "", "Me", 0, size - 1)),
+        classes=tuple(_class(row, at) for at, row in enumerate(rows(facts, "Categories"))),
+        plans=tuple(_plan(row, at) for at, row in enumerate(rows(facts, "Plans"))),
+        me=int(number(facts, "", "Me", 0, size - 1)),
         group_size=size,
-        zone=int(_number(facts, "", "Zone")),
-        tick_ms=_number(facts, "", "TickMs"),
+        zone=int(number(facts, "", "Zone")),
+        tick_ms=number(facts, "", "TickMs"),
         counter=counter,
-        counter_timeout_ms=_number(info, "FamilyInfo.", "CounterTimeoutMs") if counter else 0.0,
-        count_fee=_number(info, "FamilyInfo.", "CountFee") if counter else 0.0,
-        meter_ms=_number(info, "FamilyInfo.", "MeterMs"),
-        max_units=_number(info, "FamilyInfo.", "MaxUnits"),
-        cost_after=_flag(info, "FamilyInfo.", "CostAfter"),
-        cancel=_flag(limits, "Limits.", "Cancel"),
-        probing=_flag(limits, "Limits.", "Probing"),
-        retry_after=_flag(limits, "Limits.", "RetryAfter"),
-        max_retry_after_ms=_number(limits, "Limits.", "MaxRetryAfterMs"),
-        second_copies=_flag(limits, "Limits.", "SecondCopies"),
-        max_attempts=int(_number(limits, "Limits.", "TryLimit", 1)),
+        counter_timeout_ms=number(info, "FamilyInfo.", "CounterTimeoutMs") if counter else 0.0,
+        count_fee=number(info, "FamilyInfo.", "CountFee") if counter else 0.0,
+        meter_ms=number(info, "FamilyInfo.", "MeterMs"),
+        max_units=number(info, "FamilyInfo.", "MaxUnits"),
+        cost_after=flag(info, "FamilyInfo.", "CostAfter"),
+        cancel=flag(limits, "Limits.", "Cancel"),
+        probing=flag(limits, "Limits.", "Probing"),
+        retry_after=flag(limits, "Limits.", "RetryAfter"),
+        max_retry_after_ms=number(limits, "Limits.", "MaxRetryAfterMs"),
+        second_copies=flag(limits, "Limits.", "SecondCopies"),
+        max_attempts=int(number(limits, "Limits.", "TryLimit", 1)),
         report_fields=tuple(str(field) for field in report.get("Fields") or ()),
         subscribe=discovery,
-        must_ask_ms=_number(rules, "Rules.", "MustAskInMs") if discovery else 0.0,
-        cold_from=_number(rules, "Rules.", "ColdFrom", 0.0, 1.0),
-        cold_ms=_number(rules, "Rules.", "ColdMs"),
-        fall_multiple=_number(rules, "Rules.", "FallMultiple"),
-        fall_ms=_number(rules, "Rules.", "TipAfterMs"),
+        must_ask_ms=number(rules, "Rules.", "MustAskInMs") if discovery else 0.0,
+        cold_from=number(rules, "Rules.", "ColdFrom", 0.0, 1.0),
+        cold_ms=number(rules, "Rules.", "ColdMs"),
+        fall_multiple=number(rules, "Rules.", "FallMultiple"),
+        fall_ms=number(rules, "Rules.", "TipAfterMs"),
     )
 
 
