Reuse node connections; play recorded byte exchanges against the program

Seen: exchanges served and turned_away failed, since the second claim came on a new connection. Cause: nodes.py `_read` asked the parser `should_keep_alive()` after the message was over, when httptools answers False to every response (a probe of the parser alone showed it). It is asked in `on_message_complete` now. Ruled out: the peek at idle connections (`_stands`), which raises BlockingIOError on a quiet one as meant.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -62,33 +62,36 @@
         self.owner.connect(self.nodes, port)
         self.front = Front(config.names, config.client_links, lambda: bool(self.machines.machines),
                            self.clock, inbox, self.metrics)  # fmt: skip
-        self._stop = Event()
+        self._running: list[gevent.Greenlet] = []
+        self._listener: gevent.socket.socket | None = None
 
-    def serve(self) -> None:
-        """Run until SIGTERM, then end in order."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._stop.set)
-        gevent.signal_handler(signal.SIGUSR1, self.metrics.dump, "SIGUSR1")
+    def start(self) -> tuple[str, int]:
+        """Listen and run; the address is told for where the port was left open."""
         if self.config.known.get("instances"):
             self.machines.take(self.config.known | {"reset": True})
-        listener = self.front.listen(self.config.listen)
-        for part in (self.owner, self.machines, self.nodes, self.counter):
-            if part is not None:
-                gevent.spawn(part.run)
-        gevent.spawn(self.front.run, listener)
+        self._listener = self.front.listen(self.config.listen)
+        parts = [part for part in (self.owner, self.machines, self.nodes, self.counter) if part is not None]
+        self._running = [gevent.spawn(part.run) for part in parts]
+        self._running.append(gevent.spawn(self.front.run, self._listener))
         if self.ratelimit is not None:
             self.ratelimit.listen(self.config.ratelimit.listen)
-        log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
-        self._stop.wait()
-        gevent.sleep(GRACE_S)
-        listener.close()
+        host, port = self._listener.getsockname()
+        log.info("%s listens on %s:%d", self.config.name, host, port)
+        return host, port
+
+    def stop(self, grace_s: float = GRACE_S) -> None:
+        """Go on for the grace, for clients hear late of a restart; answer what is taken; then end."""
+        gevent.sleep(grace_s)
+        if self._listener is not None:
+            self._listener.close()
         self.front.close()
+        end = self.clock.now() + 1000 * DRAIN_S
         if self.ratelimit is not None:
             self.ratelimit.close(DRAIN_S)
-        end = self.clock.now() + 1000 * DRAIN_S
         while (self.front.open or self.owner.owed) and self.clock.now() < end:
             gevent.sleep(0.02)
-        self.metrics.dump("exit")
+        gevent.killall(self._running)
+        self.owner.close()
 
 
 def main() -> int:
@@ -101,7 +104,14 @@
     gatekeeper = Gatekeeper(config)
     gc.collect()
     gc.freeze()  # what is loaded stays: collections look at jobs only
-    gatekeeper.serve()
+    told = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, told.set)
+    gevent.signal_handler(signal.SIGUSR1, gatekeeper.metrics.dump, "SIGUSR1")
+    gatekeeper.start()
+    told.wait()
+    gatekeeper.stop()
+    gatekeeper.metrics.dump("exit")
     return 0
 
 
--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -115,12 +115,13 @@
     if not isinstance(found, dict):
         raise ConfigError("GW_CONFIG: not a JSON object")
     try:
-        return _read(found, env)
+        return read(found, env)
     except WireError as error:
         raise ConfigError(str(error)) from None
 
 
-def _read(found: dict[str, Any], env: Mapping[str, str]) -> Config:
+def read(found: dict[str, Any], env: Mapping[str, str]) -> Config:
+    """Check what the JSON file holds; the environment goes first."""
     facts = table(found, "settings")
     settings = read_settings(facts)
     ratelimit = _ratelimit(Path(env.get("GW_RATELIMIT") or RATELIMIT))
--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -53,7 +53,8 @@
     def __init__(self) -> None:
         self.parts: list[bytes] = []
         self.size = 0
-        self.never_ran = self.done = False
+        self.never_ran = self.done = self.keep = False
+        self.parser = httptools.HttpResponseParser(self)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"x-never-ran" and value.strip() == b"1":
@@ -64,7 +65,9 @@
         self.size += len(body)
 
     def on_message_complete(self) -> None:
-        self.done = True
+        # Asked here, for once the message is over the parser says False to everything: guards against a
+        # pool that never gets a connection back, and a handshake for each claim.
+        self.done, self.keep = True, self.parser.should_keep_alive()
 
 
 @dataclass(slots=True)
@@ -165,16 +168,15 @@
     def _read(self, sock: socket.socket) -> tuple[Result, bytes, bool]:
         """Result, body, and whether the connection may be used again."""
         reply = _Reply()
-        parser = httptools.HttpResponseParser(reply)
         while not reply.done:
             data = sock.recv(65536)
             if not data:
                 # Also where the answer had no length: nobody could tell whether it is whole.
                 return Result.RESET, b"", False
-            parser.feed_data(data)
+            reply.parser.feed_data(data)
             if reply.size > BODY_MOST:
                 return Result.ERROR, b"", False
-        status, keep = parser.get_status_code(), parser.should_keep_alive()
+        status, keep = reply.parser.get_status_code(), reply.keep
         if status == 200:
             return Result.OK, b"".join(reply.parts), keep
         if status in (503, 504) and reply.never_ran:
--- a/ashlift/owner.py
+++ b/ashlift/owner.py
@@ -1,7 +1,7 @@
 """The one greenlet that owns the decision module: messages in by the queue, actions out by the ports."""
 
 import logging
-from typing import assert_never
+from typing import Any, assert_never
 
 from gevent.queue import SimpleQueue
 
@@ -20,7 +20,7 @@
         self._gateway, self._clock, self._metrics = gateway, clock, metrics
         self.inbox: SimpleQueue[Message] = SimpleQueue()
         self._jobs: dict[int, Job] = {}  # those that are owed an answer
-        self._timers: dict[int, object] = {}  # kept alive until they ring
+        self._timers: dict[int, Any] = {}  # kept alive until they ring
         self._next = 1
         self._nodes: Nodes | None = None
         self._counter: Counter | None = None
@@ -39,6 +39,12 @@
         while True:
             self.take(self.inbox.get())
 
+    def close(self) -> None:
+        """Let no timer ring any more."""
+        for timer in self._timers.values():
+            timer.close()
+        self._timers.clear()
+
     def take(self, message: Message) -> None:
         """Handle one message. A fault of the module costs the job it struck an answer, not the others."""
         try:
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,136 @@
+"""Plays a recorded exchange against the program, in this process, and compares every byte.
+
+An exchange is a text file. `c1`, `c2` are clients, `n1`, `n2` execute nodes, `k` the counter, `d` discovery:
+
+    c1 > LINE      send a line (CRLF is added)     c1 >> TEXT    send as it is; {x*9} repeats, \\n ends lines
+    d ># LINE      send one chunk that holds this line
+    n1 < LINE      the next line must be this; * is anything        n1 << TEXT    the next bytes must be
+    n1 close       close the connection             n1 closed     the program must end the connection
+    n1 stop        refuse connections from now on   expect NAME N   wait until the program's counter says so
+    set KEY VALUE  a setting (dotted, JSON); comes first
+
+A party that has no connection opens or accepts one when it first needs it. Each wait ends after WAIT_S, far
+longer than anything takes: time decides no verdict.
+"""
+
+import contextlib
+import copy
+import json
+import re
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from ashlift.__main__ import Gatekeeper
+from ashlift.config import Config, read
+from tests.test_wirehost import FACTS
+
+WAIT_S = 10.0
+SERVERS = ("n1", "n2", "k", "d")
+
+
+def config(addresses: dict[str, str], changes: dict[str, Any]) -> Config:
+    """The settings of a small deployment, with changes."""
+    facts = copy.deepcopy(FACTS)
+    facts["Categories"][0] |= {"Name": "availability-check", "TargetMs": 20_000.0, "GiveUpMs": 30_000.0}
+    facts["Plans"][0] |= {"Name": "basic", "QuotaRate": 0.01, "MostAtOnce": 100.0}
+    facts["FamilyInfo"]["CounterTimeoutMs"] = 20_000
+    facts["Limits"]["TryLimit"] = 3
+    facts["Zones"] = ["memphis-dc"]
+    found = {
+        "name": "g1", "listen": "127.0.0.1:1", "discovery": addresses["d"], "counter": addresses["k"],
+        "seed": "1", "limits": {"sockets": 512}, "settings": facts,
+        "known": {"generation": 7, "reset": True, "instances": [instance("n1", addresses["n1"])]},
+    }  # fmt: skip
+    for path, value in changes.items():
+        *steps, last = path.split(".")
+        at: Any = found
+        for step in steps:
+            at = at[int(step)] if isinstance(at, list) else at[step]
+        at[int(last) if isinstance(at, list) else last] = value
+    return replace(read(found, {}), listen=("127.0.0.1", 0))
+
+
+def instance(name: str, address: str, state: str = "ready") -> dict[str, Any]:
+    return {"instanceId": name, "hostPort": address, "lifecycle": state, "startedAtMs": 0}
+
+
+class Stage:
+    """The program and the parties round it."""
+
+    def __init__(self, changes: dict[str, Any]) -> None:
+        self.listeners = {name: listen() for name in SERVERS}
+        self.addresses = {name: "{}:{}".format(*sock.getsockname()) for name, sock in self.listeners.items()}
+        self.gatekeeper = Gatekeeper(config(self.addresses, changes))
+        self.front = self.gatekeeper.start()
+        self.open: dict[str, Any] = {}
+
+    def close(self) -> None:
+        for sock in (*self.open.values(), *self.listeners.values()):
+            sock.close()
+        self.gatekeeper.stop(0.0)
+
+    def sock(self, name: str) -> Any:
+        if name not in self.open:
+            server = self.listeners.get(name)
+            self.open[name] = server.accept()[0] if server else socket.create_connection(self.front)
+        return self.open[name]
+
+    def line(self, text: str) -> None:
+        """Play one line of an exchange."""
+        for name, address in self.addresses.items():
+            text = text.replace(f"${name}", address)
+        who, verb, rest = (text.split(" ", 2) + ["", ""])[:3]
+        if who == "expect":
+            while self.gatekeeper.metrics.counts[verb] != int(rest):
+                gevent.sleep(0.005)
+        elif verb in (">", ">>"):
+            rest = re.sub(r"\{(.)\*(\d+)\}", lambda m: m[1] * int(m[2]), rest).replace("\\n", "\r\n")
+            self.sock(who).sendall(rest.encode() + (b"\r\n" if verb == ">" else b""))
+        elif verb == ">#":
+            self.sock(who).sendall(f"{len(rest) + 1:x}\r\n{rest}\n\r\n".encode())
+        elif verb == "<":
+            got = b""
+            while not got.endswith(b"\n"):
+                byte = self.sock(who).recv(1)
+                assert byte, f"ended after {got!r}"
+                got += byte
+            pattern = re.escape(rest).replace(r"\*", ".*")
+            assert re.fullmatch(pattern, got.decode().removesuffix("\r\n")), got
+        elif verb == "<<":
+            got = b""
+            while len(got) < len(rest) and (more := self.sock(who).recv(len(rest) - len(got))):
+                got += more
+            assert got.decode() == rest
+        elif verb == "closed":
+            with contextlib.suppress(ConnectionError):
+                assert self.open.pop(who).recv(1) == b""
+        elif verb == "close":
+            self.open.pop(who).close()
+        elif verb == "stop":
+            self.listeners[who].close()
+        else:
+            raise ValueError(f"no such line: {text}")
+
+
+def listen() -> Any:
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    return sock
+
+
+def play(path: Path) -> None:
+    lines = [line for line in path.read_text().splitlines() if line.strip() and not line.startswith("#")]
+    changes = [line.split(" ", 2) for line in lines if line.startswith("set ")]
+    stage = Stage({key: json.loads(value) for _, key, value in changes})
+    try:
+        for line in lines:
+            if not line.startswith("set "):
+                with gevent.Timeout(WAIT_S, AssertionError(f"{path.name}: nothing came of: {line}")):
+                    stage.line(line)
+    finally:
+        stage.close()
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,14 @@
+"""Every recorded exchange, played against the program."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.play import play
+
+EXCHANGES = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", EXCHANGES, ids=lambda path: path.stem)
+def test_exchange(path: Path) -> None:
+    play(path)
