--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -11,7 +11,7 @@
 
 from ashlift.clock import UnixClock
 from ashlift.config import Config, ConfigError, load
-from ashlift.jobs import Counter
+from ashlift.jobs import Clock, Counter
 from ashlift.metrics import Metrics
 from ashlift.net.counter import TextCounter
 from ashlift.net.front import Front
@@ -31,8 +31,8 @@
 class Gatekeeper:
     """The parts of one gatekeeper, put together."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.metrics, self.clock = config, Metrics(), UnixClock()
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+        self.config, self.metrics, self.clock = config, Metrics(), clock or UnixClock()
         self.owner = Owner(Gateway(config.settings, config.seed), self.clock, self.metrics)
         inbox = self.owner.inbox
         self.machines = MachineList(config.discovery, config.zones, inbox, self.metrics)
@@ -62,7 +62,8 @@
         self.owner.connect(self.nodes, port)
         self.front = Front(config.names, config.client_links, lambda: bool(self.machines.machines),
                            self.clock, inbox, self.metrics)  # fmt: skip
-        self._running: list[gevent.Greenlet] = []
+        self._running: list[gevent.Greenlet[..., None]] = []
+        self.ratelimit_port = 0
         self._listener: gevent.socket.socket | None = None
 
     def start(self) -> tuple[str, int]:
@@ -74,7 +75,7 @@
         self._running = [gevent.spawn(part.run) for part in parts]
         self._running.append(gevent.spawn(self.front.run, self._listener))
         if self.ratelimit is not None:
-            self.ratelimit.listen(self.config.ratelimit.listen)
+            self.ratelimit_port = self.ratelimit.listen(self.config.ratelimit.listen)
         host, port = self._listener.getsockname()
         log.info("%s listens on %s:%d", self.config.name, host, port)
         return host, port
--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -84,7 +84,8 @@
     return f"{int(text, 16):016x}"
 
 
-def _ratelimit(path: Path) -> RateLimit:
+def load_ratelimit(path: Path) -> RateLimit:
+    """Read the file that turns the gRPC rate limit service on."""
     try:
         found = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
@@ -124,7 +125,7 @@
     """Check what the JSON file holds; the environment goes first."""
     facts = table(found, "settings")
     settings = read_settings(facts)
-    ratelimit = _ratelimit(Path(env.get("GW_RATELIMIT") or RATELIMIT))
+    ratelimit = load_ratelimit(Path(env.get("GW_RATELIMIT") or RATELIMIT))
     counter = found.get("counter")
     if settings.counter and not counter and not ratelimit.counter:
         raise ConfigError("counter is missing, though setting FamilyInfo.MayCount is true")
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,240 @@
+"""What no exchange of bytes can show without luck: races, silences, settings, and the process itself."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.queue import SimpleQueue
+
+from ashlift import config as configuration
+from ashlift.__main__ import Gatekeeper
+from ashlift.clock import UnixClock
+from ashlift.jobs import Answer, Job, Verdict
+from ashlift.metrics import Metrics
+from ashlift.net import machine_list
+from ashlift.net.machine_list import Machine, MachineList
+from ashlift.net.nodes import Cargo, Limits, NodePool
+from ashlift.owner import Owner
+from mintfront.control import Gateway
+from mintfront.interface import Result
+from mintfront.wirehost import WireError
+from tests.play import config, instance, listen
+from tests.standins import ManualClock, Node
+from tests.test_wirehost import FACTS
+
+
+NOWHERE = {"d": "127.0.0.1:9", "k": "127.0.0.1:9", "n1": "127.0.0.1:9"}
+
+
+def job(number: int = 1) -> Job:
+    cargo = Cargo(b"GET", b"/availability-check", b"t%d" % number)
+    return Job(0, 0, "aa", 900.0, 0.0, lambda answer: None, cargo, number=number)
+
+
+class Drained(MachineList):
+    """A list that tells of a drain while the claim's connection is coming up."""
+
+    looks = 0
+
+    def ready(self, name: str) -> Machine | None:
+        self.looks += 1
+        return super().ready(name) if self.looks == 1 else None
+
+
+def pool(kind: type[MachineList], node: Node, links: int = 8) -> tuple[NodePool, SimpleQueue[Any], Metrics]:
+    inbox: SimpleQueue[Any] = SimpleQueue()
+    machines, metrics = kind(("127.0.0.1", 9), (), inbox, Metrics()), Metrics()
+    machines.take({"generation": 1, "instances": [instance("n1", node.address)]})
+    inbox.get()
+    return NodePool(machines, Limits(2000.0, 15_000.0, links), UnixClock(), inbox, metrics), inbox, metrics
+
+
+def test_a_drain_told_before_the_first_byte_counts() -> None:
+    node = Node()
+    nodes, inbox, metrics = pool(Drained, node)
+    nodes.start(job(), 0, "n1", 900.0)
+    assert inbox.get(timeout=10).result is Result.MOOT
+    assert metrics.counts["claims.withdrawn"] == 1 and node.traces == []
+    node.server.stop()
+
+
+def test_connections_to_nodes_are_bounded() -> None:
+    silent = listen()
+    node = Node()
+    node.address = "{}:{}".format(*silent.getsockname())
+    nodes, inbox, _ = pool(MachineList, node, links=1)
+    nodes.start(job(1), 0, "n1", 20_000.0)
+    nodes.start(job(2), 0, "n1", 20_000.0)
+    refused = inbox.get(timeout=10)
+    assert (refused.number, refused.result) == (2, Result.MOOT)
+    nodes.cancel(1, 0)
+    assert inbox.get(timeout=10).result is Result.CANCELLED
+    silent.close()
+    node.server.stop()
+
+
+def test_idle_connections_are_dropped_before_the_node_closes_them() -> None:
+    node, clock = Node(), ManualClock()
+    nodes, inbox, metrics = pool(MachineList, node)
+    nodes._clock = clock
+    for number in (1, 2):
+        nodes.start(job(number), 0, "n1", 9_000.0)
+        assert inbox.get(timeout=10).result is Result.OK
+    assert metrics.counts["nodes.dialled"] == 1 and nodes._open == 1
+    clock.advance(14_000.0)
+    nodes.sweep()
+    assert nodes._open == 0
+    node.server.stop()
+
+
+def test_a_silent_watch_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(machine_list, "SILENT_S", 0.05)
+    discovery = listen()
+    watch = MachineList(discovery.getsockname(), (), SimpleQueue(), Metrics())
+    running = gevent.spawn(watch.run)
+    with gevent.Timeout(10):
+        for _ in range(2):
+            assert discovery.accept()[0].recv(9) == b"GET /disc"
+    running.kill()
+    discovery.close()
+
+
+def test_a_fault_of_the_module_fails_one_job_and_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    answers: list[Answer] = []
+    owner = Owner(Gateway(config(NOWHERE, {}).settings, 1), ManualClock(), Metrics())
+    broken = job()
+    broken.reply = answers.append
+    with monkeypatch.context() as patch:
+        patch.setattr(Gateway, "handle", lambda *_: 1 / 0)
+        owner.take(broken)
+    sound = job(2)
+    sound.reply = answers.append
+    owner.take(sound)
+    assert [answer.verdict for answer in answers] == [Verdict.FAILED, Verdict.REFUSED]
+
+
+def test_what_a_job_lay_unread_is_off_its_patience() -> None:
+    owner = Owner(Gateway(config(NOWHERE, {}).settings, 1), clock := ManualClock(), Metrics())
+    late = job()
+    late.came_ms, late.patience_ms = clock.now() - 300.0, 900.0
+    assert owner._request(late).patience_ms == 600.0
+
+
+def test_all_gatekeepers_read_one_clock() -> None:
+    # Names of counts are made of it: two that start apart must agree, or each would count by itself.
+    first = UnixClock()
+    gevent.sleep(0.05)
+    assert abs(first.now() - UnixClock().now()) < 20
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        ("discovery", "nowhere", "GW_DISCOVERY"), ("counter", None, "counter"), ("seed", "x", "seed"),
+        ("limits", {"sockets": 5}, "limits.sockets"), ("settings", [], "settings"), ("known", [1], "known"),
+        ("settings.Plans.0.Name", "", r"Plans\[0\].Name"), ("settings.Plans.0.QuotaRate", "x", "QuotaRate"),
+        ("settings.Limits.IdleCloseMs", 0, "IdleCloseMs"), ("settings.FamilyInfo.MayCount", 1, "MayCount"),
+    ],
+)  # fmt: skip
+def test_a_setting_that_cannot_be_right_names_its_key(path: str, value: Any, named: str) -> None:
+    with pytest.raises((configuration.ConfigError, WireError), match=named):
+        config(NOWHERE, {path: value})
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [("[server", "GW_RATELIMIT"), ('[server]\nlisten = "x"\ndomain = "d"', "server.listen"),
+     ('[client]\naddress = "127.0.0.1:1"', "client.domain")],
+)  # fmt: skip
+def test_a_wrong_ratelimit_file_names_its_key(tmp_path: Path, text: str, named: str) -> None:
+    (tmp_path / "own.toml").write_text(text)
+    with pytest.raises(configuration.ConfigError, match=named):
+        configuration.load_ratelimit(tmp_path / "own.toml")
+
+
+def test_the_platforms_file_leaves_grpc_off_and_unloaded() -> None:
+    limits = configuration.load_ratelimit(configuration.RATELIMIT)
+    assert not limits.listen and not limits.counter
+    loaded = "import sys, ashlift.__main__; sys.exit('grpc' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", loaded], check=False).returncode == 0
+
+
+def start(tmp_path: Path, node: Node, port: int) -> "subprocess.Popen[str]":
+    facts = FACTS | {"Categories": [FACTS["Categories"][0] | {"Name": "availability-check"}]}
+    facts = facts | {"Plans": [FACTS["Plans"][0] | {"Name": "basic"}]}
+    known = {"generation": 1, "instances": [instance("n1", node.address)]}
+    found = {"settings": facts, "counter": "127.0.0.1:9", "known": known, "discovery": "127.0.0.1:9"}
+    (tmp_path / "config.json").write_text(json.dumps(found))
+    env = os.environ | {"GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.77.0.1:{port}"}
+    return subprocess.Popen([sys.executable, "-m", "ashlift"], env=env, stderr=subprocess.PIPE, text=True)
+
+
+def until(process: "subprocess.Popen[str]", text: str) -> None:
+    assert process.stderr is not None
+    for line in process.stderr:
+        if text in line:
+            return
+    raise AssertionError(f"ended before it said {text!r}")
+
+
+def test_sigterm_answers_what_is_taken_and_exits_with_0(tmp_path: Path) -> None:
+    node = Node()
+    node.go.clear()
+    with socket.socket() as free:
+        free.bind(("127.77.0.1", 0))
+        port = free.getsockname()[1]
+    process = start(tmp_path, node, port)
+    until_in_thread = gevent.get_hub().threadpool.apply
+    with gevent.Timeout(30):
+        until_in_thread(until, (process, "listens"))
+        process.send_signal(signal.SIGUSR1)
+        until_in_thread(until, (process, "counters (SIGUSR1)"))
+        client = socket.create_connection(("127.77.0.1", port))
+        client.sendall(
+            b"GET /availability-check HTTP/1.1\r\nX-Qos: availability-check\r\nX-Trace-Id: t1\r\n"
+            b"Api-Plan: basic\r\nApi-Customer: 07\r\nX-Expires-In: 25\r\n\r\n"
+        )
+        while not node.traces:
+            gevent.sleep(0.005)
+        process.send_signal(signal.SIGTERM)
+        gevent.sleep(0.2)
+        node.go.set()
+        assert client.recv(65536).startswith(b"HTTP/1.1 200 OK")
+        assert client.recv(1) == b""  # closed between requests
+        until_in_thread(until, (process, "answers.served 1"))
+        assert until_in_thread(process.wait) == 0
+    node.server.stop()
+
+
+def test_new_connections_are_taken_for_a_while_after_sigterm() -> None:
+    node = Node()
+    gate = Gatekeeper(config(NOWHERE | {"n1": node.address}, {}))
+    address = gate.start()
+    rest = socket.create_connection(address)
+    rest.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+    assert rest.recv(65536).startswith(b"HTTP/1.1 200")
+    ending = gevent.spawn(gate.stop, 2.0)
+    late = socket.create_connection(address)
+    late.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+    with gevent.Timeout(30):
+        assert late.recv(65536).startswith(b"HTTP/1.1 200")
+        assert rest.recv(1) == late.recv(1) == b""
+        ending.get()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address)
+    node.server.stop()
+
+
+def test_a_wrong_setting_ends_the_program_with_one_line(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text('{"settings": 5}')
+    env = os.environ | {"GW_CONFIG": str(tmp_path / "config.json")}
+    command = [sys.executable, "-m", "ashlift"]
+    ended = subprocess.run(command, env=env, capture_output=True, text=True, check=False)
+    assert ended.returncode == 2 and ended.stderr == "ashlift: setting settings is missing or not a table\n"
--- /dev/null
+++ b/tests/test_ratelimit.py
@@ -0,0 +1,300 @@
+"""The gRPC rate limit service, both ways, on loopback."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any
+
+import gevent
+import grpc
+import pytest
+from envoy.service.ratelimit.v3 import rls_pb2, rls_pb2_grpc
+from gevent import socket
+from gevent.queue import SimpleQueue
+
+from ashlift.__main__ import Gatekeeper
+from ashlift.clock import UnixClock
+from ashlift.config import RateLimit
+from ashlift.metrics import Metrics
+from ashlift.ratelimit.bridge import Bridge
+from ashlift.ratelimit.client import GrpcCounter, ask, read_error, read_response
+from ashlift.ratelimit.messages import is_negative
+from mintfront.interface import Counted, Result
+from tests.play import config, instance
+from tests.standins import GrpcCounts, ManualClock, Node, TextCounts, in_thread
+
+OK, OVER = rls_pb2.RateLimitResponse.OK, rls_pb2.RateLimitResponse.OVER_LIMIT
+PREMIER: dict[str, Any] = {
+    "Name": "premier", "QuotaRate": 5.0, "MostAtOnce": 10.0, "CeilingRate": 10.0, "HardBurst": 20.0,
+    "CeilingSlack": 2.0, "MaxOut": 0, "OverWorth": 0.0, "OverrunCost": 0.8, "Pays": 1.4,
+}  # fmt: skip
+BASIC = PREMIER | {"Name": "basic", "QuotaRate": 1.0, "MostAtOnce": 4.0, "CeilingRate": 0.0, "HardBurst": 0.0}
+
+
+class Loopback:
+    """Gatekeepers on one counter, with a node, under a clock of the test's."""
+
+    def __init__(self, counts: TextCounts | GrpcCounts, size: int = 2, **settings: Any) -> None:
+        self.counts: Any = counts
+        self.node = Node()
+        grpc_address = counts.address if isinstance(counts, GrpcCounts) else ""
+        self.clocks = [ManualClock() for _ in range(size)]
+        self.gates: list[Gatekeeper] = []
+        self.clients: list[Any] = []
+        for me in range(size):
+            changes = {
+                "known": {"generation": 1, "instances": [instance("n1", self.node.address)]},
+                "settings.Plans": [BASIC, PREMIER], "settings.GroupSize": max(2, size), "settings.Me": me,
+                **settings,
+            }  # fmt: skip
+            found = config({"d": "127.0.0.1:9", "k": counts.address, "n1": self.node.address}, changes)
+            limits = RateLimit("127.0.0.1:0", "availability-lookup", grpc_address, "counts")
+            gate = Gatekeeper(replace(found, ratelimit=limits), self.clocks[me])
+            self.gates.append(gate)
+            self.clients.append(socket.create_connection(gate.start()))
+        self.traces = 0
+        self.advance(50)
+
+    def close(self) -> None:
+        for gate, client in zip(self.gates, self.clients, strict=True):
+            client.close()
+            gate.stop(0.0)
+        self.node.server.stop()
+        self.counts.stop()
+
+    def advance(self, ms: float) -> None:
+        """Move time, and wait until all that follows from it is done: one gatekeeper after the other, for the
+        order in which two of them reach the counter would be luck."""
+        for clock, gate in zip(self.clocks, self.gates, strict=True):
+            clock.advance(ms)
+            with gevent.Timeout(20):
+                while gate.owner.inbox.qsize() or self._calling(gate):
+                    gevent.sleep(0.001)
+
+    @staticmethod
+    def _calling(gate: Gatekeeper) -> bool:
+        counts = gate.metrics.counts
+        ended = ("ok", "full", "timeout", "connect_failed", "over_limit")
+        return counts["counter.calls"] != sum(counts[f"counter.{end}"] for end in ended)
+
+    def http(self, at: int, firm: int, plan: str, spread: int = 2) -> str:
+        """One job of the platform's; its status and advice."""
+        self.traces += 1
+        self.clients[at].sendall((
+            "GET /availability-check/x HTTP/1.1\r\nX-Qos: availability-check\r\nX-Expires-In: 9\r\n"
+            f"X-Trace-Id: {plan}.{firm}.{self.traces}\r\nApi-Plan: {plan}\r\nApi-Customer: {firm:016x}\r\n"
+            f"Api-Terms: units=1,spread={spread},first=0\r\n\r\n"
+        ).encode())  # fmt: skip
+        with gevent.Timeout(20):
+            head, _, _ = self.clients[at].recv(65536).decode().partition("\r\n\r\n")
+        advice = head.partition("Retry-After: ")[2]
+        return f"{head.split()[1]} {advice}".strip()
+
+    def grpc(self, *descriptors: dict[str, str], timeout: float = 10.0, domain: str = "availability-lookup",
+             hits: int = 0) -> Any:  # fmt: skip
+        """One call of a real client to our service."""
+        request = rls_pb2.RateLimitRequest(domain=domain, hits_addend=hits)
+        for entries in descriptors:
+            one = request.descriptors.add()
+            for key, value in entries.items():
+                one.entries.add(key=key, value=value)
+        with grpc.insecure_channel(f"127.0.0.1:{self.gates[0].ratelimit_port}") as channel:
+            stub = rls_pb2_grpc.RateLimitServiceStub(channel)
+            return in_thread(stub.ShouldRateLimit, request, timeout=timeout)
+
+
+@pytest.fixture
+def loopback() -> Iterator[Callable[..., Loopback]]:
+    made: list[Loopback] = []
+
+    def make(*args: Any, **kwargs: Any) -> Loopback:
+        made.append(Loopback(*args, **kwargs))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def busy_minute(run: Loopback) -> dict[str, list[str]]:
+    """A premier firm at ten times its quota and a basic one near its own, unevenly over two gatekeepers."""
+    answers: dict[str, list[str]] = {"premier": [], "basic": []}
+    run.advance(4_000)
+    for step in range(150):
+        answers["premier"].append(run.http(0 if step % 3 else 1, 7, "premier"))
+        if step % 20 == 0:
+            answers["basic"].append(run.http(step % 2, 8, "basic"))
+        run.advance(20)
+    return answers
+
+
+def store_least(sends: list[int]) -> float:
+    """How low the premier firm's ceiling store came, if it was sent on at these steps of 20 ms."""
+    store, least, before = PREMIER["HardBurst"], PREMIER["HardBurst"], 0
+    for step in sends:
+        store = min(PREMIER["HardBurst"], store + PREMIER["CeilingRate"] * (step - before) * 0.02) - 1
+        least, before = min(least, store), step
+    return float(least)
+
+
+def test_both_counters_give_the_same_ceilings_and_final_answers(loopback: Callable[..., Loopback]) -> None:
+    runs = [loopback(counts) for counts in (TextCounts(), GrpcCounts())]
+    answers = [busy_minute(run) for run in runs]
+    assert answers[0] == answers[1]
+    assert runs[0].node.traces == runs[1].node.traces
+    assert sorted(runs[0].counts.totals.values()) == sorted(runs[1].counts.totals.values())
+    premier = answers[0]["premier"]
+    assert premier.count("200") > 20 and premier.count("429 0.200") > 60
+    sends = [step for step, answer in enumerate(premier) if answer == "200"]
+    assert store_least(sends) >= -PREMIER["CeilingSlack"]
+
+
+def test_a_slow_service_holds_no_job_up(loopback: Callable[..., Loopback]) -> None:
+    run = loopback(GrpcCounts(), **{"settings.FamilyInfo.CounterTimeoutMs": 30})
+    run.counts.go.clear()
+    client = gevent.spawn(run.http, 0, 7, "basic")
+    metrics = run.gates[0].metrics.counts
+    with gevent.Timeout(20):
+        assert client.get() == "200"
+    assert metrics["counter.timeout"] == 1 and not metrics["counter.ok"]
+    run.counts.go.set()
+
+
+def test_over_limit_is_no_room_for_a_premier_firm_near_its_ceiling(loopback: Callable[..., Loopback]) -> None:
+    run = loopback(GrpcCounts())
+    run.advance(4_000)
+    while run.http(0, 7, "premier") == "200":
+        run.advance(20)
+    run.advance(4_000)
+    run.advance(1_500)  # what was read last is too old by now: the next job waits for a count
+    run.counts.over = True
+    assert run.http(0, 7, "premier") == "429 0.200"  # its own counts would let it in
+    run.advance(1_000)
+    assert run.http(0, 7, "premier") == "429 0.200"
+    run.counts.over = False
+    run.advance(1_500)
+    assert run.http(0, 7, "premier") == "200"
+
+
+FIRM = {"firm": "0000000000000007", "plan": "premier"}
+
+
+def test_the_service_shares_quota_and_ceiling_with_the_platform(loopback: Callable[..., Loopback]) -> None:
+    run = loopback(TextCounts(), 1)
+    run.advance(600)
+    mine = FIRM | {"spread": "1"}
+    assert [run.http(0, 7, "premier", 1) for _ in range(3)] == ["200"] * 3
+    codes = [run.grpc(mine).overall_code for _ in range(4)]
+    assert codes == [OK, OK, OK, OVER]  # 0.65 s of the ceiling's ten a second are spent
+    assert run.http(0, 7, "premier", 1) == "429 0.200"
+    over = run.grpc(mine)
+    assert over.statuses[0].code == OVER and over.statuses[0].duration_until_reset.ToMilliseconds() == 200
+    assert [(one.key, one.value) for one in over.response_headers_to_add] == [("retry-after", "0.200")]
+    assert len(run.node.traces) == 3  # what only asks is sent nowhere
+
+
+def test_units_and_several_descriptors(loopback: Callable[..., Loopback]) -> None:
+    run = loopback(TextCounts(), 1)
+    basic = {"firm": "8", "plan": "basic", "spread": "1"}
+    assert run.grpc(basic, hits=3).overall_code == OK
+    assert run.grpc(basic | {"firm": "9"}, hits=5).overall_code == OVER  # more than its burst
+    assert run.grpc(basic | {"firm": "a"}, hits=2**32 - 1).overall_code == OVER
+    both = run.grpc(basic, basic | {"firm": "b"}, hits=4)
+    assert both.overall_code == OVER and [status.code for status in both.statuses] == [OVER, OK]
+
+
+@pytest.mark.parametrize(
+    ("descriptors", "domain", "named"),
+    [
+        ([FIRM], "elsewhere", "domain"), ([], "availability-lookup", "descriptors"),
+        ([FIRM | {"plan": "unheard"}], "availability-lookup", r"descriptors\[0\].*plan"),
+        ([FIRM, {"plan": "basic"}], "availability-lookup", r"descriptors\[1\].*firm"),
+        ([FIRM | {"spread": "9"}], "availability-lookup", "spread"),
+        ([FIRM | {"odd": "1"}], "availability-lookup", "key"),
+        ([FIRM | {"class": "odd"}], "availability-lookup", "class"),
+    ],
+)  # fmt: skip
+def test_what_cannot_be_right_names_the_field(
+    loopback: Callable[..., Loopback], descriptors: list[dict[str, str]], domain: str, named: str
+) -> None:
+    run = loopback(TextCounts(), 1)
+    with pytest.raises(grpc.RpcError, match=named) as caught:
+        run.grpc(*descriptors, domain=domain)
+    assert caught.value.code() is grpc.StatusCode.INVALID_ARGUMENT
+    assert run.gates[0].metrics.counts["jobs.taken"] == 0
+
+
+def test_a_call_whose_deadline_passes_is_given_up(loopback: Callable[..., Loopback]) -> None:
+    run = loopback(GrpcCounts(), 1)
+    run.counts.go.clear()  # the call is held for a count that does not come
+    with pytest.raises(grpc.RpcError) as caught:
+        run.grpc(FIRM, timeout=0.2)
+    assert caught.value.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+    metrics = run.gates[0].metrics.counts
+    with gevent.Timeout(20):
+        while not metrics["ratelimit.expired"] == metrics["jobs.left"] == 1:
+            gevent.sleep(0.001)
+
+
+# ---- the client alone
+
+
+def one_call(address: str, amount: float = 5.0, timeout_ms: float = 10_000.0) -> Counted:
+    inbox: SimpleQueue[Any] = SimpleQueue()
+    counter = GrpcCounter(address, "counts", timeout_ms, Bridge(), UnixClock(), inbox, Metrics())
+    try:
+        counter.add(77, amount, 4000.0)
+        counted: Counted = inbox.get(timeout=20)
+        return counted
+    finally:
+        counter.close()
+
+
+@pytest.mark.parametrize(
+    ("code", "result"),
+    [
+        (grpc.StatusCode.RESOURCE_EXHAUSTED, Result.FULL), (grpc.StatusCode.UNAVAILABLE, Result.TIMEOUT),
+        (grpc.StatusCode.INTERNAL, Result.TIMEOUT), (grpc.StatusCode.UNKNOWN, Result.TIMEOUT),
+        (grpc.StatusCode.DEADLINE_EXCEEDED, Result.TIMEOUT), (grpc.StatusCode.ABORTED, Result.TIMEOUT),
+    ],
+)  # fmt: skip
+def test_a_failed_call_is_doubtful_unless_it_is_clear(code: grpc.StatusCode, result: Result) -> None:
+    counts = GrpcCounts()
+    counts.error = code
+    assert one_call(counts.address).result is result
+    counts.stop()
+
+
+def test_a_service_that_refuses_connections_added_nothing() -> None:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))  # bound and not listening: refused, and taken by nobody else
+        assert one_call("{}:{}".format(*free.getsockname())).result is Result.CONNECT_FAILED
+    assert read_error(grpc.StatusCode.UNAVAILABLE, "Socket closed") is Result.TIMEOUT
+
+
+def test_a_silent_service_is_given_up_and_may_have_added() -> None:
+    counts = GrpcCounts()
+    counts.go.clear()
+    assert one_call(counts.address, timeout_ms=30.0).result is Result.TIMEOUT
+    counts.stop()
+
+
+def test_totals_go_up_down_and_are_read() -> None:
+    counts = GrpcCounts()
+    told = [one_call(counts.address, amount) for amount in (1001.0, -1.0, 0.0)]
+    assert [(one.result, one.total) for one in told] == [(Result.OK, total) for total in (1001, 1000, 1000)]
+    asked = [ask("d", 1, amount, 9.0).descriptors[0] for amount in (-1, 0, 1)]
+    assert [is_negative(one) for one in asked] == [True, False, False]
+    counts.limitless = True
+    assert one_call(counts.address).result is Result.TIMEOUT  # no total: no room read
+    counts.limitless, counts.over = False, True
+    assert one_call(counts.address).over
+    counts.stop()
+
+
+def test_an_answer_of_nonsense_is_not_room() -> None:
+    odd = rls_pb2.RateLimitResponse(overall_code=OK)
+    assert read_response(odd)[0] is Result.TIMEOUT
+    odd.statuses.add(code=OK, limit_remaining=5).current_limit.requests_per_unit = 3
+    assert read_response(odd)[0] is Result.TIMEOUT
+    odd.statuses[0].code = OVER
+    assert read_response(odd) == (Result.OK, 0.0, True)
