Keep the module's step after a fault, and let callers go away in either front

What it decided before the fault is carried out now. - front.py `_write`: after `Connection: close` a request read ahead was begun on a connection about to end; `on_header`: headers over 16 KiB passed where they came whole in one read; a half request could trickle in for ever (the timer was for each read). - ratelimit/server.py: a caller that went away held its thread until its deadline. - machine_list.py: nonsense of discovery was asked for again ten times a second. Checked: each with an exchange or a small test, except the trickle and the pause.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -109,7 +109,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, told.set)
     gevent.signal_handler(signal.SIGUSR1, gatekeeper.metrics.dump, "SIGUSR1")
-    gatekeeper.start()
+    try:
+        gatekeeper.start()
+    except (OSError, RuntimeError) as error:  # gRPC says it with the latter
+        print(f"ashlift: cannot listen: {error}", file=sys.stderr)
+        return 1
     told.wait()
     gatekeeper.stop()
     gatekeeper.metrics.dump("exit")
--- a/ashlift/net/front.py
+++ b/ashlift/net/front.py
@@ -40,7 +40,8 @@
     method: bytes = b""
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: list[bytes] = field(default_factory=list)
-    size: int = 0
+    size: int = 0  # of the body
+    head: int = 0  # of the headers
     keep: bool = True
     came_ms: float = 0.0
     wrong: HTTPStatus | None = None
@@ -173,7 +174,8 @@
         if self._asked is None:
             data = self._sock.recv(65536)
         else:
-            with gevent.Timeout(HALF_S):
+            # From its first byte on: one that comes in drop by drop does not hold its place for ever.
+            with gevent.Timeout(max(0.001, HALF_S - (self._front.clock.now() - self._asked.came_ms) / 1000)):
                 data = self._sock.recv(65536)
         if not data:
             return False
@@ -202,7 +204,7 @@
     # httptools calls these
 
     def on_message_begin(self) -> None:
-        self._asked = _Asked()
+        self._asked = _Asked(came_ms=self._front.clock.now())
 
     def on_url(self, url: bytes) -> None:
         assert self._asked is not None
@@ -213,6 +215,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._asked is not None
         self._asked.headers[name.lower()] = value.strip()
+        self._asked.head += len(name) + len(value)
+        if self._asked.head > HEAD_MOST:
+            raise BadRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         assert self._asked is not None
@@ -253,8 +258,7 @@
             else:
                 self._front.inbox.put(self._job)
 
-    def _answered(self) -> None:
-        self._current = self._job = None
+    def _next(self) -> None:
         if self._waiting:
             asked = self._waiting.popleft()
             self._room.set()
@@ -292,10 +296,12 @@
             except (OSError, gevent.Timeout):
                 self._front.metrics.add("clients.unwritable")
                 keep = False
-            self._answered()
+            self._current = self._job = None
             if not keep:
-                self._end()
-                return
+                self._waiting.clear()  # what was read ahead is not begun
+                self._room.set()
+                return self._end()
+            self._next()
 
 
 REASON = {Verdict.REFUSED: HTTPStatus.TOO_MANY_REQUESTS, Verdict.FAILED: HTTPStatus.BAD_GATEWAY}
--- a/ashlift/net/machine_list.py
+++ b/ashlift/net/machine_list.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +18,7 @@
 SILENT_S = 5.0  # without even an empty line, which come every 2 s: the watch is dead though nobody said so
 CONNECT_S = 2.0
 BACKOFF_S = (0.1, 3.0)  # first and longest pause before a new watch
+STOOD_S = 1.0  # a watch that stood for so long was a good one: the next is begun soon
 WATCH_ENDS = (OSError, gevent.Timeout, httptools.HttpParserError)
 LINE_MOST = 4 << 20  # bytes of one unfinished line
 
@@ -54,7 +56,7 @@
         """Take one message of discovery. The table changes here and now, ahead of the owner's queue, so that
         a claim about to be written sees a drain that the module has not heard of."""
         entries = [self._entry(row) for row in news["instances"]]
-        complete = bool(news.get("reset", False))
+        index, complete = int(news["generation"]), bool(news.get("reset", False))
         if complete:
             self.machines.clear()
         for machine in entries:
@@ -62,7 +64,7 @@
                 self.machines.pop(machine.server.name, None)
             else:
                 self.machines[machine.server.name] = machine
-        self._index = int(news["generation"])
+        self._index = index
         self._metrics.add("machine_list.news")
         self._inbox.put(ServerList(tuple(machine.server for machine in entries), complete))
 
@@ -80,14 +82,13 @@
         """Watch for ever; one that ends or falls silent is begun anew, with growing pauses."""
         pause = BACKOFF_S[0]
         while True:
-            before = self._metrics.counts["machine_list.lines"]
+            began = time.monotonic()
             try:
                 self._watch()
             except (*WATCH_ENDS, ValueError, KeyError, TypeError) as error:
                 log.warning("watch ended: %s: %s", type(error).__name__, error)
             self._metrics.add("machine_list.watches_ended")
-            heard = self._metrics.counts["machine_list.lines"] > before
-            pause = BACKOFF_S[0] if heard else min(BACKOFF_S[1], 2 * pause)
+            pause = BACKOFF_S[0] if time.monotonic() - began > STOOD_S else min(BACKOFF_S[1], 2 * pause)
             gevent.sleep(pause)
 
     def _watch(self) -> None:
@@ -109,7 +110,6 @@
                     raise ValueError(f"discovery answers {parser.get_status_code()}")
                 lines, reader.lines = reader.lines, []
                 for line in lines:
-                    self._metrics.add("machine_list.lines")
                     if line.strip():
                         self.take(json.loads(line))
 
--- a/ashlift/owner.py
+++ b/ashlift/owner.py
@@ -48,14 +48,16 @@
     def take(self, message: Message) -> None:
         """Handle one message. A fault of the module costs the job it struck an answer, not the others."""
         try:
-            for action in self._feed(message):
-                self._do(action)
+            actions = self._feed(message)
         except Exception:
             log.exception("the module failed on %s", type(message).__name__)
             self._metrics.add("module.faults")
-            job = message if isinstance(message, Job) else None
-            if job is not None:
-                self._answer(job.number, Answer(Verdict.FAILED))
+            # What it had decided until then stands: its next step, above all, or housekeeping would end here.
+            actions = [*self._gateway.actions]
+            if isinstance(message, Job | ClaimEnded):
+                actions.append(i.Fail(message.number))
+        for action in actions:
+            self._do(action)
 
     def _feed(self, message: Message) -> list[i.Action]:
         now, event = self._clock.now(), self._event(message)
--- a/ashlift/ratelimit/client.py
+++ b/ashlift/ratelimit/client.py
@@ -43,6 +43,7 @@
         self._domain, self._timeout_ms, self._bridge, self._clock = domain, timeout_ms, bridge, clock
         self._inbox, self._metrics = inbox, metrics
         self._channel = grpc.insecure_channel(address, options=OPTIONS)
+        self._channel.subscribe(lambda state: None, try_to_connect=True)  # up before the first call
         self._stub = rls_pb2_grpc.RateLimitServiceStub(self._channel)
 
     def add(self, name: int, amount: float, expire_ms: float) -> None:
--- a/ashlift/ratelimit/server.py
+++ b/ashlift/ratelimit/server.py
@@ -5,8 +5,10 @@
 moment each is decided, as Envoy's own service makes them. The call is over if any of its descriptors is.
 """
 
-from concurrent.futures import Future, ThreadPoolExecutor
+import contextlib
+from concurrent.futures import Future, InvalidStateError, ThreadPoolExecutor
 from concurrent.futures import wait as wait_all
+from functools import partial
 
 import gevent
 import grpc
@@ -22,6 +24,7 @@
 
 WORKERS = 16  # calls waiting for the owner at once: each waits a few ms at most, unless held for a count
 QUEUED_MOST = 256  # calls beyond that are turned away at once
+LONGEST_S = 60.0  # a call without a deadline waits no longer, whatever becomes of the owner
 DESCRIPTORS_MOST = 32
 ENTRIES = ("firm", "plan", "class", "spread")
 Code = rls_pb2.RateLimitResponse.Code
@@ -31,6 +34,12 @@
     """A call that cannot be right; the text names the field."""
 
 
+def _settle(waiting: Future[Answer], answer: Answer) -> None:
+    """Guards against the race of the owner's answer with the end of the call: the first one counts."""
+    with contextlib.suppress(InvalidStateError):
+        waiting.set_result(answer)
+
+
 class RateLimitFront(rls_pb2_grpc.RateLimitServiceServicer):  # type: ignore[misc]
     """Turns calls into jobs, and answers into responses, in gRPC's threads."""
 
@@ -69,17 +78,22 @@
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         self._bridge.post(self._metrics.add, "ratelimit.calls")
         if left is not None and left <= 0:
-            self._expire(context, [])
+            self._expire(context)
+        context.add_callback(lambda: self._ended(jobs))  # also where the caller went away
         for job in jobs:
             self._bridge.post(self._inbox.put, job)
-        wait_all(answers, timeout=left)
+        wait_all(answers, timeout=left if left is not None else LONGEST_S)
         if not all(answer.done() for answer in answers):
-            self._expire(context, jobs)
+            self._expire(context)
         return self._response([answer.result() for answer in answers], context)
 
-    def _expire(self, context: grpc.ServicerContext, jobs: list[Job]) -> None:
+    def _ended(self, jobs: list[Job]) -> None:
+        """The call is over, however it ended: what is not decided yet is not wanted any more."""
         for job in jobs:
             self._bridge.post(self._inbox.put, Left(job))
+            job.reply(Answer(Verdict.FAILED))  # lets its thread go, if that still waits
+
+    def _expire(self, context: grpc.ServicerContext) -> None:
         self._bridge.post(self._metrics.add, "ratelimit.expired")
         context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "the deadline passed before the quota was known")
 
@@ -144,5 +158,5 @@
         patience = give_up_ms if left_s is None else min(give_up_ms, 1000 * left_s)
         answer: Future[Answer] = Future()
         answers.append(answer)
-        return Job(kind, plan, firm, patience, self._clock.now(), answer.set_result, None,
+        return Job(kind, plan, firm, patience, self._clock.now(), partial(_settle, answer), None,
                    float(units or 1), int(spread))  # fmt: skip
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -112,12 +112,13 @@
     broken = job()
     broken.reply = answers.append
     with monkeypatch.context() as patch:
-        patch.setattr(Gateway, "handle", lambda *_: 1 / 0)
+        patch.setattr(Gateway, "_arrive", lambda *_: 1 / 0)
         owner.take(broken)
     sound = job(2)
     sound.reply = answers.append
     owner.take(sound)
     assert [answer.verdict for answer in answers] == [Verdict.FAILED, Verdict.REFUSED]
+    assert list(owner._timers) == [0]  # the step that the module had asked for before it failed
 
 
 def test_what_a_job_lay_unread_is_off_its_patience() -> None:
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -235,6 +235,24 @@
             gevent.sleep(0.001)
 
 
+def test_a_caller_that_goes_away_is_told_to_the_module(loopback: Callable[..., Loopback]) -> None:
+    run = loopback(GrpcCounts(), 1)
+    run.counts.go.clear()
+    metrics = run.gates[0].metrics.counts
+    request = rls_pb2.RateLimitRequest(domain="availability-lookup")
+    one = request.descriptors.add()
+    for key, value in FIRM.items():
+        one.entries.add(key=key, value=value)
+    with grpc.insecure_channel(f"127.0.0.1:{run.gates[0].ratelimit_port}") as channel, gevent.Timeout(20):
+        call = rls_pb2_grpc.RateLimitServiceStub(channel).ShouldRateLimit.future(request, timeout=30)
+        while not metrics["counter.calls"]:
+            gevent.sleep(0.001)
+        call.cancel()
+        while not metrics["jobs.left"]:
+            gevent.sleep(0.001)
+    assert metrics["answers.passed"] == 0
+
+
 # ---- the client alone
 
 
