Share one ledger of calls between both counter adapters; write exchanges with named blocks

Seen: `duplicates` listed counter.py and ratelimit/client.py as the same shape (the call, its timer, its single end). calls.py holds that once now; what differs, when a call counts as written, stays with each adapter.

--- /dev/null
+++ b/ashlift/calls.py
@@ -0,0 +1,40 @@
+"""What both counter adapters keep of a call: when it began, its own timer, and that it ends once."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ashlift.jobs import Clock, Inbox
+from ashlift.metrics import Metrics
+from mintfront.interface import Counted, Result
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call to a counter."""
+
+    name: int
+    at: float = 0.0
+    timer: Any = None
+    ended: bool = False
+
+
+class Calls:
+    """Begins and ends calls; each end is told to the owner."""
+
+    def __init__(self, timeout_ms: float, clock: Clock, inbox: Inbox, metrics: Metrics) -> None:
+        self.timeout_ms, self._clock, self._inbox, self._metrics = timeout_ms, clock, inbox, metrics
+
+    def begin(self, call: Call, give_up: Callable[[Any], None]) -> None:
+        call.at = self._clock.now()
+        call.timer = self._clock.later(self.timeout_ms, give_up, call)
+
+    def end(self, call: Call, result: Result, total: float = 0.0, over: bool = False) -> None:
+        """Guards against two ends of one call: an answer after the give-up time is only counted."""
+        if call.ended:
+            self._metrics.add("counter.late")
+            return
+        call.ended = True
+        call.timer.close()
+        self._metrics.add("counter.over_limit" if over else f"counter.{result.value.replace(' ', '_')}")
+        self._inbox.put(Counted(call.name, result, self._clock.now() - call.at, total, over))
--- a/ashlift/net/counter.py
+++ b/ashlift/net/counter.py
@@ -10,9 +10,10 @@
 from gevent import socket
 from gevent.event import Event
 
+from ashlift.calls import Call, Calls
 from ashlift.jobs import Clock, Inbox
 from ashlift.metrics import Metrics
-from mintfront.interface import Counted, Result
+from mintfront.interface import Result
 
 log = logging.getLogger("ashlift.counter")
 CONNECT_S = 0.25
@@ -22,12 +23,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Call:
-    name: int
-    line: bytes
-    at: float
-    timer: Any = None
-    ended: bool = False
+class _Call(Call):
+    line: bytes = b""
     written: bool = False
 
 
@@ -36,16 +33,16 @@
 
     def __init__(self, address: tuple[str, int], timeout_ms: float, clock: Clock, inbox: Inbox,
                  metrics: Metrics) -> None:  # fmt: skip
-        self._address, self._timeout_ms = address, timeout_ms
-        self._clock, self._inbox, self._metrics = clock, inbox, metrics
+        self._address, self._clock, self._metrics = address, clock, metrics
+        self._calls = Calls(timeout_ms, clock, inbox, metrics)
         self._unsent: deque[_Call] = deque()
         self._wake = Event()
         self._link: _CounterLink | None = None
 
     def add(self, name: int, amount: float, expire_ms: float) -> None:
         number = f"{int(amount)}" if amount == int(amount) else f"{amount:.6f}"
-        call = _Call(name, f"bump {name} {number} {max(1, round(expire_ms))}\r\n".encode(), self._clock.now())
-        call.timer = self._clock.later(self._timeout_ms, self._give_up, call)
+        call = _Call(name, line=f"bump {name} {number} {max(1, round(expire_ms))}\r\n".encode())
+        self._calls.begin(call, self._give_up)
         self._unsent.append(call)
         self._wake.set()
 
@@ -82,25 +79,15 @@
             sock = socket.create_connection(self._address)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._metrics.add("counter.dialled")
-        return _CounterLink(sock, self._clock, self.end)
+        return _CounterLink(sock, self._clock, self._calls.end)
 
     def _fail_unsent(self) -> None:
         while self._unsent:
-            self.end(self._unsent.popleft(), Result.CONNECT_FAILED)
+            self._calls.end(self._unsent.popleft(), Result.CONNECT_FAILED)
 
     def _give_up(self, call: _Call) -> None:
         """A call not written yet was never added; one that was may have been."""
-        self.end(call, Result.TIMEOUT if call.written else Result.CONNECT_FAILED)
-
-    def end(self, call: _Call, result: Result, total: float = 0.0) -> None:
-        """Guards against two ends of one call: an answer after the give-up time only keeps the order."""
-        if call.ended:
-            self._metrics.add("counter.late")
-            return
-        call.ended = True
-        call.timer.close()
-        self._metrics.add(f"counter.{result.value.replace(' ', '_')}")
-        self._inbox.put(Counted(call.name, result, self._clock.now() - call.at, total))
+        self._calls.end(call, Result.TIMEOUT if call.written else Result.CONNECT_FAILED)
 
 
 class _CounterLink:
--- a/ashlift/net/front.py
+++ b/ashlift/net/front.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import errno
-import logging
 import time
 from collections import deque
 from collections.abc import Callable
@@ -22,7 +21,6 @@
 from ashlift.metrics import Metrics
 from ashlift.net.nodes import Cargo
 
-log = logging.getLogger("ashlift.front")
 HEAD_MOST = 16 * 1024  # bytes of request line and headers
 BODY_MOST = 64 * 1024
 WAITING_MOST = 4  # requests read ahead on one connection: clients send one at a time
--- a/ashlift/ratelimit/client.py
+++ b/ashlift/ratelimit/client.py
@@ -1,6 +1,5 @@
 """A quota counter kept behind a gRPC rate limit service, in the text counter's place."""
 
-import logging
 from dataclasses import dataclass
 from typing import Any
 
@@ -9,13 +8,13 @@
 from envoy.service.ratelimit.v3 import rls_pb2, rls_pb2_grpc
 from envoy.type.v3 import ratelimit_unit_pb2
 
+from ashlift.calls import Call, Calls
 from ashlift.jobs import Clock, Inbox
 from ashlift.metrics import Metrics
 from ashlift.ratelimit.bridge import Bridge
 from ashlift.ratelimit.messages import set_hits
-from mintfront.interface import Counted, Result
+from mintfront.interface import Result
 
-log = logging.getLogger("ashlift.ratelimit")
 MOST = 9_999_999  # no total is higher: the limit asked for, so that what is left tells the total
 OPTIONS = [
     ("grpc.enable_retries", 0),  # a call sent twice may be added twice
@@ -27,12 +26,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Call:
-    name: int
-    at: float
-    timer: Any = None
+class _Call(Call):
     future: Any = None
-    ended: bool = False
 
 
 class GrpcCounter:
@@ -40,43 +35,33 @@
 
     def __init__(self, address: str, domain: str, timeout_ms: float, bridge: Bridge, clock: Clock,
                  inbox: Inbox, metrics: Metrics) -> None:  # fmt: skip
-        self._domain, self._timeout_ms, self._bridge, self._clock = domain, timeout_ms, bridge, clock
-        self._inbox, self._metrics = inbox, metrics
+        self._domain, self._bridge = domain, bridge
+        self._calls = Calls(timeout_ms, clock, inbox, metrics)
         self._channel = grpc.insecure_channel(address, options=OPTIONS)
         self._channel.subscribe(lambda state: None, try_to_connect=True)  # up before the first call
         self._stub = rls_pb2_grpc.RateLimitServiceStub(self._channel)
 
     def add(self, name: int, amount: float, expire_ms: float) -> None:
-        call = _Call(name, self._clock.now())
-        call.timer = self._clock.later(self._timeout_ms, self._give_up, call)
+        call = _Call(name)
+        self._calls.begin(call, self._give_up)
         request = ask(self._domain, name, round(amount), expire_ms)
-        call.future = self._stub.ShouldRateLimit.future(request, timeout=self._timeout_ms / 1000)
+        call.future = self._stub.ShouldRateLimit.future(request, timeout=self._calls.timeout_ms / 1000)
         call.future.add_done_callback(lambda done: self._bridge.post(self._done, call, done))
 
     def close(self) -> None:
         self._channel.close()
 
     def _give_up(self, call: _Call) -> None:
-        self._end(call, Result.TIMEOUT)
+        self._calls.end(call, Result.TIMEOUT)
         call.future.cancel()
 
     def _done(self, call: _Call, done: Any) -> None:
         if done.cancelled():
             return
         if done.code() is grpc.StatusCode.OK:
-            self._end(call, *read_response(done.result()))
+            self._calls.end(call, *read_response(done.result()))
         else:
-            self._end(call, read_error(done.code(), done.details() or ""))
-
-    def _end(self, call: _Call, result: Result, total: float = 0.0, over: bool = False) -> None:
-        """Guards against two ends of one call: an answer after the give-up time is dropped."""
-        if call.ended:
-            self._metrics.add("counter.late")
-            return
-        call.ended = True
-        call.timer.close()
-        self._metrics.add("counter.over_limit" if over else f"counter.{result.value.replace(' ', '_')}")
-        self._inbox.put(Counted(call.name, result, self._clock.now() - call.at, total, over))
+            self._calls.end(call, read_error(done.code(), done.details() or ""))
 
 
 def ask(domain: str, name: int, amount: int, expire_ms: float) -> rls_pb2.RateLimitRequest:
--- a/tests/play.py
+++ b/tests/play.py
@@ -7,6 +7,7 @@
     n1 < LINE      the next line must be this; * is anything        n1 << TEXT    the next bytes must be
     n1 close       close the connection             n1 closed     the program must end the connection
     n1 stop        refuse connections from now on   expect NAME N   wait until the program's counter says so
+    job c1 a1 2    a block of lines that stands in the file `blocks`
     set KEY VALUE  a setting (dotted, JSON); comes first
 
 A party that has no connection opens or accepts one when it first needs it. Each wait ends after WAIT_S, far
@@ -123,8 +124,27 @@
     return sock
 
 
+def blocks(path: Path) -> dict[str, list[str]]:
+    """The named blocks of a file; the last argument of a line that uses one may hold spaces."""
+    parts = ("\n" + path.read_text()).split("\n= ")[1:]
+    return {name: lines for name, *lines in (part.splitlines() for part in parts)}
+
+
+def expand(line: str, known: dict[str, list[str]]) -> list[str]:
+    name, _, rest = line.partition(" ")
+    if name not in known:
+        return [line]
+    text = "\n".join(known[name])
+    count = max(int(digit) for digit in re.findall(r"\$(\d)", text))
+    for at, argument in enumerate(rest.split(" ", count - 1), 1):
+        text = text.replace(f"${at}", argument)
+    return text.splitlines()
+
+
 def play(path: Path) -> None:
-    lines = [line for line in path.read_text().splitlines() if line.strip() and not line.startswith("#")]
+    known = blocks(path.parent / "blocks")
+    written = [line for line in path.read_text().splitlines() if line.strip() and not line.startswith("#")]
+    lines = [line for short in written for line in expand(short, known)]
     changes = [line.split(" ", 2) for line in lines if line.startswith("set ")]
     stage = Stage({key: json.loads(value) for _, key, value in changes})
     try:
