--- a/tests/play.py
+++ b/tests/play.py
@@ -5,7 +5,7 @@
     c1 > LINE      send a line (CRLF is added)     c1 >> TEXT    send as it is; {x*9} repeats, \\n ends lines
     d ># LINE      send one chunk that holds this line
     n1 < LINE      the next line must be this; * is anything        n1 << TEXT    the next bytes must be
-    n1 close       close the connection             n1 closed     the program must end the connection
+    n1 close       close the connection (or `reset` it)           n1 closed     the program must end it
     n1 stop        refuse connections from now on   expect NAME N   wait until the program's counter says so
     job c1 a1 2    a block of lines that stands in the file `blocks`
     set KEY VALUE  a setting (dotted, JSON); comes first
@@ -18,6 +18,7 @@
 import copy
 import json
 import re
+import struct
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -109,6 +110,9 @@
         elif verb == "closed":
             with contextlib.suppress(ConnectionError):
                 assert self.open.pop(who).recv(1) == b""
+        elif verb == "reset":
+            self.sock(who).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.open.pop(who).close()
         elif verb == "close":
             self.open.pop(who).close()
         elif verb == "stop":
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from mintfront import control
 from mintfront import interface as i
 from tests.helpers import BASE, Driver, answers, counts, sends
 
@@ -112,3 +113,32 @@
     gate.gateway.call_rate = gate.gateway.calls = 0.0
     passed = flood(gate, 30, 4, set_size=3)
     assert passed <= 30 * 2 / 3 * 1.4 + 6
+
+
+def test_a_request_that_only_asks_passes_without_a_server_and_takes_units() -> None:
+    driver = Driver(servers=0)
+    told = [driver.ask(units=2.0, admit_only=True)[1][0] for _ in range(3)]
+    assert [type(action) for action in told] == [i.Admit] * 3
+    number, out = driver.ask(units=2.0, admit_only=True)
+    refused = answers(out)[0]
+    assert isinstance(refused, i.Refuse) and refused.request == number and refused.retry_after_ms > 0
+    assert not sends(driver.log)
+
+
+def test_a_huge_request_is_refused_and_does_not_fill_the_counter() -> None:
+    driver = Driver()
+    _, out = driver.ask(units=4e9, admit_only=True)
+    assert isinstance(out[0], i.Refuse)
+    assert driver.gateway.customers["ab12"].fresh_total <= control.HARD_FACTOR * BASE.plans[0].burst
+
+
+def test_a_count_over_its_limit_is_no_room_until_the_counter_tells_otherwise() -> None:
+    driver = Driver()
+    number, out = driver.ask(set_size=3)
+    call = counts(out)[0]
+    refused = answers(driver.do(i.Counted(call.name, i.Result.OK, 2.0, 0.0, over=True)))
+    assert [action.request for action in refused if isinstance(action, i.Refuse)] == [number]
+    driver.now += 2_000
+    _, out = driver.ask(set_size=3)
+    again = counts(out)[0]
+    assert len(sends(driver.do(i.Counted(again.name, i.Result.OK, 2.0, again.amount)))) == 1
