--- a/ashlift/calls.py
+++ b/ashlift/calls.py
@@ -32,7 +32,7 @@
     def end(self, call: Call, result: Result, total: float = 0.0, over: bool = False) -> None:
         """Guards against two ends of one call: an answer after the give-up time is only counted."""
         if call.ended:
-            self._metrics.add("counter.late")
+            self._metrics.add("counter.late", result is Result.OK)
             return
         call.ended = True
         call.timer.close()
