Take the first whole answer of a node alone, and call what cannot be read spoilt

Cause: _Reply.on_body went on collecting after the first whole answer, so a second copy joined the body, and the status was asked of the parser only after the second message had begun. Ruled out: httptools lets through no spoilt head of those seen; Content-Length with Transfer-Encoding, doubled or negative lengths, ICY and obsolete folding are all errors there. HttpParserUpgrade is no HttpParserError and was counted as a fault of ours. Now the first whole answer stands by itself, anything behind it ends the connection's use, heads and whole answers are bounded, and what cannot be read is a reset (it may have run), counted as claims.spoilt. Idle connections are kept by node and address: a new node may stand where another has gone. A list told anew withdraws no claim whose node and address stayed the same.

--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -14,6 +14,8 @@
 from mintfront.interface import Result
 
 BODY_MOST = 64 * 1024
+HEAD_MOST = 16 * 1024  # of an answer, 1xx answers in front of it included
+FED_MOST = 1 << 20  # all of an answer: a body in tiny chunks takes many times its size
 IDLE_EACH = 64  # idle connections kept to one node
 SWEEP_S = 1.0
 IDLE_SHARE = 0.6  # of the time after which a node closes an idle connection: ours goes well before that
@@ -29,10 +31,14 @@
     body: bytes = b""
 
 
+# Node and address: guards against a connection to a node that has gone being used for a new one there.
+End = tuple[str, tuple[str, int]]
+
+
 @dataclass(slots=True, eq=False)
 class _Link:
     sock: socket.socket
-    address: tuple[str, int]
+    end: End
     idle_at: float = 0.0
 
 
@@ -47,27 +53,57 @@
     written: bool = False  # its last byte is
 
 
+class SpoiltAnswerError(Exception):
+    """What came back is no answer that anybody could read; the job may have run."""
+
+
 class _Reply:
-    """Collects one answer from httptools."""
+    """Collects one answer from httptools: the first that is whole, whatever stands before or behind it.
+
+    Guards against a body made of two answers: a node may write a second copy, or noise, right behind. 1xx
+    answers in front are passed over. What comes behind ends the connection's use, not the answer's.
+    """
 
     def __init__(self) -> None:
         self.parts: list[bytes] = []
-        self.size = 0
-        self.never_ran = self.done = self.keep = False
+        self.size = self.fed = self.status = 0
+        self.never_ran = self.headed = self.done = self.keep = False
         self.parser = httptools.HttpResponseParser(self)
 
+    def feed(self, data: bytes) -> None:
+        """Guards against heads, bodies and 1xx answers without end: each claim has so much room."""
+        self.fed += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.keep = False
+            if not self.done:
+                raise SpoiltAnswerError(str(error)) from None
+        if not self.done and (self.size > BODY_MOST or self.fed > (FED_MOST if self.headed else HEAD_MOST)):
+            raise SpoiltAnswerError("no end")
+
+    def on_message_begin(self) -> None:
+        self.keep = False  # of one that is done: something came behind it
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"x-never-ran" and value.strip() == b"1":
+        if not self.done and name.lower() == b"x-never-ran" and value.strip() == b"1":
             self.never_ran = True
 
+    def on_headers_complete(self) -> None:
+        self.headed = self.parser.get_status_code() >= 200
+
     def on_body(self, body: bytes) -> None:
-        self.parts.append(body)
-        self.size += len(body)
+        if not self.done:
+            self.parts.append(body)
+            self.size += len(body)
 
     def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if self.done or status < 200:
+            return
         # Asked here, for once the message is over the parser says False to everything: guards against a
         # pool that never gets a connection back, and a handshake for each claim.
-        self.done, self.keep = True, self.parser.should_keep_alive()
+        self.status, self.done, self.keep = status, True, self.parser.should_keep_alive()
 
 
 @dataclass(slots=True)
@@ -86,7 +122,7 @@
                  metrics: Metrics) -> None:  # fmt: skip
         self._machines, self._limits, self._clock = machines, limits, clock
         self._inbox, self._metrics = inbox, metrics
-        self._idle: dict[tuple[str, int], deque[_Link]] = {}
+        self._idle: dict[End, deque[_Link]] = {}
         self._open = 0
         self._claims: dict[tuple[int, int], _Claim] = {}
 
@@ -111,8 +147,11 @@
         except Exception as error:  # whatever breaks in one claim is that claim's end and no other's
             if claim.cancelled:
                 result = Result.CANCELLED
-            elif isinstance(error, (OSError, gevent.Timeout, httptools.HttpParserError)):
+            elif isinstance(error, (OSError, gevent.Timeout)):
                 result = Result.RESET if claim.written else Result.CONNECT_FAILED
+            elif isinstance(error, SpoiltAnswerError):
+                self._metrics.add("claims.spoilt")
+                result = Result.RESET
             else:
                 self._metrics.add("claims.faults")
                 result = Result.RESET
@@ -133,12 +172,13 @@
         keep = False
         began = self._clock.now()
         try:
-            link = self._take(machine.address) or self._dial(claim, machine.address)
+            link = self._take((claim.server, machine.address)) or self._dial(claim, machine.address)
             if link is None:
                 return Result.MOOT, b""
             claim.sock = link.sock
             # A drain told while the connection was coming up counts: looked at again before the first byte.
-            if self._machines.ready(claim.server) is not machine:
+            still = self._machines.ready(claim.server)
+            if still is None or still.address != machine.address:
                 self._metrics.add("claims.withdrawn")
                 keep = True
                 return Result.MOOT, b""
@@ -173,25 +213,22 @@
             if not data:
                 # Also where the answer had no length: nobody could tell whether it is whole.
                 return Result.RESET, b"", False
-            reply.parser.feed_data(data)
-            if reply.size > BODY_MOST:
-                return Result.ERROR, b"", False
-        status, keep = reply.parser.get_status_code(), reply.keep
-        if status == 200:
-            return Result.OK, b"".join(reply.parts), keep
-        if status in (503, 504) and reply.never_ran:
-            return Result.FULL, b"", keep
-        return Result.ERROR, b"", keep
+            reply.feed(data)
+        if reply.status == 200:
+            return Result.OK, b"".join(reply.parts), reply.keep
+        if reply.status in (503, 504) and reply.never_ran:
+            return Result.FULL, b"", reply.keep
+        return Result.ERROR, b"", reply.keep
 
     # ---- connections
 
-    def _take(self, address: tuple[str, int]) -> _Link | None:
+    def _take(self, end: End) -> _Link | None:
         """The idle connection used last, if it still stands.
 
         Guards against writing to a connection that the node has closed meanwhile: that would be a reset, and
         the job might have run. Such a connection is readable, with an end or an error in it.
         """
-        links = self._idle.get(address)
+        links = self._idle.get(end)
         while links:
             link = links.pop()
             if self._clock.now() - link.idle_at < IDLE_SHARE * self._limits.idle_ms and _stands(link.sock):
@@ -206,7 +243,7 @@
         self._open += 1
         self._metrics.add("nodes.dialled")
         sock = claim.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        link = _Link(sock, address)
+        link = _Link(sock, (claim.server, address))
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with gevent.Timeout(self._limits.dial_ms / 1000, OSError(errno.ETIMEDOUT, "dial")):
@@ -224,7 +261,7 @@
         return True
 
     def _give(self, link: _Link) -> None:
-        links = self._idle.setdefault(link.address, deque())
+        links = self._idle.setdefault(link.end, deque())
         link.idle_at = self._clock.now()
         links.append(link)
         if len(links) > IDLE_EACH:
@@ -236,13 +273,13 @@
 
     def sweep(self) -> None:
         """Close what has stood idle long, or leads to a node that is not on the list (any more)."""
-        wanted = {machine.address for machine in self._machines.machines.values()}
-        for address, links in list(self._idle.items()):
+        wanted = {(name, machine.address) for name, machine in self._machines.machines.items()}
+        for end, links in list(self._idle.items()):
             oldest = self._clock.now() - IDLE_SHARE * self._limits.idle_ms
-            while links and (links[0].idle_at < oldest or address not in wanted):
+            while links and (links[0].idle_at < oldest or end not in wanted):
                 self._close(links.popleft())
             if not links:
-                del self._idle[address]
+                del self._idle[end]
 
     def run(self) -> None:
         """Sweep for ever."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -94,6 +94,22 @@
     node.server.stop()
 
 
+def test_a_connection_to_a_gone_node_is_not_used_for_a_new_one_at_its_address() -> None:
+    node = Node()
+    nodes, inbox, metrics = pool(MachineList, node)
+    for number, name in ((1, "n1"), (2, "n2")):
+        state = "gone" if number == 2 else "ready"
+        rows = [instance("n1", node.address, state), instance(name, node.address)]
+        nodes._machines.take({"generation": number, "instances": rows})
+        assert inbox.get(timeout=10).servers
+        nodes.start(job(number), 0, name, 9_000.0)
+        assert inbox.get(timeout=10).result is Result.OK
+    assert metrics.counts["nodes.dialled"] == 2
+    nodes.sweep()
+    assert nodes._open == 1
+    node.server.stop()
+
+
 def test_a_silent_watch_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(machine_list, "SILENT_S", 0.05)
     discovery = listen()
