Take places at the front from idle, silent and half-asked connections when they are short

Cause: Front.run waited for a place in a pool whose members leave only by themselves (recv without a time limit; 10 s for half a request). Checked with a probe that printed what clients send: sets out of range (first=70000, 2.5, -1) were not looked at; doubled Content-Length, Content-Length with Transfer-Encoding and broken chunks are turned away by httptools. Now: with all places taken the longest idle connection ends, if nothing lies unread on it; silent ones may be put out after 0.1 s and half-asked ones after 0.5 s, one with a job owed never. Who never asks is closed after 2.2 s, half a request gets 408 after 2 s, behind what is still owed on that connection. The id of an open job gets 409, repeated headers and sets out of range 400. After an error 256 KiB are thrown away at most. Nothing read ahead is begun for a client that has left, and the end closes no connection on which a request lies unread. 40 descriptors are kept back instead of 64: some 15 are in use.

--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -12,7 +12,7 @@
 from mintfront.interface import Settings
 from mintfront.wirehost import WireError, number, read_settings, rows, table
 
-RESERVE = 64  # descriptors kept for the list, the counter, the gRPC front, files and the runtime
+RESERVE = 40  # descriptors kept for the list, the counter, the gRPC front, files and the runtime
 RATELIMIT = Path(__file__).parent.parent / "deploy" / "ratelimit.toml"
 NODE_SHARE = 0.35  # of the other descriptors: connections to execute nodes; the rest is for clients
 
--- a/ashlift/net/front.py
+++ b/ashlift/net/front.py
@@ -13,21 +13,28 @@
 import httptools
 from gevent import socket
 from gevent.event import Event
-from gevent.pool import Pool
 from gevent.queue import SimpleQueue
 
 from ashlift.config import Names, customer_name
 from ashlift.jobs import Answer, Clock, Inbox, Job, Left, Verdict
 from ashlift.metrics import Metrics
+from ashlift.net.links import quiet
 from ashlift.net.nodes import Cargo
 
 HEAD_MOST = 16 * 1024  # bytes of request line and headers
 BODY_MOST = 64 * 1024
 WAITING_MOST = 4  # requests read ahead on one connection: clients send one at a time
-HALF_S = 10.0  # a request that has begun must be whole by then
+SILENT_S = 2.2  # a connection on which nothing was ever asked ends then: its sender is owed a word within 3 s
+HALF_S = 2.0  # a request that has begun must be whole by then
 LINGER_MS = 1000.0  # the rest of a request that was answered unread is thrown away for so long
-WRITE_S = 5.0  # a client that takes no bytes for so long is gone
+LINGER_MOST = 256 * 1024  # bytes, and up to so many
+WRITE_S = 3.0  # a client that takes no bytes for so long is gone
+FULL_S = 0.02  # when all places are taken by jobs, one is looked for so often
+SPARE_SILENT_MS = 100.0  # while places are short: clients that mean to ask do so once they are connected
+SPARE_HALF_MS = 500.0  # and send their requests in one piece
 BACKLOG = 1024
+# Headers that mean something here: repeated, nobody can tell which one holds.
+ONCE = {b"x-qos", b"api-plan", b"api-customer", b"api-terms", b"x-trace-id", b"x-expires-in", b"x-second-try"}
 
 
 @dataclass(slots=True)
@@ -60,7 +67,10 @@
                  metrics: Metrics) -> None:  # fmt: skip
         self.names, self.ready, self.clock, self.inbox, self.metrics = names, ready, clock, inbox, metrics
         self.closing = False
-        self._pool = Pool(most)
+        self.traces: set[bytes] = set()  # of open jobs
+        self.idle: dict[_Connection, None] = {}  # connections that are owed nothing, the longest idle first
+        self._most = most
+        self._freed = Event()
         self._connections: set[_Connection] = set()
 
     @property
@@ -75,9 +85,10 @@
         return sock
 
     def run(self, listener: socket.socket) -> None:
-        """Accept for ever. The pool bounds the connections: beyond it they wait in the backlog."""
+        """Accept for ever, within the bound of connections."""
         while True:
-            self._pool.wait_available()
+            while self.open >= self._most:
+                self._make_room()
             try:
                 sock, _ = listener.accept()
             except OSError as error:
@@ -90,13 +101,26 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection = _Connection(self, sock)
             self._connections.add(connection)
-            self._pool.spawn(self._serve, connection)
+            gevent.spawn(self._serve, connection)
+
+    def _make_room(self) -> None:
+        """Guards against places held by those who ask nothing while others wait in the backlog: the longest
+        idle connection ends. With none, the next to come free is waited for."""
+        now = self.clock.now()
+        spare = next((connection for connection in self.idle if connection.spare(now)), None)
+        if spare is not None:
+            self.metrics.add("clients.put_out")
+            spare.put_out()
+        self._freed.clear()
+        self._freed.wait(FULL_S)
 
     def _serve(self, connection: "_Connection") -> None:
         try:
             connection.read()
         finally:
             self._connections.discard(connection)
+            self.idle.pop(connection, None)
+            self._freed.set()
 
     def close(self) -> None:
         """From now on connections end between requests: those at rest now, the others with their answer."""
@@ -120,10 +144,15 @@
             listed = headers.get(b"api-terms", b"").split(b",")
             terms = dict(part.strip().split(b"=", 1) for part in listed if part)
             units, spread = float(terms.get(b"units", 1)), int(terms.get(b"spread", 1))
+            start = int(terms.get(b"first", 0))
         except (ValueError, KeyError):
             raise BadRequestError(HTTPStatus.BAD_REQUEST) from None
-        if not (0 <= patience < 1e9 and 0 < units <= names.max_units and 1 <= spread <= names.group_size):
+        in_set = 1 <= spread <= names.group_size and 0 <= start < names.group_size
+        if not (0 <= patience < 1e9 and 0 < units <= names.max_units and in_set):
             raise BadRequestError(HTTPStatus.BAD_REQUEST)
+        if trace in self.traces:
+            # Guards against a second copy at the nodes while the first is out.
+            raise BadRequestError(HTTPStatus.CONFLICT)
         cargo = Cargo(asked.method, asked.target, trace, b"".join(asked.body))
         return Job(kind, plan, customer, patience, asked.came_ms, reply, cargo, units, spread,
                    retry=headers.get(b"x-second-try") == b"1")  # fmt: skip
@@ -143,6 +172,10 @@
         self._out: SimpleQueue[Answer | HTTPStatus | None] = SimpleQueue()
         self._gone = False
         self._deaf = False  # a request could not be read: nothing more is taken in here
+        self._thrown = 0  # bytes that came since
+        self._answered = False  # anything, yet
+        self._since = front.clock.now()  # when it began to be idle, or the request that is being read began
+        front.idle[self] = None
         self._linger: Any = None  # the timer that ends a connection which is deaf
         self._room = Event()
         self._room.set()
@@ -161,6 +194,7 @@
             if self._job is not None:
                 self._front.metrics.add("clients.left")
                 self._front.inbox.put(Left(self._job))
+                self._done()
             self._out.put(None)
             writer.join()
             if self._linger is not None:
@@ -168,17 +202,29 @@
             self._sock.close()
 
     def _take(self) -> bool:
-        """Read once; whether to go on."""
-        if self._asked is None:
-            data = self._sock.recv(65536)
+        """Read once; whether to go on. One who never asks, or asks drop by drop, does not hold a place."""
+        if self._asked is not None:
+            most = HALF_S
+        elif self._answered or self._current is not None:
+            most = None
         else:
-            # From its first byte on: one that comes in drop by drop does not hold its place for ever.
-            with gevent.Timeout(max(0.001, HALF_S - (self._front.clock.now() - self._asked.came_ms) / 1000)):
+            most = SILENT_S
+        left = None if most is None else max(0.001, most - (self._front.clock.now() - self._since) / 1000)
+        try:
+            with gevent.Timeout(left):
                 data = self._sock.recv(65536)
+        except gevent.Timeout:
+            if self._asked is None:
+                self._front.metrics.add("clients.silent")
+                return False
+            # Behind what is still owed here: guards against an answer lost with the connection.
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+            return True
         if not data:
             return False
         if self._deaf:
-            return True
+            self._thrown += len(data)
+            return self._thrown <= LINGER_MOST or self._current is not None
         try:
             self._head += len(data)
             self._parser.feed_data(data)
@@ -197,12 +243,14 @@
         self._front.metrics.add(f"requests.bad_{int(status)}")
         self._asked = None
         self._deaf = True
+        self._front.idle.pop(self, None)
         self._arrived(_Asked(wrong=status, keep=False))
 
     # httptools calls these
 
     def on_message_begin(self) -> None:
-        self._asked = _Asked(came_ms=self._front.clock.now())
+        self._asked = _Asked()
+        self._begin_idle()
 
     def on_url(self, url: bytes) -> None:
         assert self._asked is not None
@@ -212,7 +260,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._asked is not None
-        self._asked.headers[name.lower()] = value.strip()
+        name = name.lower()
+        if name in self._asked.headers and name in ONCE:
+            raise BadRequestError(HTTPStatus.BAD_REQUEST)
+        self._asked.headers[name] = value.strip()
         self._asked.head += len(name) + len(value)
         if self._asked.head > HEAD_MOST:
             raise BadRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -226,6 +277,7 @@
 
     def on_message_complete(self) -> None:
         asked, self._asked = self._asked, None
+        self._front.idle.pop(self, None)
         assert asked is not None
         asked.method, asked.keep = self._parser.get_method(), self._parser.should_keep_alive()
         # The loop noted when it woke: what this request lay unread since then is off the client's patience.
@@ -254,6 +306,7 @@
                 self._front.metrics.add(f"requests.bad_{int(bad.status)}")
                 self._out.put(bad.status)
             else:
+                self._front.traces.add(self._job.cargo.trace)
                 self._front.inbox.put(self._job)
 
     def _next(self) -> None:
@@ -262,9 +315,34 @@
             self._room.set()
             self._arrived(asked)
 
+    def _done(self) -> None:
+        if self._job is not None:
+            self._front.traces.discard(self._job.cargo.trace)
+        self._current = self._job = None
+
+    # ---- idle
+
+    def _begin_idle(self) -> None:
+        """From now on, unless an answer is owed here, this connection is the youngest of the idle ones."""
+        self._since = self._front.clock.now()
+        self._front.idle.pop(self, None)
+        if self._current is None and not self._deaf:
+            self._front.idle[self] = None
+
+    def spare(self, now: float) -> bool:
+        """Whether this idle connection may end to make room. Nothing must lie unread on it: the client has
+        asked then. A first request that is cut off has failed, so those who may be about to ask have time."""
+        young = 0.0 if self._answered else SPARE_SILENT_MS
+        least = young if self._asked is None else SPARE_HALF_MS
+        return now - self._since >= least and quiet(self._sock)
+
+    def put_out(self) -> None:
+        self._front.idle.pop(self, None)
+        self._shut(socket.SHUT_RDWR)
+
     def rest(self) -> None:
         """End the connection if nothing is asked on it: its reader then sees the end."""
-        if self._current is None and self._asked is None:
+        if self._current is None and self._asked is None and quiet(self._sock):
             self._end()
 
     def _end(self) -> None:
@@ -294,12 +372,17 @@
             except (OSError, gevent.Timeout):
                 self._front.metrics.add("clients.unwritable")
                 keep = False
-            self._current = self._job = None
+            self._done()
+            self._answered = True
+            if self._gone:
+                continue  # nothing read ahead is begun for a client that has left
             if not keep:
                 self._waiting.clear()  # what was read ahead is not begun
                 self._room.set()
                 return self._end()
             self._next()
+            if self._current is None:
+                self._begin_idle()
 
 
 REASON = {Verdict.REFUSED: HTTPStatus.TOO_MANY_REQUESTS, Verdict.FAILED: HTTPStatus.BAD_GATEWAY}
--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -10,6 +10,7 @@
 
 from ashlift.jobs import ClaimEnded, Clock, Inbox, Job
 from ashlift.metrics import Metrics
+from ashlift.net.links import quiet
 from ashlift.net.machine_list import MachineList
 from mintfront.interface import Result
 
@@ -231,7 +232,7 @@
         links = self._idle.get(end)
         while links:
             link = links.pop()
-            if self._clock.now() - link.idle_at < IDLE_SHARE * self._limits.idle_ms and _stands(link.sock):
+            if self._clock.now() - link.idle_at < IDLE_SHARE * self._limits.idle_ms and quiet(link.sock):
                 return link
             self._close(link)
         return None
@@ -286,14 +287,3 @@
         while True:
             gevent.sleep(SWEEP_S)
             self.sweep()
-
-
-def _stands(sock: socket.socket) -> bool:
-    """Whether nothing has come on an idle connection, neither an end nor a stray byte."""
-    try:
-        sock._sock.recv(1, socket.MSG_PEEK)  # type: ignore[attr-defined]  # the plain socket does not wait
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +19,7 @@
 from ashlift.clock import UnixClock
 from ashlift.jobs import Answer, Job, Verdict
 from ashlift.metrics import Metrics
-from ashlift.net import machine_list
+from ashlift.net import front, machine_list
 from ashlift.net.machine_list import Machine, MachineList
 from ashlift.net.nodes import Cargo, Limits, NodePool
 from ashlift.owner import Owner
@@ -275,6 +276,49 @@
     node.server.stop()
 
 
+def ask(address: tuple[str, int], text: bytes = b"GET /up HTTP/1.1\r\n\r\n") -> Any:
+    client = socket.create_connection(address)
+    client.sendall(text)
+    return client
+
+
+def test_places_are_taken_from_those_who_ask_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "HALF_S", 30.0)
+    node = Node()
+    node.go.clear()
+    gate = Gatekeeper(replace(config(NOWHERE | {"n1": node.address}, {}), client_links=3))
+    address = gate.start()
+    head = b"GET /availability-check HTTP/1.1\r\nX-Qos: availability-check\r\nX-Trace-Id: t1\r\n"
+    with gevent.Timeout(30):
+        open_job = ask(address, head + b"Api-Plan: basic\r\nApi-Customer: 07\r\nX-Expires-In: 25\r\n\r\n")
+        while not node.traces:
+            gevent.sleep(0.005)
+        stayed = ask(address)
+        assert stayed.recv(65536).startswith(b"HTTP/1.1 200")
+        others = [socket.create_connection(address), ask(address, b"GET /u"), ask(address, head)]
+        for _ in range(4):  # a full house each time
+            others.append(ask(address))
+            assert others[-1].recv(65536).startswith(b"HTTP/1.1 200")
+        assert stayed.recv(1) == b"" and gate.front.open <= 3
+        node.go.set()
+        assert open_job.recv(65536).startswith(b"HTTP/1.1 200")  # a job's connection is never put out
+    gate.stop(0.0)
+    node.server.stop()
+
+
+@pytest.mark.parametrize(("text", "word"), [(b"", b""), (b"\r\n", b""), (b"GET /u", b"HTTP/1.1 408")])
+def test_who_asks_half_gets_a_word(monkeypatch: pytest.MonkeyPatch, text: bytes, word: bytes) -> None:
+    monkeypatch.setattr(front, "SILENT_S", 0.05)
+    monkeypatch.setattr(front, "HALF_S", 0.05)
+    gate = Gatekeeper(config(NOWHERE, {}))
+    with gevent.Timeout(30):
+        client = ask(gate.start(), text)
+        assert client.recv(12) == word
+        while client.recv(65536):
+            pass  # the end comes
+    gate.stop(0.0)
+
+
 def test_a_wrong_setting_ends_the_program_with_one_line(tmp_path: Path) -> None:
     (tmp_path / "config.json").write_text('{"settings": 5}')
     env = os.environ | {"GW_CONFIG": str(tmp_path / "config.json")}
