Tell unanswered calls from an emptied counter, and take the others' counts as told

A probe that counted the reasons showed pressure, ceilings and servers as rare; nearly all were refused in the hard regime, most of them on accepted units that had been read, not guessed. The counter answered in 4 ms, but 133 connections to it were reset. Cause: _counted adds an unanswered call to mine, as it may have been added. Where it never was, the next total lay below mine + far, and _read took the counter for emptied and the whole total for news: all units of the name's life, up to four windows, counted as used just now. Second: _read scaled the others' counts by up to 4 where calls are short, though a count that finds no call goes along with the next one. Now a fall by no more than the unanswered calls takes those back; 'told' is gone.

--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -39,8 +39,6 @@
 CALLS_MOST = 120.0  # calls a second for one gateway, however small the group
 CALLS_GROUP = 600.0  # calls a second for all gateways together, to begin with: answers tell what goes
 CALLS_LEAST = 12.0  # calls a second, together, kept up while the counter fails, to notice its return
-TOLD_LEAST = 0.25  # share below which it is not believed: one chance count would stand for too many
-TOLD_GAIN = 0.05  # weight of one request in the share of requests that a call could be spared for
 CALLS_RISE = 0.02  # of the full share, each answer
 CALLS_CUT = 0.7  # x, each call that failed
 CALLS_CROWDED = 0.9  # x, each call that was turned away: a few are, in any bunch of calls
@@ -93,6 +91,7 @@
         self.calling: tuple[int, int, int] | None = None
         self.epoch = self.open_epoch = -1
         self.mine_total = self.mine_accepted = self.far_total = self.far_accepted = 0.0
+        self.doubt_total = self.doubt_accepted = 0.0  # of mine: sent, and perhaps never added
         self.read_at = -math.inf
         self.starved_at = math.inf  # since when a call is due that the budget does not allow
         self.far_rate = self.far_asked = 0.0  # units a second elsewhere, let in and asked, as last read
@@ -127,7 +126,7 @@
         self.calls, self.call_rate = CALLS_SAVED, self.calls_most
         self.retries, self.next_token = RETRY_SAVED, 1
         self.out, self.mean_out, self.limit, self.pressure, self.mean_value = 0, 0.0, 0.0, 0.0, 0.0
-        self.sound_ratio, self.fleet, self.answers, self.told = 1.0, 0.0, 0, 1.0
+        self.sound_ratio, self.fleet, self.answers = 1.0, 0.0, 0
         self.cared, self.list_pause, self.ask_at = 0.0, LIST_PAUSE_MS, math.inf
         self.subset: list[ServerView] = []
         self.suspects: dict[str, ServerView] = {}  # left out until a probe (or else a request) is answered
@@ -200,7 +199,6 @@
         if fresh or self.failing_at <= now:
             return False
         spare = customer.calling is not None or self.calls >= 1
-        self.told += TOLD_GAIN * (spare - self.told)
         if not spare:
             self.dirty.pop(customer.name, None)  # a lone late count would take the call of the next request
             return False
@@ -438,6 +436,7 @@
         if epoch != customer.epoch:
             customer.epoch = epoch
             customer.mine_total = customer.mine_accepted = customer.far_total = customer.far_accepted = 0.0
+            customer.doubt_total = customer.doubt_accepted = 0.0
         quantum = customer.quantum
         total, accepted = int(customer.fresh_total / quantum), int(customer.fresh_accepted / quantum)
         # Accepted may be below 0: a held request was refused after all.
@@ -489,6 +488,9 @@
         if added:
             customer.mine_total += total
             customer.mine_accepted += accepted
+            if event.result is Result.TIMEOUT:
+                customer.doubt_total += total
+                customer.doubt_accepted += accepted
         else:
             customer.fresh_total += total * customer.quantum
             customer.fresh_accepted += accepted * customer.quantum
@@ -500,16 +502,22 @@
     def _read(self, now: float, customer: Customer, level: int, added: tuple[float, float]) -> None:
         """Take the others' new units from a total and lay them over the time since the last reading."""
         all_total, all_accepted = divmod(level, PACK)
-        if all_total < customer.mine_total + customer.far_total:
-            # The total fell: the counter came back empty (or a timed-out call was never added).
+        short = customer.mine_total + customer.far_total - all_total
+        if 0 < short <= customer.doubt_total:
+            # Calls without an answer were never added. Guards against taking all of the total for news.
+            share = short / customer.doubt_total
+            customer.mine_total -= short
+            customer.mine_accepted -= share * customer.doubt_accepted
+            customer.doubt_total -= short
+            customer.doubt_accepted *= 1 - share
+        elif short > 0:  # the counter came back empty
             customer.mine_total, customer.mine_accepted = added
+            customer.doubt_total = customer.doubt_accepted = 0.0
             customer.far_total = customer.far_accepted = 0.0
         total = max(0.0, all_total - customer.mine_total - customer.far_total)
         accepted = all_accepted - customer.mine_accepted - customer.far_accepted
         customer.far_total += total
         customer.far_accepted += accepted
-        # Where calls are short the others leave out as many counts as this gateway does.
-        total, accepted = total / max(TOLD_LEAST, self.told), accepted / max(TOLD_LEAST, self.told)
         since = now - (now + customer.phase % 60_000) % min(NAME_LIFE_MS / 2, EPOCH_WINDOWS * customer.window)
         first, last = int(max(since, customer.read_at) // BUCKET_MS), int(now // BUCKET_MS)
         for at in range(max(first, last - int(customer.window / BUCKET_MS)), last + 1):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -74,6 +74,23 @@
         assert (sum(call.amount for call in later) == count.amount) is again
 
 
+def test_a_call_that_was_never_added_is_not_taken_for_an_emptied_counter() -> None:
+    # Else all that others ever did under the name would count as done just now, and close the quota here.
+    gate = Driver()
+    gate.run(5000.0)  # a name lasts 12 s: all that follows is under one
+    made, out = gate.ask(set_size=2)
+    (first,) = counts(out)
+    theirs = 4 * 1000 + 4
+    assert sends(gate.do(i.Counted(first.name, i.Result.OK, 2.0, first.amount + theirs)))
+    gate.run(3100.0)  # theirs have left the window
+    (second,) = counts(gate.ask(set_size=2)[1])
+    gate.do(i.Counted(second.name, i.Result.TIMEOUT, 30.0))
+    (third,) = counts([*gate.ask(set_size=2)[1], *gate.run(2000.0)])
+    assert first.name == second.name == third.name
+    gate.do(i.Counted(third.name, i.Result.OK, 2.0, first.amount + theirs + third.amount))
+    assert sends(gate.ask(set_size=2)[1])
+
+
 def test_at_most_one_call_in_flight_for_a_name() -> None:
     gate = Driver()
     for _ in range(40):
