--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -80,12 +80,12 @@
     gate.run(5000.0)  # a name lasts 12 s: all that follows is under one
     made, out = gate.ask(set_size=2)
     (first,) = counts(out)
-    theirs = 4 * 1000 + 4
+    theirs = 5 * 1000 + 5
     assert sends(gate.do(i.Counted(first.name, i.Result.OK, 2.0, first.amount + theirs)))
     gate.run(3100.0)  # theirs have left the window
     (second,) = counts(gate.ask(set_size=2)[1])
     gate.do(i.Counted(second.name, i.Result.TIMEOUT, 30.0))
-    (third,) = counts([*gate.ask(set_size=2)[1], *gate.run(2000.0)])
+    (third,) = counts([*gate.ask(set_size=2)[1], *gate.run(300.0)])
     assert first.name == second.name == third.name
     gate.do(i.Counted(third.name, i.Result.OK, 2.0, first.amount + theirs + third.amount))
     assert sends(gate.ask(set_size=2)[1])
