--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -42,6 +42,7 @@
 CALLS_RISE = 0.02  # of the full share, each answer
 CALLS_CUT = 0.7  # x, each call that failed
 CALLS_CROWDED = 0.9  # x, each call that was turned away: a few are, in any bunch of calls
+CUT_MS = 100.0  # ms between two cuts
 CALLS_SAVED = 3.0  # calls saved up beyond a quarter second's: few requests come in bunches
 # ---- servers
 SUBSET = 8  # servers that a gateway with little traffic goes by: often enough seen to be judged
@@ -123,7 +124,7 @@
         self.timers: dict[int, int] = {}
         self.usual = [cls.aim_ms / 4 for cls in settings.classes]  # ms, until answers tell
         self.calls_most = min(CALLS_MOST, CALLS_GROUP / settings.group_size)
-        self.calls, self.call_rate = CALLS_SAVED, self.calls_most
+        self.calls, self.call_rate, self.cut_at = CALLS_SAVED, self.calls_most, -math.inf
         self.retries, self.next_token = RETRY_SAVED, 1
         self.out, self.mean_out, self.limit, self.pressure, self.mean_value = 0, 0.0, 0.0, 0.0, 0.0
         self.sound_ratio, self.fleet, self.answers = 1.0, 0.0, 0
@@ -471,7 +472,8 @@
             full = event.result is Result.FULL
             self.failing_at = math.inf if full else min(self.failing_at, now)
             least, cut = CALLS_LEAST / self.settings.group_size, CALLS_CROWDED if full else CALLS_CUT
-            self.call_rate = max(least, self.call_rate * cut)
+            if now >= self.cut_at + CUT_MS:  # calls that fail together have one cause
+                self.call_rate, self.cut_at = max(least, self.call_rate * cut), now
         # A time-out may have added, and so may a service that is over its limit: never add again.
         added = event.result in (Result.OK, Result.TIMEOUT)
         told = event.result is Result.OK and not event.over
