Replace a counter connection on which an answer is overdue

A probe read call rates of 6 a second and refusals on guesses (failing, starved) until the connection was given up, 1 s after its oldest call (TextCounter._write, stale). Now new calls go out on a new connection after three give-up times without the answer that is due; the old one keeps its chance of answers for a second. Patience doubles while new connections are silent too, so a counter that is down is not called on ever more connections.

--- a/ashlift/net/counter.py
+++ b/ashlift/net/counter.py
@@ -18,7 +18,8 @@
 log = logging.getLogger("ashlift.counter")
 CONNECT_S = 0.25
 IDLE_MS = 2_000.0  # the counter closes idle connections after 10 s or less: ours are given up before
-SILENT_MS = 1_000.0  # an answer overdue for so long: nothing will come on this connection
+OVERDUE = 3.0  # x the give-up time without the answer that is due: new calls go out on a new connection
+SILENT_MS = 1_000.0  # nothing more will come after so long; and the longest patience with a new connection
 LINE_MOST = 256
 WORDS = (b"ok ", b"busy", b"error")  # with which answers begin
 
@@ -39,6 +40,7 @@
         self._unsent: deque[_Call] = deque()
         self._wake = Event()
         self._link: _CounterLink | None = None
+        self._patience = OVERDUE * timeout_ms
 
     def add(self, name: int, amount: float, expire_ms: float) -> None:
         number = f"{int(amount)}" if amount == int(amount) else f"{amount:.6f}"
@@ -69,7 +71,14 @@
 
     def _write(self) -> None:
         link, now = self._link, self._clock.now()
-        if link is not None and link.stale(now):
+        if link is not None and link.overdue(now) > self._patience:
+            # Guards against one silent connection that stops all counting. A counter that is silent itself is
+            # not called on ever more connections: patience grows until an answer comes.
+            self._patience *= 2 if not link.heard and self._patience < SILENT_MS else 1
+            self._metrics.add("counter.overdue")
+            link.retire()
+            link = None
+        elif link is not None and link.stale(now):
             link.close()
             link = None
         while link is None or link.closed:
@@ -83,6 +92,8 @@
             if not call.ended:
                 call.written = True  # from here on it may have been added
                 calls.append(call)
+        if link.heard:
+            self._patience = OVERDUE * self._calls.timeout_ms
         if calls:
             link.write(calls)
 
@@ -109,14 +120,16 @@
         self._sock, self._clock, self._end = sock, clock, end
         self._pending: deque[_Call] = deque()
         self._used = clock.now()
-        self.closed = self._retired = False
+        self.closed = self.heard = self._retired = False
         self._timer: Any = None
         gevent.spawn(self._read)
 
+    def overdue(self, now: float) -> float:
+        """For how long the next answer has been waited for."""
+        return now - self._pending[0].at if self._pending else 0.0
+
     def stale(self, now: float) -> bool:
-        if self._pending:
-            return now - self._pending[0].at > SILENT_MS
-        return now - self._used > IDLE_MS
+        return not self._pending and now - self._used > IDLE_MS
 
     def write(self, calls: list[_Call]) -> None:
         self._used = self._clock.now()
@@ -160,6 +173,7 @@
                         raise ValueError("an answer to no call")
                     answer = read_answer(line)
                     self._end(self._pending.popleft(), *(answer or (Result.TIMEOUT, 0.0)))
+                    self.heard = True
                     if answer is None:
                         raise ValueError("an answer that cannot be read")
                 if rest and not any(word.startswith(rest[: len(word)]) for word in WORDS):
--- a/tests/play.py
+++ b/tests/play.py
@@ -11,8 +11,8 @@
     move d2 k2     discovery and counter are there from now on
     set KEY VALUE  a setting (dotted, JSON); comes first
 
-A party that has no connection opens or accepts one when it first needs it. Each wait ends after WAIT_S, far
-longer than anything takes: time decides no verdict.
+A party that has no connection opens or accepts one when it first needs it; `k.2` is a second one to `k`. Each
+wait ends after WAIT_S, far longer than anything takes: time decides no verdict.
 """
 
 import contextlib
@@ -78,7 +78,7 @@
 
     def sock(self, name: str) -> Any:
         if name not in self.open:
-            server = self.listeners.get(name)
+            server = self.listeners.get(name.partition(".")[0])
             self.open[name] = server.accept()[0] if server else socket.create_connection(self.front)
         return self.open[name]
 
