Withdraw an attempt that hangs while its server answers later ones, and make it anew

Now an attempt is withdrawn only if its server has answered three attempts begun later, and it has taken six usual answers and 1.5 times the slowest of late. Such a time-out says nothing of its server's health.

--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -52,6 +52,13 @@
 LATENCY_MS = 10_000.0  # ms in which a judgement grows old: a server seen seldom is judged anew each time
 CLASS_GAIN = 0.02  # weight of one answer in a class's usual latency: about fifty answers
 SLOWER = 1.5  # x usual latency up to which servers count as alike: single answers vary more than machines
+HANG_USUAL = 6.0  # x usual latency, and
+HANG_SLOWEST = 1.5  # x the slowest answer of late, without any answer: the attempt hangs and is made anew
+SLOWEST_FADE = 0.998  # x, each answer: halves in about 350
+HANG_USUAL = 6.0  # x usual latency, and
+HANG_SLOWEST = 1.5  # x the slowest answer of late, without any answer, and
+HANG_PASSED = 3  # later attempts that its server has answered meanwhile: an attempt hangs, not its server
+SLOWEST_FADE = 0.998  # x, each answer: halves in about 350
 SUSPECT_AFTER = 3.0  # x usual latency without any answer: a silent server counts as that slow
 LOAD_FADE_MS = 1_000.0  # ms in which a load report loses its meaning
 EJECT_RATIO = 3.0  # x a sound server's latency: such a server is left out
@@ -123,6 +130,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.timers: dict[int, int] = {}
         self.usual = [cls.aim_ms / 4 for cls in settings.classes]  # ms, until answers tell
+        self.slowest = [*self.usual]
+        self.slowest = [*self.usual]
         self.calls_most = min(CALLS_MOST, CALLS_GROUP / settings.group_size)
         self.calls, self.call_rate, self.cut_at = CALLS_SAVED, self.calls_most, -math.inf
         self.retries, self.next_token = RETRY_SAVED, 1
@@ -277,7 +286,16 @@
         self.out += 1
         live.customer.open += 1
         self._open_changed(live.customer)
-        self.actions.append(Send(ask.request, server.entry.name, live.deadline - now))
+        self.actions.append(Send(ask.request, server.entry.name, self._patience_with(now, live)))
+
+    def _patience_with(self, now: float, live: Live) -> float:
+        """How long an attempt is waited for. A connection may die without a word: where a repeat is harmless
+        and there is time for one, an attempt that takes far longer than any answer of late is given up."""
+        kind, left = live.ask.request_class, live.deadline - now
+        usual, repeat = self.usual[kind], self.settings.classes[kind].effect is Effect.PURE
+        hangs = max(HANG_USUAL * usual, HANG_SLOWEST * self.slowest[kind])
+        again = repeat and live.tries < self.settings.max_attempts and self.pressure <= PRESSED
+        return hangs if again and hangs + 2 * usual < left else left
 
     def _ended(self, now: float, event: Outcome) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
@@ -307,6 +325,21 @@
         self.retries -= 1
         self._attempt(now, live, server)
 
+    def _withdraw_hanging(self, now: float) -> None:
+        """Withdraw attempts whose connection seems to have died without a word, where a repeat is harmless,
+        and time and budget allow one: `_again` makes it when the attempt has ended."""
+        for (number, at), attempt in self.attempts.items():
+            live = self.live.get(number)
+            if live is None or attempt.passed < HANG_PASSED or attempt.withdrawn or live.streaming:
+                continue
+            usual, slowest = self.usual[attempt.kind], self.slowest[attempt.kind]
+            hangs = now - attempt.at > max(HANG_USUAL * usual, HANG_SLOWEST * slowest)
+            again = live.tries < self.settings.max_attempts and live.deadline - now > 2 * usual
+            pure = self.settings.classes[attempt.kind].effect is Effect.PURE
+            if hangs and again and pure and self.retries >= 1:
+                attempt.withdrawn = True
+                self.actions.append(Cancel(number, at))
+
     def _may_repeat(self, now: float, live: Live, server: Server | None) -> bool:
         """Whether one more attempt (on this server) cannot make the effect happen twice."""
         cls = self.settings.classes[live.ask.request_class]
@@ -626,10 +659,14 @@
         # Pressure is the fleet's: a server known to be bad or cut off says nothing of the others.
         gain = PRESSURE_GAIN if now >= view.out_until and view.ratio <= 2 * self.sound_ratio else 0.0
         self.answers += gain > 0
-        overdue = event.waited_ms >= OVERDUE * aim and event.result in SILENT
+        overdue = event.waited_ms >= OVERDUE * aim and event.result in SILENT and attempt.passed < HANG_PASSED
         if event.result is Result.OK:
             view.mute.pop(kind, None)
             relative = event.waited_ms / max(1.0, self.usual[kind])
+            self.slowest[kind] = max(event.waited_ms, SLOWEST_FADE * self.slowest[kind])
+            self.slowest[kind] = max(event.waited_ms, SLOWEST_FADE * self.slowest[kind])
+            for other in self.attempts.values():
+                other.passed += other.server is view and other.at < attempt.at
             self.usual[kind] += CLASS_GAIN * (event.waited_ms - self.usual[kind])
             self._observe(now, view, relative)
             self.pressure += gain * (min(2.0, event.waited_ms / aim) - self.pressure)
@@ -700,6 +737,8 @@
                 self.actions.append(Probe(view.entry.name))
             else:
                 del self.suspects[view.entry.name]
+        if self.settings.cancel:
+            self._withdraw_hanging(now)
         if self.settings.counter:
             self._sync(now)
         if now >= self.ask_at:
--- a/mintfront/state.py
+++ b/mintfront/state.py
@@ -48,6 +48,8 @@
     work: float
     customer: Customer
     kind: int  # class of its request
+    passed: int = 0  # attempts begun later that its server has answered since
+    withdrawn: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -250,3 +250,23 @@
     gate.do(i.ServerList(tuple(i.Server(f"new{n}") for n in range(4))))
     gate.run(100.0)
     assert abs(gate.gateway.limit - 2 * before) < 0.1
+
+
+def test_an_attempt_that_hangs_while_its_server_answers_is_withdrawn_and_made_anew_after_its_end() -> None:
+    # A connection may die without a word. A server that is silent as a whole is another matter.
+    for others_answered, withdrawn in ((True, True), (False, False)):
+        gate = Driver(replace(BASE, plans=(i.Plan(),)), servers=1)
+        for _ in range(400):
+            number, out = gate.ask()
+            gate.end(number, sends(out)[0].server, i.Result.OK, 10.0)
+        hanging, out = gate.ask()
+        for _ in range(4):
+            gate.run(10.0)
+            number, out = gate.ask()
+            if others_answered:
+                gate.end(number, sends(out)[0].server, i.Result.OK, 10.0)
+        cancels = [action for action in gate.run(400.0) if isinstance(action, i.Cancel)]
+        assert (cancels == [i.Cancel(hanging, 0)]) is withdrawn
+        if withdrawn:
+            again = sends(gate.end(hanging, "s0", i.Result.CANCELLED, 300.0))
+            assert [send.request for send in again] == [hanging]
