Hold idle client connections to an eighth of the descriptors

A census printed each second showed 100 new connections a second that ask once and stay, and 40 that say nothing. Clients may hold a third of the descriptors (128 here); with 180 idle ones the usual clients had none left to ask on. Waiting for all 224 places to be taken (Front.run) was too late. Ruled out: the quota's reasons (no guesses), the counter (4 ms), nodes left out.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -60,8 +60,8 @@
             port = self.counter = TextCounter(config.counter, config.settings.counter_timeout_ms,
                                               self.clock, inbox, self.metrics)  # fmt: skip
         self.owner.connect(self.nodes, port)
-        self.front = Front(config.names, config.client_links, lambda: bool(self.machines.machines),
-                           self.clock, inbox, self.metrics)  # fmt: skip
+        self.front = Front(config.names, config.client_links, config.idle_links,
+                           lambda: bool(self.machines.machines), self.clock, inbox, self.metrics)  # fmt: skip
         self._running: list[gevent.Greenlet[..., None]] = []
         self.ratelimit_port = 0
         self._listener: gevent.socket.socket | None = None
--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -14,6 +14,7 @@
 
 RESERVE = 40  # descriptors kept for the list, the counter, the gRPC front, files and the runtime
 RATELIMIT = Path(__file__).parent.parent / "deploy" / "ratelimit.toml"
+IDLE_SHARE = 0.125  # of all descriptors: client connections on which nothing is open
 NODE_SHARE = 0.35  # of the other descriptors: connections to execute nodes; the rest is for clients
 
 
@@ -57,6 +58,7 @@
     idle_ms: float
     dial_ms: float
     client_links: int
+    idle_links: int
     node_links: int
     known: dict[str, Any] = field(default_factory=dict)
     ratelimit: RateLimit = RateLimit()
@@ -160,6 +162,7 @@
         zones=tuple(str(zone) for zone in facts.get("Zones") or ()),
         idle_ms=number(site, "Limits.", "IdleCloseMs", 1.0) if "IdleCloseMs" in site else 15_000.0,
         dial_ms=number(site, "Limits.", "DialTimeoutMs", 1.0) if "DialTimeoutMs" in site else 250.0,
+        idle_links=int(IDLE_SHARE * sockets),
         client_links=sockets - RESERVE - nodes,
         node_links=nodes,
         known=known,
--- a/ashlift/net/front.py
+++ b/ashlift/net/front.py
@@ -63,13 +63,13 @@
 class Front:
     """Listens, and knows every open client connection."""
 
-    def __init__(self, names: Names, most: int, ready: Callable[[], bool], clock: Clock, inbox: Inbox,
-                 metrics: Metrics) -> None:  # fmt: skip
+    def __init__(self, names: Names, most: int, idle_most: int, ready: Callable[[], bool], clock: Clock,
+                 inbox: Inbox, metrics: Metrics) -> None:  # fmt: skip
         self.names, self.ready, self.clock, self.inbox, self.metrics = names, ready, clock, inbox, metrics
         self.closing = False
         self.traces: set[bytes] = set()  # of open jobs
         self.idle: dict[_Connection, None] = {}  # connections that are owed nothing, the longest idle first
-        self._most = most
+        self._most, self._idle_most = most, idle_most
         self._freed = Event()
         self._connections: set[_Connection] = set()
 
@@ -87,8 +87,14 @@
     def run(self, listener: socket.socket) -> None:
         """Accept for ever, within the bound of connections."""
         while True:
+            if len(self.idle) > self._idle_most:
+                # Guards against clients that are kept from asking by others who only stay: all that clients
+                # hold counts towards what they may hold.
+                self._put_one_out()
             while self.open >= self._most:
-                self._make_room()
+                self._put_one_out()
+                self._freed.clear()
+                self._freed.wait(FULL_S)
             try:
                 sock, _ = listener.accept()
             except OSError as error:
@@ -103,16 +109,14 @@
             self._connections.add(connection)
             gevent.spawn(self._serve, connection)
 
-    def _make_room(self) -> None:
-        """Guards against places held by those who ask nothing while others wait in the backlog: the longest
-        idle connection ends. With none, the next to come free is waited for."""
+    def _put_one_out(self) -> None:
+        """Guards against places held by those who ask nothing while others wait: the longest idle connection
+        ends, if there is one that may."""
         now = self.clock.now()
         spare = next((connection for connection in self.idle if connection.spare(now)), None)
         if spare is not None:
             self.metrics.add("clients.put_out")
             spare.put_out()
-        self._freed.clear()
-        self._freed.wait(FULL_S)
 
     def _serve(self, connection: "_Connection") -> None:
         try:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -306,6 +306,19 @@
     node.server.stop()
 
 
+def test_few_who_only_stay_are_kept() -> None:
+    gate = Gatekeeper(replace(config(NOWHERE, {}), idle_links=2))
+    address = gate.start()
+    with gevent.Timeout(30):
+        stayed = []
+        for _ in range(9):
+            stayed.append(ask(address))
+            assert stayed[-1].recv(65536).startswith(b"HTTP/1.1 200")
+        assert stayed[0].recv(1) == b""
+    assert gate.metrics.counts["clients.put_out"] >= 5
+    gate.stop(0.0)
+
+
 @pytest.mark.parametrize(("text", "word"), [(b"", b""), (b"\r\n", b""), (b"GET /u", b"HTTP/1.1 408")])
 def test_who_asks_half_gets_a_word(monkeypatch: pytest.MonkeyPatch, text: bytes, word: bytes) -> None:
     monkeypatch.setattr(front, "SILENT_S", 0.05)
