--- a/ashlift/calls.py
+++ b/ashlift/calls.py
@@ -8,6 +8,30 @@
 from ashlift.metrics import Metrics
 from mintfront.interface import Counted, Result
 
+OVERDUE = 3.0  # x the give-up time without the answer that is due: new calls go out on a new connection
+SILENT_MS = 1_000.0  # nothing more will come after so long; and the longest patience with a new connection
+
+
+class Patience:
+    """How long an answer may be overdue before new calls go out on a new connection.
+
+    Guards against one silent connection that stops all counting. A counter that is silent itself is not
+    called on ever more connections: patience grows until an answer comes.
+    """
+
+    def __init__(self, timeout_ms: float) -> None:
+        self._least = self._most = OVERDUE * timeout_ms
+
+    def heard(self) -> None:
+        self._most = self._least
+
+    def is_over(self, waited_ms: float, heard: bool) -> bool:
+        """Whether to begin anew; `heard`: something has come on the connection."""
+        over = waited_ms > self._most
+        if over and not heard and self._most < SILENT_MS:
+            self._most *= 2
+        return over
+
 
 @dataclass(slots=True, eq=False)
 class Call:
--- a/ashlift/net/counter.py
+++ b/ashlift/net/counter.py
@@ -10,7 +10,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from ashlift.calls import Call, Calls
+from ashlift.calls import SILENT_MS, Call, Calls, Patience
 from ashlift.jobs import Clock, Inbox
 from ashlift.metrics import Metrics
 from mintfront.interface import Result
@@ -18,8 +18,6 @@
 log = logging.getLogger("ashlift.counter")
 CONNECT_S = 0.25
 IDLE_MS = 2_000.0  # the counter closes idle connections after 10 s or less: ours are given up before
-OVERDUE = 3.0  # x the give-up time without the answer that is due: new calls go out on a new connection
-SILENT_MS = 1_000.0  # nothing more will come after so long; and the longest patience with a new connection
 LINE_MOST = 256
 WORDS = (b"ok ", b"busy", b"error")  # with which answers begin
 
@@ -40,7 +38,7 @@
         self._unsent: deque[_Call] = deque()
         self._wake = Event()
         self._link: _CounterLink | None = None
-        self._patience = OVERDUE * timeout_ms
+        self._patience = Patience(timeout_ms)
 
     def add(self, name: int, amount: float, expire_ms: float) -> None:
         number = f"{int(amount)}" if amount == int(amount) else f"{amount:.6f}"
@@ -71,10 +69,7 @@
 
     def _write(self) -> None:
         link, now = self._link, self._clock.now()
-        if link is not None and link.overdue(now) > self._patience:
-            # Guards against one silent connection that stops all counting. A counter that is silent itself is
-            # not called on ever more connections: patience grows until an answer comes.
-            self._patience *= 2 if not link.heard and self._patience < SILENT_MS else 1
+        if link is not None and self._patience.is_over(link.overdue(now), link.heard):
             self._metrics.add("counter.overdue")
             link.retire()
             link = None
@@ -93,7 +88,7 @@
                 call.written = True  # from here on it may have been added
                 calls.append(call)
         if link.heard:
-            self._patience = OVERDUE * self._calls.timeout_ms
+            self._patience.heard()
         if calls:
             link.write(calls)
 
--- a/ashlift/ratelimit/client.py
+++ b/ashlift/ratelimit/client.py
@@ -1,5 +1,6 @@
 """A quota counter kept behind a gRPC rate limit service, in the text counter's place."""
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -8,7 +9,7 @@
 from envoy.service.ratelimit.v3 import rls_pb2, rls_pb2_grpc
 from envoy.type.v3 import ratelimit_unit_pb2
 
-from ashlift.calls import Call, Calls
+from ashlift.calls import Call, Calls, Patience
 from ashlift.jobs import Clock, Inbox
 from ashlift.metrics import Metrics
 from ashlift.ratelimit.bridge import Bridge
@@ -18,6 +19,7 @@
 MOST = 9_999_999  # no total is higher: the limit asked for, so that what is left tells the total
 OPTIONS = [
     ("grpc.enable_retries", 0),  # a call sent twice may be added twice
+    ("grpc.use_local_subchannel_pool", 1),  # a new channel is to have a connection of its own
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 250),
     ("grpc.max_reconnect_backoff_ms", 1000),
@@ -35,13 +37,24 @@
 
     def __init__(self, address: str, domain: str, timeout_ms: float, bridge: Bridge, clock: Clock,
                  inbox: Inbox, metrics: Metrics) -> None:  # fmt: skip
-        self._domain, self._bridge = domain, bridge
-        self._calls = Calls(timeout_ms, clock, inbox, metrics)
-        self._channel = grpc.insecure_channel(address, options=OPTIONS)
+        self._address, self._domain, self._bridge = address, domain, bridge
+        self._clock, self._metrics = clock, metrics
+        self._calls, self._patience = Calls(timeout_ms, clock, inbox, metrics), Patience(timeout_ms)
+        self._open()
+
+    def _open(self) -> None:
+        self._channel = grpc.insecure_channel(self._address, options=OPTIONS)
         self._channel.subscribe(lambda state: None, try_to_connect=True)  # up before the first call
         self._stub = rls_pb2_grpc.RateLimitServiceStub(self._channel)
+        self._heard, self._since = False, math.inf  # since when calls have gone unanswered
 
     def add(self, name: int, amount: float, expire_ms: float) -> None:
+        now = self._clock.now()
+        if self._patience.is_over(now - self._since, self._heard):
+            self._metrics.add("counter.overdue")
+            self._channel.close()  # what is under way may have been added: its own timers say so
+            self._open()
+        self._since = min(self._since, now)
         call = _Call(name)
         self._calls.begin(call, self._give_up)
         request = ask(self._domain, name, round(amount), expire_ms)
@@ -58,6 +71,9 @@
     def _done(self, call: _Call, done: Any) -> None:
         if done.cancelled():
             return
+        if done.code() is not grpc.StatusCode.DEADLINE_EXCEEDED:
+            self._heard, self._since = True, math.inf
+            self._patience.heard()
         if done.code() is grpc.StatusCode.OK:
             self._calls.end(call, *read_response(done.result()))
         else:
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -296,6 +296,22 @@
     counts.stop()
 
 
+def test_a_silent_service_is_called_on_a_new_connection() -> None:
+    counts, inbox, metrics, clock = GrpcCounts(), SimpleQueue[Any](), Metrics(), ManualClock()
+    counts.go.clear()
+    counter = GrpcCounter(counts.address, "counts", 5_000.0, Bridge(), clock, inbox, metrics)
+    for number in range(4):  # given up at 5, 10, 15 and 20 s; overdue at 15 s
+        counter.add(number, 1.0, 4000.0)
+        clock.advance(5_001.0)
+        assert inbox.get(timeout=20).result is Result.TIMEOUT
+    assert metrics.counts["counter.overdue"] == 1
+    counts.go.set()
+    counter.add(9, 1.0, 4000.0)
+    assert inbox.get(timeout=20).result is Result.OK
+    counter.close()
+    counts.stop()
+
+
 def test_totals_go_up_down_and_are_read() -> None:
     counts = GrpcCounts()
     told = [one_call(counts.address, amount) for amount in (1001.0, -1.0, 0.0)]
