Tell counts that were known never to be added with the next call

Where a total shows that unanswered calls were never added, their units were taken off mine and no other gatekeeper heard of them. Now they go along with the next call of that firm; a call that may have been added is still never made again.

--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -540,11 +540,15 @@
         short = customer.mine_total + customer.far_total - all_total
         if 0 < short <= customer.doubt_total:
             # Calls without an answer were never added. Guards against taking all of the total for news.
-            share = short / customer.doubt_total
+            # They go along with the next call: the others must hear of them.
+            lost = round(short / customer.doubt_total * customer.doubt_accepted)
             customer.mine_total -= short
-            customer.mine_accepted -= share * customer.doubt_accepted
+            customer.mine_accepted -= lost
             customer.doubt_total -= short
-            customer.doubt_accepted *= 1 - share
+            customer.doubt_accepted -= lost
+            customer.fresh_total += short * customer.quantum
+            customer.fresh_accepted += lost * customer.quantum
+            self.dirty[customer.name] = customer
         elif short > 0:  # the counter came back empty
             customer.mine_total, customer.mine_accepted = added
             customer.doubt_total = customer.doubt_accepted = 0.0
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -89,6 +89,9 @@
     assert first.name == second.name == third.name
     gate.do(i.Counted(third.name, i.Result.OK, 2.0, first.amount + theirs + third.amount))
     assert sends(gate.ask(set_size=2)[1])
+    # What is known never to have been added is told with the next call.
+    (fourth,) = counts(gate.run(1000.0))
+    assert fourth.amount == second.amount + 1001
 
 
 def test_at_most_one_call_in_flight_for_a_name() -> None:
