Count refusals by cause

Change: Refuse carries a cause (quota, open, pressure, no_server, ceiling, late, unserved), the owner counts refused.CAUSE. A test goes through quota, unserved and no_server.

--- a/ashlift/owner.py
+++ b/ashlift/owner.py
@@ -153,6 +153,7 @@
                 if self._nodes is not None:
                     self._nodes.cancel(action.request, action.attempt)
             case i.Refuse():
+                self._metrics.add(f"refused.{action.cause}")
                 self._answer(action.request, Answer(Verdict.REFUSED, b"", action.retry_after_ms))
             case i.Admit():
                 self._answer(action.request, Answer(Verdict.PASSED))
--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -213,14 +213,19 @@
     def _enter(self, now: float, live: Live) -> None:
         """Past the quota: room under the caps, the back end's state and a server decide."""
         ask, customer = live.ask, live.customer
-        passed, server = live.inside and self._open_room(now, customer), None
-        if passed and not ask.admit_only:  # the back end's state says nothing of what it is not sent
-            server = None if self._pressed(ask, customer.plan) else self._pick(now, live)
-            passed = server is not None
-        if not passed or not self._take_ceiling(now, customer, ask.units):
+        cause, server = "" if live.inside else "quota", None
+        if not cause and not self._open_room(now, customer):
+            cause = "open"
+        if not cause and not ask.admit_only:  # the back end's state says nothing of what it is not sent
+            cause = "pressure" if self._pressed(ask, customer.plan) else ""
+            server = None if cause else self._pick(now, live)
+            cause = cause or ("" if server else "no_server")
+        if not cause and not self._take_ceiling(now, customer, ask.units):
+            cause = "ceiling"
+        if cause:
             self._record(now, customer, 0.0, -ask.units * live.inside)
             self.live.pop(ask.request, None)
-            self.actions.append(self._refusal(ask.request, customer))
+            self.actions.append(self._refusal(ask.request, customer, cause))
             return
         if server is None:
             self.live.pop(ask.request, None)
@@ -230,10 +235,10 @@
         self.retries = min(RETRY_SAVED, self.retries + RETRY_SHARE)
         self._attempt(now, live, server)
 
-    def _refusal(self, number: int, customer: Customer) -> Refuse:
+    def _refusal(self, number: int, customer: Customer, cause: str) -> Refuse:
         """With advice: about the time in which one more request's units come free."""
         advice = min(self.settings.max_retry_after_ms, 1000 / (customer.plan.rate or 1.0))
-        return Refuse(number, advice if self.settings.retry_after else 0.0)
+        return Refuse(number, advice if self.settings.retry_after else 0.0, cause)
 
     def _expect(self, now: float, live: Live) -> None:
         if live.ask.request not in self.live:
@@ -351,7 +356,8 @@
         number, effect = live.ask.request, self.settings.classes[live.ask.request_class].effect
         # A client that waits for a long answer is told of a failure as such: it may ask for less.
         harmless = (effect is Effect.PURE and not live.ask.streamed) or not (live.may_run or live.out)
-        self.actions.append(self._refusal(number, live.customer) if harmless else Fail(number))
+        cause = "late" if live.out or not live.tries else "unserved"
+        self.actions.append(self._refusal(number, live.customer, cause) if harmless else Fail(number))
         self._close(number)
 
     def _close(self, number: int) -> None:
--- a/mintfront/interface.py
+++ b/mintfront/interface.py
@@ -231,6 +231,7 @@
 
     request: int
     retry_after_ms: float = 0.0
+    cause: str = field(default="", compare=False)  # for counts; see `_enter` and `_answer`
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -49,6 +49,7 @@
         self.up: dict[int, Gateway] = {}
         self.attempts: Counter[tuple[int, int]] = Counter()
         self.served, self.refused, self.dials = Counter[int](), Counter[int](), Counter[str]()
+        self.causes = Counter[str]()  # of refusals
         self.in_vain = Counter[str]()  # dials at nodes where nobody listens
         self.pairs: set[tuple[int, str]] = set()
         self.totals: dict[int, float] = {}
@@ -111,6 +112,7 @@
                     self._send(me, gate, action)
                 case i.Refuse() | i.Fail():
                     self.refused[me] += 1
+                    self.causes[action.cause if isinstance(action, i.Refuse) else "failed"] += 1
                 case i.Count():
                     self._count(me, gate, action)
                 case _:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -153,6 +153,20 @@
         assert times and sum(at < since + SETTINGS.fall_ms for at in times) <= most + 2
 
 
+def test_each_refusal_tells_its_cause() -> None:
+    fleet = Fleet(size=1, nodes=1, settings=replace(QUOTAS, counter=False))
+    for _ in range(9):
+        fleet.ask(0, "a")
+    assert set(fleet.causes) == {"quota"}
+    fleet.nodes["n0"].up = False
+    fleet.ask(0, "b")
+    fleet.run(9000.0)
+    assert fleet.causes["unserved"] == 1
+    fleet.tell(0, n0=i.ServerState.GONE)
+    fleet.ask(0, "c")
+    assert fleet.causes["no_server"] == 1
+
+
 def test_numbers_that_cannot_be_right_choose_a_subset_all_the_same() -> None:
     for me, size, nodes in ((57, 40, 60), (0, 1, 60), (0, 1, 1), (3, 40, 0)):
         fleet = Fleet(size=1, nodes=nodes, settings=SETTINGS)
