Make the test of the share's scatter fail without its room

Seen: each new part was taken out in turn. The tests failed for the turns (6), the kept calls (3), the three lost calls (3), the refused dial (1), the free repeat (1), the subset's size (11) and its golden steps (2), but not for SCATTER: at even traffic the bare share turned away under 1%.

No change of the program.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -45,13 +45,20 @@
             assert sum(at <= other < at + SETTINGS.fall_ms for other in times) <= most + 2
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-def test_the_scatter_of_forty_small_shares_is_no_overload(seed: int) -> None:
-    # Six in ten of the cores busy: each gateway has 4 out on average, and now and then twice as many.
-    fleet = Fleet(seed=seed)
-    fleet.arrivals(180.0, 20_000.0)
-    fleet.run(20_000.0)
-    assert fleet.refused.total() <= 0.01 * (fleet.served.total() + fleet.refused.total())
+def test_the_scatter_of_forty_small_shares_is_no_overload() -> None:
+    # Seven in ten of the cores busy, traffic uneven as that of few firms is, limits as the settings give them
+    # at the start: gateways have 4 out on average, and now and then twice as many.
+    refused = 0
+    for seed in range(1, 7):
+        fleet, draw = Fleet(seed=seed), random.Random(seed)
+
+        def ask(_: int, fleet: Fleet = fleet, draw: random.Random = draw) -> None:
+            fleet.ask(int(40 * draw.betavariate(1.0, 1.5)))
+
+        fleet.arrivals(210.0, 6000.0, ask)
+        fleet.run(6000.0)
+        refused += fleet.refused.total()
+    assert refused <= 60  # of 7,500; with the bare share it was 116
 
 
 def test_a_fleet_that_is_truly_too_small_is_still_held_down() -> None:
