Accept on the clients' listening socket that GW_INHERITED_FD names

The descriptor is now adopted where GW_INHERITED_FD is set, after a check that it is a listening IPv4 TCP socket (else the start ends with 1 and names the variable); a value that is no number above 2 is a setting that cannot be right.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -88,7 +88,7 @@
         """Listen and run; the address is told for where the port was left open."""
         if self.config.known.get("instances"):
             self.machines.take(self.config.known | {"reset": True})
-        self._listener = self.front.listen(self.config.listen)
+        self._listener = self.front.listen(self.config.listen, self.config.inherited_fd)
         parts = [part for part in (self.owner, self.machines, self.nodes, self.counter) if part is not None]
         self._running = [gevent.spawn(part.run) for part in parts]
         self._running.append(gevent.spawn(self.front.run, self._listener))
@@ -151,7 +151,8 @@
     try:
         gatekeeper.start()
     except (OSError, RuntimeError) as error:  # gRPC says it with the latter
-        print(f"ashlift: cannot listen: {error}", file=sys.stderr)
+        where = f"GW_INHERITED_FD {config.inherited_fd}" if config.inherited_fd is not None else "GW_LISTEN"
+        print(f"ashlift: cannot listen: {where}: {error}", file=sys.stderr)
         return 1
     told.wait()
     gatekeeper.stop()
--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -55,6 +55,7 @@
     node_links: int
     known: dict[str, Any] = field(default_factory=dict)
     own: OwnSettings = OwnSettings()
+    inherited_fd: int | None = None  # the clients' listening socket, held by the platform: nothing is bound
 
 
 def _address(where: str, value: object) -> tuple[str, int]:
@@ -64,6 +65,14 @@
         raise ConfigError(f"{where}: {error}") from None
 
 
+def _descriptor(where: str, value: str | None) -> int | None:
+    if not value:
+        return None
+    if not value.isdigit() or int(value) < 3:
+        raise ConfigError(f"{where}: not the number of an open descriptor above 2: {value!r}")
+    return int(value)
+
+
 def _names(found: list[dict[str, Any]], where: str) -> dict[bytes, int]:
     names = [row.get("Name") for row in found]
     for at, name in enumerate(names):
@@ -160,4 +169,5 @@
         node_links=nodes,
         known=known,
         own=own,
+        inherited_fd=_descriptor("GW_INHERITED_FD", env.get("GW_INHERITED_FD")),
     )  # fmt: skip
--- a/ashlift/net/front/listener.py
+++ b/ashlift/net/front/listener.py
@@ -20,6 +20,21 @@
 BACKLOG = 1024
 
 
+def adopt(descriptor: int) -> socket.socket:
+    """The listening socket behind an inherited descriptor. Guards against accepting on whatever else the
+    number may stand for: an IPv4 TCP socket that listens, or OSError."""
+    sock = socket.socket(fileno=descriptor)
+    try:
+        kind = sock.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE)
+        listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        if sock.family != socket.AF_INET or kind != socket.SOCK_STREAM or not listening:
+            raise OSError(errno.ENOTSOCK, f"descriptor {descriptor} is no listening TCP socket of IPv4")
+    except OSError:
+        sock.detach()  # not ours to close
+        raise
+    return sock
+
+
 class Front:
     """Listens, and knows every open client connection. `desk` is None where nothing is streamed."""
 
@@ -43,7 +58,12 @@
     def open(self) -> int:
         return len(self._connections)
 
-    def listen(self, address: tuple[str, int]) -> socket.socket:
+    def listen(self, address: tuple[str, int], inherited: int | None = None) -> socket.socket:
+        """Bind and listen; or accept on the socket that descriptor `inherited` already is, which the
+        platform holds for this process and its successor alike. Raises OSError where that is no listening TCP
+        socket."""
+        if inherited is not None:
+            return adopt(inherited)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
