Open the operators' door: status, figures, nodes out by hand, standby, hand-over

- owner.py: Command and HandsWritten through the queue; svc.* counted at each final answer.
- machine_list.py: every line of discovery is shown through the hand-outs.
- nodes.py, stream_claim.py: svc.relayed where the last byte of a claim is written.
- front: standby closes idle connections and every later one after its answer; a 4xx of a known class counts as faulted.
GET /up keeps saying yes after SIGTERM, as before: where the socket is shared, a successor answers the next /up.
- config.py: mgmt and GW_MGMT.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -4,6 +4,8 @@
 import logging
 import signal
 import sys
+import tempfile
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import gevent
@@ -12,12 +14,16 @@
 from ashlift import logs
 from ashlift.clock import UnixClock
 from ashlift.config import Config, ConfigError, OwnSettingsError, load, load_anew
-from ashlift.jobs import Clock, Counter
+from ashlift.jobs import Clock, Counter, HandsWritten
 from ashlift.metrics import Metrics
 from ashlift.net.counter import TextCounter
 from ashlift.net.front import Front
 from ashlift.net.machine_list import MachineList
 from ashlift.net.nodes import Limits, NodePool
+from ashlift.operations.door import Door
+from ashlift.operations.life import Life
+from ashlift.operations.operator import Operator
+from ashlift.operations.store import HandStore
 from ashlift.owner import Owner
 from mintfront.control import Gateway
 
@@ -36,7 +42,9 @@
 
     def __init__(self, config: Config, clock: Clock | None = None) -> None:
         self.config, self.metrics, self.clock = config, Metrics(), clock or UnixClock()
-        self.owner = Owner(Gateway(config.settings, config.seed), self.clock, self.metrics)
+        numbered = config.names.classes
+        classes = tuple(name.decode() for name in sorted(numbered, key=lambda name: numbered[name]))
+        self.owner = Owner(Gateway(config.settings, config.seed), self.clock, self.metrics, classes)
         inbox = self.owner.inbox
         self.machines = MachineList(config.discovery, config.zones, inbox, self.metrics)
         self.nodes = NodePool(self.machines, Limits(config.dial_ms, config.idle_ms, config.node_links),
@@ -62,14 +70,24 @@
         elif config.counter is not None:
             port = self.counter = TextCounter(config.counter, config.settings.counter_timeout_ms,
                                               self.clock, inbox, self.metrics)  # fmt: skip
-        self.owner.connect(self.nodes, port)
         self.desk = self._new_desk()
+        self.life = Life()
         self.front = Front(config.names, config.client_links, config.idle_links,
-                           lambda: bool(self.machines.machines), self.clock, inbox, self.metrics,
+                           lambda: self.life.up(self.machines.listed()), self.clock, inbox, self.metrics,
                            self.desk)  # fmt: skip
+        # The operators' door, where the configuration names one; what is out by hand passes through TMPDIR.
+        self.door = Door(inbox, self.metrics) if config.mgmt is not None else None
+        kept = Path(tempfile.gettempdir()) / f"ashlift-{config.name}.handouts.json"
+        self.hands = HandStore(kept, config.name)
+        self.operator = Operator(config.name, classes, self.life, self.machines,
+                                 self.hands if self.door is not None else None, self.front.standby,
+                                 lambda: dict(self.metrics.counts))  # fmt: skip
+        self.owner.connect(self.nodes, port, self.operator)
         self._running: list[gevent.Greenlet[..., None]] = []
         self.ratelimit_port = 0
+        self.door_address: tuple[str, int] | None = None
         self._listener: gevent.socket.socket | None = None
+        self._door: gevent.socket.socket | None = None
 
     def _new_desk(self) -> "Desk | None":
         """Where streams get their places, if the settings turn them on: nothing is loaded for them else."""
@@ -86,12 +104,21 @@
 
     def start(self) -> tuple[str, int]:
         """Listen and run; the address is told for where the port was left open."""
+        if self.door is not None:  # what a process before this one took out stays out
+            self.machines.adopt(self.hands.load(), self.clock.now())
         if self.config.known.get("instances"):
             self.machines.take(self.config.known | {"reset": True})
         self._listener = self.front.listen(self.config.listen, self.config.inherited_fd)
+        if self.door is not None and self.config.mgmt is not None:
+            self._door = self.door.listen(self.config.mgmt)
+            self.door_address = self._door.getsockname()
         parts = [part for part in (self.owner, self.machines, self.nodes, self.counter) if part is not None]
         self._running = [gevent.spawn(part.run) for part in parts]
         self._running.append(gevent.spawn(self.front.run, self._listener))
+        if self.door is not None and self._door is not None:
+            self._running.append(gevent.spawn(self.door.run, self._door))
+            told = self.owner.inbox.put
+            self._running.append(gevent.spawn(self.hands.run, lambda out: told(HandsWritten(out))))
         if self.ratelimit is not None:
             self.ratelimit_port = self.ratelimit.listen(self.config.own.ratelimit.server.listen)
         host, port = self._listener.getsockname()
@@ -115,6 +142,7 @@
 
     def stop(self, grace_s: float = GRACE_S) -> None:
         """Go on for the grace, for clients hear late of a restart; answer what is taken; then end."""
+        self.life.stopping()
         gevent.sleep(grace_s)
         if self._listener is not None:
             self._listener.close()
@@ -129,6 +157,8 @@
         while self.front.open and self.clock.now() < end:
             gevent.sleep(0.02)
         gevent.killall(self._running)
+        if self._door is not None:
+            self._door.close()
         self.owner.close()
 
 
--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -56,6 +56,7 @@
     known: dict[str, Any] = field(default_factory=dict)
     own: OwnSettings = OwnSettings()
     inherited_fd: int | None = None  # the clients' listening socket, held by the platform: nothing is bound
+    mgmt: tuple[str, int] | None = None  # the operators' door; none where not named
 
 
 def _address(where: str, value: object) -> tuple[str, int]:
@@ -170,4 +171,5 @@
         known=known,
         own=own,
         inherited_fd=_descriptor("GW_INHERITED_FD", env.get("GW_INHERITED_FD")),
+        mgmt=_address("GW_MGMT", mgmt) if (mgmt := env.get("GW_MGMT") or found.get("mgmt")) else None,
     )  # fmt: skip
--- a/ashlift/jobs.py
+++ b/ashlift/jobs.py
@@ -106,7 +106,23 @@
     whole: bool
 
 
-Message = Job | Left | ClaimEnded | BodyBegun | Headed | Delivered | Counted | ServerList | Timer
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A call of the operators' door; `reply` is given the door's answer, once."""
+
+    call: Any  # an `operations.calls.Call`
+    reply: Callable[[Any], Any] = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class HandsWritten:
+    """Another process wrote which execute nodes are out by hand: ids and since when, Unix ms."""
+
+    out: dict[str, float]
+
+
+Message = (Job | Left | ClaimEnded | BodyBegun | Headed | Delivered | Command | HandsWritten | Counted
+           | ServerList | Timer)  # fmt: skip
 
 
 class Inbox(Protocol):
--- a/ashlift/net/front/connection.py
+++ b/ashlift/net/front/connection.py
@@ -14,12 +14,13 @@
 from gevent.queue import SimpleQueue
 
 from ashlift.config import Names
-from ashlift.jobs import Answer, Clock, Inbox, Job, Left
+from ashlift.jobs import Answer, Clock, Inbox, Job, Left, Verdict
 from ashlift.metrics import Metrics
 from ashlift.net.front.answers import render
 from ashlift.net.front.asked import Asked, BadRequestError, job_of
 from ashlift.net.front.reader import RequestReader
 from ashlift.net.links import quiet
+from ashlift.operations.figures import answered
 
 WAITING_MOST = 4  # requests read ahead on one connection: clients send one at a time
 SILENT_S = 2.2  # a connection on which nothing was ever asked ends then: its sender is owed a word within 3 s
@@ -155,6 +156,9 @@
                 self._job = job_of(asked, front.names, front.traces, partial(self._reply, asked))
             except BadRequestError as bad:
                 front.metrics.add(f"requests.bad_{int(bad.status)}")
+                kind = asked.headers.get(b"x-qos", b"")
+                if kind in front.names.classes:  # failed, as its client sees it
+                    front.metrics.add(answered(Verdict.FAILED, kind.decode("latin-1")))
                 self._out.put((asked, bad))
             else:
                 front.traces.add(self._job.cargo.trace)
@@ -245,6 +249,8 @@
             self._next()
             if self._current is None:
                 self._begin_idle()
+                if self._front.closing:  # a drain began while the answer was on its way
+                    self.rest()
 
     def _deliver(self, asked: Asked, answer: Any, keep: bool) -> bool:
         """Write an answer; whether the connection goes on."""
--- a/ashlift/net/front/listener.py
+++ b/ashlift/net/front/listener.py
@@ -112,6 +112,13 @@
             self.idle.pop(connection, None)
             self._freed.set()
 
+    def standby(self, on: bool) -> None:
+        """Drain, or end the drain: while on, connections end after their answers, and those at rest now."""
+        self.closing = on
+        if on:
+            for connection in list(self._connections):
+                connection.rest()
+
     def close(self) -> None:
         """From now on connections end between requests: those at rest now, the others with their answer."""
         self.closing = True
--- a/ashlift/net/machine_list.py
+++ b/ashlift/net/machine_list.py
@@ -13,6 +13,7 @@
 
 from ashlift.jobs import Inbox
 from ashlift.metrics import Metrics
+from ashlift.operations.handouts import HandOuts
 from mintfront.interface import Server, ServerList, ServerState
 
 log = logging.getLogger("ashlift.machine_list")
@@ -26,10 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """One execute node as last told."""
+    """One execute node as last told, and as shown: out by hand it is draining, whatever discovery said."""
 
     address: tuple[str, int]
-    server: Server
+    server: Server  # as shown to the module and the claims
+    told: Server | None = None  # as discovery told it, where that differs
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -49,6 +51,7 @@
         self._watching: gevent.Greenlet[..., None] | None = None
         self._moved = Event()
         self.machines: dict[str, Machine] = {}
+        self.hands = HandOuts()
 
     def ready(self, name: str) -> Machine | None:
         """The node, if new work may go to it."""
@@ -58,7 +61,7 @@
     def take(self, news: dict[str, Any]) -> None:
         """Take one message of discovery. The table changes here and now, ahead of the owner's queue, so that
         a claim about to be written sees a drain that the module has not heard of."""
-        entries = [self._entry(row) for row in news["instances"]]
+        entries = [self._shown(self._entry(row)) for row in news["instances"]]
         index, complete = int(news["generation"]), bool(news.get("reset", False))
         if complete:
             self.machines.clear()
@@ -67,10 +70,47 @@
                 self.machines.pop(machine.server.name, None)
             else:
                 self.machines[machine.server.name] = machine
+        self.hands.forget(set(self.machines))
         self._index = index
         self._metrics.add("machine_list.news")
         self._inbox.put(ServerList(tuple(machine.server for machine in entries), complete))
 
+    def _shown(self, machine: Machine) -> Machine:
+        told = machine.told or machine.server
+        shown = self.hands.shown(told)
+        return Machine(machine.address, shown, told if shown is not told else None)
+
+    def hand(self, worker: str, out: bool, now: float) -> list[Server] | None:
+        """Take a node out by hand or put it back, here and now; what the module is to see anew. None where
+        the id is neither listed nor out: nobody can tell what it names."""
+        if worker not in self.machines and worker not in self.hands.out:
+            return None
+        if out:
+            self.hands.enter(worker, now)
+        else:
+            self.hands.exit(worker, now)
+        return self._show_anew({worker})
+
+    def adopt(self, out: dict[str, float], now: float) -> list[Server]:
+        """What another process wrote of nodes out by hand holds from now on."""
+        went, came = self.hands.adopt(out, now)
+        return self._show_anew(went | came)
+
+    def out_by_hand(self) -> dict[str, float]:
+        return dict(self.hands.out)
+
+    def listed(self) -> bool:
+        return bool(self.machines)
+
+    def _show_anew(self, workers: set[str]) -> list[Server]:
+        changed = []
+        for worker in workers:
+            machine = self.machines.get(worker)
+            if machine is not None:
+                self.machines[worker] = shown = self._shown(machine)
+                changed.append(shown.server)
+        return changed
+
     def _entry(self, row: dict[str, Any]) -> Machine:
         state = ServerState(row["lifecycle"])
         zone = self._zones.index(row["zone"]) if row.get("zone") in self._zones else 0
--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -13,6 +13,7 @@
 from ashlift.net.links import quiet
 from ashlift.net.machine_list import MachineList
 from ashlift.net.replies import Reply, SpoiltAnswerError
+from ashlift.operations.figures import RELAYED
 from mintfront.interface import Result
 
 if TYPE_CHECKING:
@@ -148,6 +149,7 @@
                 return result, b""
             link.sock.sendall(self._request(claim, machine.address, left))
             claim.written = True
+            self._metrics.add(RELAYED)
             result, body, keep = self._read(link.sock)
             return result, body
         except gevent.Timeout as over:
--- a/ashlift/net/stream_claim.py
+++ b/ashlift/net/stream_claim.py
@@ -15,6 +15,7 @@
 from ashlift.metrics import Metrics
 from ashlift.net.nodes import Cargo, Claim
 from ashlift.net.replies import HEAD_MOST, SpoiltAnswerError
+from ashlift.operations.figures import RELAYED
 from ashlift.streams.faults import BrokenOffError, Fault
 from ashlift.streams.heads import (
     Body, Framing, FramingError, Head, Headers, answer_body, framing_line, lines, passing,
@@ -127,6 +128,7 @@
             self._sock.sendall(self._head(address, left_ms))
             if passage.upload is None:
                 self._claim.written = True
+                self._metrics.add(RELAYED)
             else:
                 carrier = gevent.spawn(self._carry, passage.upload)
             reply = StreamReply(self._cargo.method, passage.terms.set.longest)
@@ -176,6 +178,7 @@
             pass
         else:
             self._claim.written = True
+            self._metrics.add(RELAYED)
             self._timer.close()
             self._began = self._clock.now()
             self._late = self._clock.later(terms.head, self._stop, Fault.HEAD_LATE)
--- a/ashlift/owner.py
+++ b/ashlift/owner.py
@@ -1,25 +1,33 @@
 """The one greenlet that owns the decision module: messages in by the queue, actions out by the ports."""
 
 import logging
-from typing import Any, assert_never
+from typing import TYPE_CHECKING, Any, assert_never
 
 from gevent.queue import SimpleQueue
 
 from ashlift.jobs import (
-    Answer, BodyBegun, ClaimEnded, Clock, Counter, Delivered, Headed, Job, Left, Message, Nodes, Verdict,
+    Answer, BodyBegun, ClaimEnded, Clock, Command, Counter, Delivered, HandsWritten, Headed, Job, Left,
+    Message, Nodes, Verdict,
 )  # fmt: skip
 from ashlift.metrics import Metrics
+from ashlift.operations.figures import Gauges, answered
 from mintfront import interface as i
 from mintfront.control import Gateway
 
+if TYPE_CHECKING:
+    from ashlift.operations.operator import Operator
+
 log = logging.getLogger("ashlift.owner")
 
 
 class Owner:
     """Feeds the Gateway in order and does what it says. Nothing else touches the Gateway."""
 
-    def __init__(self, gateway: Gateway, clock: Clock, metrics: Metrics) -> None:
+    def __init__(self, gateway: Gateway, clock: Clock, metrics: Metrics,
+                 classes: tuple[str, ...] = ()) -> None:  # fmt: skip
         self._gateway, self._clock, self._metrics = gateway, clock, metrics
+        self._classes = classes or tuple(str(kind) for kind in range(len(gateway.settings.classes)))
+        self._operator: Operator | None = None
         self.inbox: SimpleQueue[Message] = SimpleQueue()
         self._jobs: dict[int, Job] = {}  # those that are owed an answer
         self._timers: dict[int, Any] = {}  # kept alive until they ring
@@ -27,9 +35,10 @@
         self._nodes: Nodes | None = None
         self._counter: Counter | None = None
 
-    def connect(self, nodes: Nodes | None, counter: Counter | None) -> None:
-        """Name the ports; they in turn were given the inbox."""
-        self._nodes, self._counter = nodes, counter
+    def connect(self, nodes: Nodes | None, counter: Counter | None,
+                operator: "Operator | None" = None) -> None:  # fmt: skip
+        """Name the ports; they in turn were given the inbox. `operator` answers the door's calls."""
+        self._nodes, self._counter, self._operator = nodes, counter, operator
 
     @property
     def owed(self) -> int:
@@ -84,10 +93,29 @@
             case Delivered():
                 self._delivered(message)
                 return None
+            case Command():
+                return self._command(message)
+            case HandsWritten():
+                changed = self._operator.adopt(message.out, self._clock.now()) if self._operator else []
+                return i.ServerList(tuple(changed)) if changed else None
             case i.Timer():
                 self._timers.pop(message.token, None)
         return message
 
+    def _command(self, command: Command) -> i.Event | None:
+        """A call of the door: answered at once; what it changed of the nodes the module hears next."""
+        if self._operator is None:
+            return None
+        said, changed = self._operator.call(command.call, self._clock.now(), self.gauges())
+        command.reply(said)
+        return i.ServerList(tuple(changed)) if changed else None
+
+    def gauges(self) -> Gauges:
+        """What stands now: jobs owed an answer, nodes listed, and those of them that are avoided."""
+        now, views = self._clock.now(), self._gateway.servers.values()
+        avoided = sum(view.entry.state is not i.ServerState.READY or now < view.out_until for view in views)
+        return Gauges(self.owed, len(views), avoided)
+
     def _request(self, job: Job) -> i.Request:
         job.number, self._next = self._next, self._next + 1
         self._jobs[job.number] = job
@@ -124,6 +152,7 @@
         if self._jobs.pop(delivered.job.number, None) is not None:
             verdict = Verdict.SERVED if delivered.whole else Verdict.FAILED
             self._metrics.add(f"answers.{verdict.value}")
+            self._metrics.add(answered(verdict, self._classes[delivered.job.kind]))
 
     def _answer(self, number: int, answer: Answer) -> None:
         """Guards against a second final answer: the job is forgotten with its first, and one whose answer
@@ -132,6 +161,7 @@
         if job is not None and not job.flowing:
             del self._jobs[number]
             self._metrics.add(f"answers.{answer.verdict.value}")
+            self._metrics.add(answered(answer.verdict, self._classes[job.kind]))
             job.reply(answer)
 
     def _failed(self, number: int) -> Answer:
