Pass on answers too long to hold; read answers that end with their connection

- net/replies.py: Reply tells a node's 200 that announces or grows over SPILL (256 KiB) as long, keeps its head, and reads an answer that says nothing of its length to the connection's end (RFC 9112 6.3); over 64 MiB announced is still spoilt, as before.
- net/spill.py (loaded at the first long answer): a place and pipe of the streams' budget, Headed to the owner, the body filled as it comes (stall 4 s: a node that gives is not cut).
One that ends with its connection goes on in chunks, to HTTP/1.0 by the connection's end.
- net/nodes.py: the desk of the streams' settings, or one made at the first long answer.
- front/connection.py: an answer with an opening is written as it flows; a client that leaves withdraws it; one nobody takes is withdrawn.
The head of a request has 2.5 s from its first byte (a client may take 2 s), its body 2.5 s more; 100 Continue where the body waits for it.
- front/streaming.py: the flow of an answer as a function for both kinds of connection.
- streams/passage.py: a withdrawn opening frees its place.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -47,8 +47,9 @@
         self.owner = Owner(Gateway(config.settings, config.seed), self.clock, self.metrics, classes)
         inbox = self.owner.inbox
         self.machines = MachineList(config.discovery, config.zones, inbox, self.metrics)
+        self.desk = self._new_desk()
         self.nodes = NodePool(self.machines, Limits(config.dial_ms, config.idle_ms, config.node_links),
-                              self.clock, inbox, self.metrics)  # fmt: skip
+                              self.clock, inbox, self.metrics, self.desk)  # fmt: skip
         self.counter: TextCounter | None = None
         self.ratelimit: RateLimitFront | None = None
         port: Counter | None = None
@@ -70,7 +71,6 @@
         elif config.counter is not None:
             port = self.counter = TextCounter(config.counter, config.settings.counter_timeout_ms,
                                               self.clock, inbox, self.metrics)  # fmt: skip
-        self.desk = self._new_desk()
         self.life = Life()
         self.front = Front(config.names, config.client_links, config.idle_links,
                            lambda: self.life.up(self.machines.listed()), self.clock, inbox, self.metrics,
--- a/ashlift/net/front/connection.py
+++ b/ashlift/net/front/connection.py
@@ -14,9 +14,9 @@
 from gevent.queue import SimpleQueue
 
 from ashlift.config import Names
-from ashlift.jobs import Answer, Clock, Inbox, Job, Left, Verdict
+from ashlift.jobs import Answer, Clock, Delivered, Inbox, Job, Left, Verdict
 from ashlift.metrics import Metrics
-from ashlift.net.front.answers import render
+from ashlift.net.front.answers import CONTINUE, render
 from ashlift.net.front.asked import Asked, BadRequestError, job_of
 from ashlift.net.front.reader import RequestReader
 from ashlift.net.links import quiet
@@ -24,7 +24,8 @@
 
 WAITING_MOST = 4  # requests read ahead on one connection: clients send one at a time
 SILENT_S = 2.2  # a connection on which nothing was ever asked ends then: its sender is owed a word within 3 s
-HALF_S = 2.0  # a request that has begun must be whole by then
+HALF_S = 2.5  # a request's head must be whole so long after its first byte: a client may take 2 s over it
+BODY_S = 2.5  # and its body so long after the head: 64 KiB at 64 kB/s, and room to spare
 LINGER_MS = 1000.0  # the rest of a request that was answered unread is thrown away for so long
 LINGER_MOST = 256 * 1024  # bytes, and up to so many
 WRITE_S = 3.0  # a client that takes no bytes for so long is gone
@@ -65,6 +66,8 @@
         self._since = front.clock.now()  # when it began to be idle, or the request that is being read began
         front.idle[self] = None
         self._linger: Any = None  # the timer that ends a connection which is deaf
+        self._flowing: Any = None  # the Opening of an answer that passes on as it comes
+        self._headed_at: float | None = None  # when the head of the request that is being read was whole
         self._room = Event()
         self._room.set()
 
@@ -89,6 +92,8 @@
 
     def _left(self) -> None:
         """The client is gone: what is open here is not wanted any more."""
+        if self._flowing is not None:
+            self._flowing.withdraw()  # wakes the writer, and the node's side ends
         if self._job is not None:
             self._front.metrics.add("clients.left")
             self._front.inbox.put(Left(self._job))
@@ -96,13 +101,15 @@
 
     def _step(self) -> bool:
         """Read once; whether to go on. One who never asks, or asks drop by drop, does not hold a place."""
+        since = self._since
         if self._reader.asked is not None and not self._deaf:
-            most: float | None = HALF_S
+            most: float | None = HALF_S if self._headed_at is None else BODY_S
+            since = since if self._headed_at is None else self._headed_at
         elif self._answered or self._current is not None:
             most = None
         else:
             most = SILENT_S
-        left = None if most is None else max(0.001, most - (self._front.clock.now() - self._since) / 1000)
+        left = None if most is None else max(0.001, most - (self._front.clock.now() - since) / 1000)
         try:
             with gevent.Timeout(left):
                 data = self._sock.recv(65536)
@@ -122,8 +129,20 @@
             self._reader.feed(data)
         except BadRequestError as bad:
             self._refuse(bad)
+            return True
+        asked = self._reader.asked
+        if asked is not None and asked.headed and self._headed_at is None:
+            self._headed_at = self._front.clock.now()
+            self._go_on(asked)
         return True
 
+    def _go_on(self, asked: Asked) -> None:
+        """Guards against a client that waits for leave to send its body: `100 Continue`, where nothing of the
+        body has come and nothing is owed here before it. A streamed body is asked for once a claim stands."""
+        expects = asked.headers.get(b"expect", b"").lower() == b"100-continue"
+        if expects and asked.terms is None and not asked.size and self._current is None and not self._waiting:
+            self._send(CONTINUE)
+
     def _refuse(self, bad: BadRequestError) -> None:
         """Answer what cannot be read once all before it is answered, and end; nothing after it is read."""
         self._front.metrics.add(f"requests.bad_{int(bad.status)}")
@@ -187,7 +206,7 @@
 
     def _begin_idle(self) -> None:
         """From now on, unless an answer is owed here, this connection is the youngest of the idle ones."""
-        self._since = self._front.clock.now()
+        self._since, self._headed_at = self._front.clock.now(), None
         self._front.idle.pop(self, None)
         if self._current is None and not self._deaf:
             self._front.idle[self] = None
@@ -232,6 +251,8 @@
         while (item := self._out.get()) is not None:
             asked, answer = item
             if self._gone or asked is not self._current:
+                if getattr(answer, "opening", None) is not None:
+                    answer.opening.withdraw()  # type: ignore[union-attr]  # nobody takes it
                 continue  # it has its answer
             if isinstance(answer, bytes):
                 self._send(answer)
@@ -254,8 +275,29 @@
 
     def _deliver(self, asked: Asked, answer: Any, keep: bool) -> bool:
         """Write an answer; whether the connection goes on."""
+        opening = getattr(answer, "opening", None)
+        if opening is not None:
+            return self._pass(asked, opening, keep)
         return self._send(render(answer, keep)) and keep
 
+    def _pass(self, asked: Asked, opening: Any, keep: bool) -> bool:
+        """Write an answer that was too long to hold as it comes (`net/spill.py`); whether to go on."""
+        from ashlift.net.front.streaming import flow
+        from ashlift.streams.heads import Framing
+
+        # To a client of HTTP/1.0 a chunked body ends with the connection.
+        keep = keep and not (asked.minor == 0 and opening.head.body.framing is Framing.CHUNKED)
+        self._flowing = opening
+        try:
+            fault = flow(self._sock, asked.minor, opening, keep)
+        finally:
+            self._flowing = None
+            opening.passage.close()
+        if self._job is not None:
+            self._front.inbox.put(Delivered(self._job, fault is None))
+        self._front.metrics.add("spill.served" if fault is None else f"spill.cut.{fault.label}")
+        return keep and fault is None and not self._front.closing
+
     def _send(self, data: bytes) -> bool:
         try:
             with gevent.Timeout(WRITE_S):
--- a/ashlift/net/front/reader.py
+++ b/ashlift/net/front/reader.py
@@ -122,4 +122,5 @@
 
     def _tell(self, asked: Asked) -> None:
         asked.method, asked.keep = self._parser.get_method(), self._parser.should_keep_alive()
+        asked.minor = int(self._parser.get_http_version()[-1:] or 1)
         self._arrived(asked)
--- a/ashlift/net/front/streaming.py
+++ b/ashlift/net/front/streaming.py
@@ -41,6 +41,40 @@
     return Pace(terms.set.stall, terms.set.least_rate, terms.set.rate_span)
 
 
+def flow(sock: socket.socket, minor: int, opening: Opening, keep: bool) -> Fault | None:
+    """Write an answer to a client of HTTP/1.`minor` as it comes; why it could not be written whole."""
+    passage, head = opening.passage, opening.head
+    data, framing = head.render(minor, keep)
+    sink = Sink(sock, pace_of(passage.terms))
+    try:
+        sink.write(data)
+        if passage.answer is not None:
+            sink.drain(passage.answer, framing is Framing.CHUNKED)
+        return None
+    except BrokenOffError as broken:
+        fault = broken.fault
+    except LagError as lag:
+        fault = LAG[lag.lag]
+    except OSError:
+        fault = Fault.CLIENT_LEFT
+    passage.break_off(fault)
+    _break_off(sock, framing, fault)
+    return fault
+
+
+def _break_off(sock: socket.socket, framing: Framing, fault: Fault) -> None:
+    """Guards against a client that takes what came for the whole: a body whose end is the connection's is
+    reset, as is one whose client takes nothing; the others lack their end visibly."""
+    try:
+        if framing is Framing.CLOSE or fault in LAG.values():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.close()
+        else:
+            sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
 class StreamConnection(Connection):
     """One client connection; classes that do not stream are served as on any other."""
 
@@ -150,36 +184,7 @@
         return keep and fault is None and not self._front.closing
 
     def _flow(self, asked: Asked, opening: Opening, keep: bool) -> Fault | None:
-        """Write an answer as it comes; why it could not be written whole."""
-        passage, head = opening.passage, opening.head
-        data, framing = head.render(asked.minor, keep)
-        sink = Sink(self._sock, pace_of(passage.terms))
-        try:
-            sink.write(data)
-            if passage.answer is not None:
-                sink.drain(passage.answer, framing is Framing.CHUNKED)
-            return None
-        except BrokenOffError as broken:
-            fault = broken.fault
-        except LagError as lag:
-            fault = LAG[lag.lag]
-        except OSError:
-            fault = Fault.CLIENT_LEFT
-        passage.break_off(fault)
-        self._break_off(framing, fault)
-        return fault
-
-    def _break_off(self, framing: Framing, fault: Fault) -> None:
-        """Guards against a client that takes what came for the whole: a body whose end is the connection's
-        is reset, as is one whose client takes nothing; the others lack their end visibly."""
-        if framing is Framing.CLOSE or fault in LAG.values():
-            try:
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            except OSError:
-                return
-            self._sock.close()
-        else:
-            self._shut(socket.SHUT_RDWR)
+        return flow(self._sock, asked.minor, opening, keep)
 
     # ---- ends
 
--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -17,7 +17,7 @@
 from mintfront.interface import Result
 
 if TYPE_CHECKING:
-    from ashlift.streams.passage import Passage
+    from ashlift.streams.passage import Desk, Passage
 
 IDLE_EACH = 64  # idle connections kept to one node
 SWEEP_S = 1.0
@@ -76,13 +76,22 @@
 class NodePool:
     """Starts claims, each in a greenlet of its own, and owns every connection to a node."""
 
-    def __init__(self, machines: MachineList, limits: Limits, clock: Clock, inbox: Inbox,
-                 metrics: Metrics) -> None:  # fmt: skip
+    def __init__(self, machines: MachineList, limits: Limits, clock: Clock, inbox: Inbox, metrics: Metrics,
+                 desk: "Desk | None" = None) -> None:  # fmt: skip
         self._machines, self._limits, self._clock = machines, limits, clock
         self._inbox, self._metrics = inbox, metrics
         self._idle: dict[End, deque[Link]] = {}
         self._open = 0
         self._claims: dict[tuple[int, int], Claim] = {}
+        self.desk = desk  # where long answers get their places; made at the first where none is given
+
+    def _spill_desk(self) -> "Desk":
+        if self.desk is None:
+            from ashlift.streams.passage import Desk
+            from ashlift.settings.model import Streaming
+
+            self.desk = Desk(Streaming(enabled=True), {})
+        return self.desk
 
     def start(self, job: Job, attempt: int, server: str, timeout_ms: float) -> None:
         claim = Claim(job, attempt, server, timeout_ms)
@@ -150,7 +159,7 @@
             link.sock.sendall(self._request(claim, machine.address, left))
             claim.written = True
             self._metrics.add(RELAYED)
-            result, body, keep = self._read(link.sock)
+            result, body, keep = self._read(claim, link.sock, timer)
             return result, body
         except gevent.Timeout as over:
             if over is not timer:
@@ -170,15 +179,23 @@
             max(0.001, left_ms / 1000), length, cargo.body,
         )  # fmt: skip
 
-    def _read(self, sock: socket.socket) -> tuple[Result, bytes, bool]:
-        """Result, body, and whether the connection may be used again."""
+    def _read(self, claim: Claim, sock: socket.socket, timer: gevent.Timeout) -> tuple[Result, bytes, bool]:
+        """Result, body, and whether the connection may be used again. An answer too long to hold passes on
+        as it comes, and its body is not returned."""
         reply = Reply()
         while not reply.done:
             data = sock.recv(65536)
             if not data:
-                # Also where the answer had no length: nobody could tell whether it is whole.
+                if reply.ended():
+                    break  # an answer that ends with its connection
                 return Result.RESET, b"", False
             reply.feed(data)
+            if reply.long:
+                from ashlift.net.spill import pass_on  # loaded with the first answer that needs it
+
+                desk = self._spill_desk()
+                result, keep = pass_on(claim, sock, reply, timer, desk, self._inbox, self._metrics)
+                return result, b"", keep
         if reply.status == 200:
             return Result.OK, b"".join(reply.parts), reply.keep
         if reply.status in (503, 504) and reply.never_ran:
--- a/ashlift/net/replies.py
+++ b/ashlift/net/replies.py
@@ -1,10 +1,16 @@
-"""Answers of execute nodes that are taken whole, off httptools. No sockets."""
+"""Answers of execute nodes on the platform's path, off httptools. No sockets.
+
+An answer is held whole while it is short. One that a node's 200 announces or grows over SPILL bytes is told
+`long`: the node adapter passes the rest on as it comes (`net/spill.py`).
+"""
 
 import httptools
 
 HEAD_MOST = 16 * 1024  # of an answer, 1xx answers in front of it included
-BODY_MOST = 1 << 20  # of an answer: nodes send more than the 64 KiB that the platform's page allows
-FED_MOST = 2 << 20  # all of an answer: a body in tiny chunks takes many times its size
+SPILL = 256 * 1024  # bytes of a served answer's body held whole at most: beyond, it passes on as it comes
+LONGEST = 64 << 20  # bytes of a served answer that is told: one that announces more is no answer to pass on
+BODY_MOST = 1 << 20  # of an answer that is not served (it is thrown away): nodes may say much
+FED_MOST = 2 << 20  # all of such an answer: a body in tiny chunks takes many times its size
 
 
 class SpoiltAnswerError(Exception):
@@ -15,16 +21,30 @@
     """Collects one answer from httptools: the first that is whole, whatever stands before or behind it.
 
     Guards against a body made of two answers: a node may write a second copy, or noise, right behind. 1xx
-    answers in front are passed over. What comes behind ends the connection's use, not the answer's.
+    answers in front are passed over. What comes behind ends the connection's use, not the answer's. An
+    answer that says nothing of its length ends with the connection (RFC 9112, section 6.3): `ended` says so.
     """
 
     def __init__(self) -> None:
         self.parts: list[bytes] = []
-        self.size = self.fed = self.status = 0
-        self.never_ran = self.headed = self.done = self.keep = False
+        self.headers: list[tuple[bytes, bytes]] = []  # of the answer's head, names in lower case
+        self.size = self.fed = self.status = self.code = 0
+        self.length: int | None = None  # as announced
+        self.chunked = self.never_ran = self.headed = self.done = self.keep = self.alive = False
         self.parser = httptools.HttpResponseParser(self)
 
-    def feed(self, data: bytes) -> None:
+    @property
+    def long(self) -> bool:
+        """A node's 200 that is too long to hold: its body passes on as it comes."""
+        return self.headed and not self.done and self.code == 200 and (
+            self.size > SPILL or (self.length is not None and self.length > SPILL))  # fmt: skip
+
+    @property
+    def to_close(self) -> bool:
+        """Whether the body ends with the connection: neither a length nor chunks were told."""
+        return self.headed and self.length is None and not self.chunked
+
+    def feed(self, data: bytes | memoryview) -> None:
         """Guards against heads, bodies and 1xx answers without end: each claim has so much room."""
         self.fed += len(data)
         try:
@@ -33,21 +53,49 @@
             self.keep = False
             if not self.done:
                 raise SpoiltAnswerError(str(error)) from None
-        if not self.done and (self.size > BODY_MOST or self.fed > (FED_MOST if self.headed else HEAD_MOST)):
+        if self.done:
+            return
+        if self.code == 200 and self.headed:  # what is served is held up to SPILL, then passed on
+            if self.length is not None and self.length > LONGEST:
+                raise SpoiltAnswerError("an answer that says it is longer than any")
+            return
+        if self.size > BODY_MOST or self.fed > (FED_MOST if self.headed else HEAD_MOST):
             raise SpoiltAnswerError("no end")
 
+    def ended(self) -> bool:
+        """The connection has ended: whether that was the end of an answer that ends so."""
+        if self.done or not self.to_close:
+            return self.done
+        self.status, self.done, self.keep = self.code, True, False
+        return True
+
+    def take(self) -> bytes:
+        """What of the body has been read since this was last asked."""
+        taken, self.parts = b"".join(self.parts), []
+        return taken
+
     def on_message_begin(self) -> None:
         self.keep = False  # of one that is done: something came behind it
+        if not self.done:
+            self.headers, self.length, self.chunked = [], None, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        if not self.done and name == b"x-never-ran" and value.strip() == b"1":
+        if self.done or self.headed:
+            return  # behind the answer, or its trailers
+        name, value = name.lower(), value.strip()
+        self.headers.append((name, value))
+        if name == b"x-never-ran" and value == b"1":
             self.never_ran = True
-        elif not self.done and name == b"content-length" and int(value) > BODY_MOST:
-            self.size = BODY_MOST + 1  # what claims to be that long is not waited for
+        elif name == b"content-length" and value.isdigit():
+            self.length = int(value)
+        elif name == b"transfer-encoding" and b"chunked" in value.lower():
+            self.chunked = True
 
     def on_headers_complete(self) -> None:
-        self.headed = self.parser.get_status_code() >= 200
+        if not self.done:
+            self.code = self.parser.get_status_code()
+            self.headed = self.code >= 200
+            self.alive = self.parser.should_keep_alive()  # by the head: a body may pass the parser by
 
     def on_body(self, body: bytes) -> None:
         if not self.done:
--- /dev/null
+++ b/ashlift/net/spill.py
@@ -0,0 +1,86 @@
+"""A node's answer on the platform's path that is too long to hold: passed on as it comes.
+
+Loaded with the first such answer. The claim's greenlet takes a place at the desk, tells the owner of the
+head (`Headed`, as a streamed claim does: from then on the job has its one answer and nothing is made again)
+and fills the body into the place's pipe, which the client's connection drains at its own pace. An answer
+that ends with its connection goes to the client in chunks, so that its end can be told.
+"""
+
+import contextlib
+
+from ashlift.jobs import Headed, Inbox
+from ashlift.metrics import Metrics
+from ashlift.net.nodes import Claim
+from ashlift.net.replies import Reply, SpoiltAnswerError
+from ashlift.settings.model import StreamClass
+from ashlift.streams.faults import BrokenOffError, Fault
+from ashlift.streams.heads import ANSWER_HEADERS, REQUEST_HEADERS, Body, Framing, Head, passing
+from ashlift.streams.pace import Lag, Pace
+from ashlift.streams.passage import Desk, Opening, Terms
+from ashlift.streams.pipe import EndedError, Pipe
+from ashlift.streams.pump import LagError, Source
+from mintfront.interface import Result
+
+# A node that is slow but gives is not cut off: it may stall for longer than a client waits for a first byte.
+TERMS = Terms(StreamClass(stall=4_000.0), REQUEST_HEADERS, ANSWER_HEADERS)
+UNTIL_END = 1 << 62  # bytes wanted of a body that ends with its connection
+LAG = {Lag.STALLED: Fault.NODE_STALLED, Lag.SLOW: Fault.NODE_SLOW}
+
+
+def pass_on(claim: Claim, sock: object, reply: Reply, timer: object, desk: Desk, inbox: Inbox,
+            metrics: Metrics) -> tuple[Result, bool]:  # fmt: skip
+    """Pass the rest of a long answer on; the claim's result, and whether its connection may be used again.
+
+    `reply` holds the head and what came of the body so far; `timer` is the claim's, which ends here: the
+    body is timed by its pace. Without a place at the desk the claim fails: it may have run.
+    """
+    timer.close()  # type: ignore[attr-defined]
+    passage = desk.take(TERMS, Body(Framing.NONE))
+    if passage is None:
+        metrics.add("spill.no_room")
+        return Result.ERROR, False
+    metrics.add("spill.begun")
+    framing = Body(Framing.LENGTH, reply.length) if reply.length is not None else Body(Framing.CHUNKED)
+    head = Head(200, passing(reply.headers, TERMS.answer_headers), framing)
+    answer = passage.begin_answer()
+    inbox.put(Headed(claim.job.number, claim.attempt, Opening(head, passage)))
+    try:
+        _fill(sock, reply, answer)
+    except (BrokenOffError, LagError, SpoiltAnswerError, EndedError, OSError) as error:
+        fault = _fault(error)
+        metrics.add(f"spill.failed.{fault.label}")
+        if isinstance(error, SpoiltAnswerError):
+            metrics.add("claims.spoilt")
+        answer.break_off(fault)
+        return (Result.CANCELLED if claim.cancelled else fault.value.result), False
+    keep = reply.keep if reply.done else reply.alive  # a body of known length went by the parser
+    return Result.OK, keep and not reply.to_close
+
+
+def _fill(sock: object, reply: Reply, answer: Pipe) -> None:
+    source = Source(sock, Pace(TERMS.set.stall, TERMS.set.least_rate, TERMS.set.rate_span))
+    answer.put_copy(reply.take())
+    if reply.length is not None and not reply.done:
+        source.fill(answer, reply.length - reply.size)
+    elif reply.chunked and not reply.done:
+
+        def read(view: memoryview) -> tuple[bytes, bool]:
+            reply.feed(view)
+            return reply.take(), reply.done
+
+        source.fill_parsed(answer, read)
+    elif not reply.done:
+        with contextlib.suppress(EndedError):  # its end
+            source.fill(answer, UNTIL_END)
+    answer.end()
+
+
+def _fault(error: BaseException) -> Fault:
+    match error:
+        case BrokenOffError():
+            return error.fault
+        case LagError():
+            return LAG[error.lag]
+        case SpoiltAnswerError():
+            return Fault.NODE_SPOILT
+    return Fault.NODE_RESET
--- a/ashlift/streams/passage.py
+++ b/ashlift/streams/passage.py
@@ -74,8 +74,9 @@
     passage: Passage
 
     def withdraw(self) -> None:
-        """Nobody waits for it any more."""
+        """Nobody waits for it any more: its place is free."""
         self.passage.break_off(Fault.WITHDRAWN)
+        self.passage.close()
 
 
 class Desk:
--- /dev/null
+++ b/tests/test_spill.py
@@ -0,0 +1,101 @@
+"""Answers too long to hold on the platform's path: passed on as they come, in bounded memory."""
+
+import gevent
+import httptools
+from gevent import socket
+
+from ashlift.__main__ import Gatekeeper
+from ashlift.net.replies import SPILL
+from tests.play import config, listen
+
+JOB = (b"GET /availability-check HTTP/1.%d\r\nX-Qos: availability-check\r\nX-Trace-Id: %b\r\n"
+       b"Api-Plan: basic\r\nApi-Customer: 07\r\nX-Expires-In: 5\r\n\r\n")  # fmt: skip
+
+
+class Taken:
+    """A client's side of one answer, off httptools."""
+
+    def __init__(self) -> None:
+        self.body, self.done = bytearray(), False
+        self.headers: dict[bytes, bytes] = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+
+def take(client: socket.socket) -> Taken:
+    taken = Taken()
+    parser = httptools.HttpResponseParser(taken)
+    with gevent.Timeout(20):
+        while not taken.done:
+            data = client.recv(1 << 20)
+            if not data:
+                parser.feed_data(b"")  # the end of one that ends with the connection
+                break
+            parser.feed_data(data)
+    return taken
+
+
+def serve_once(node: socket.socket, answer: bytes) -> None:
+    sock = node.accept()[0]
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += sock.recv(65536)
+    sock.sendall(answer)
+    sock.close()
+
+
+def gatekeeper(node: socket.socket) -> tuple[Gatekeeper, tuple[str, int]]:
+    address = "{}:{}".format(*node.getsockname())
+    gate = Gatekeeper(config({"d": "127.0.0.1:9", "k": "127.0.0.1:9", "n1": address}, {}))
+    return gate, gate.start()
+
+
+def test_a_long_answer_that_ends_with_its_connection_goes_on_in_chunks() -> None:
+    node = listen()
+    gate, front = gatekeeper(node)
+    body = bytes(range(256)) * (2 * SPILL // 256 + 7)
+    serving = gevent.spawn(serve_once, node, b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n" + body)
+    with socket.create_connection(front) as client:
+        client.sendall(JOB % (1, b"t1"))
+        taken = take(client)
+    assert taken.done and bytes(taken.body) == body and taken.headers[b"transfer-encoding"] == b"chunked"
+    assert gate.metrics.counts["spill.served"] == 1 and gate.metrics.counts["answers.served"] == 1
+    serving.get()
+    gate.stop(0.0)
+    node.close()
+
+
+def test_to_a_client_of_http_1_0_a_long_answer_ends_with_the_connection() -> None:
+    node = listen()
+    gate, front = gatekeeper(node)
+    body = b"x" * (SPILL + 1)
+    serving = gevent.spawn(serve_once, node, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))  # fmt: skip
+    with socket.create_connection(front) as client:
+        client.sendall(JOB % (0, b"t1"))
+        taken = take(client)
+        assert client.recv(1) == b""
+    assert bytes(taken.body) == body and b"transfer-encoding" not in taken.headers
+    serving.get()
+    gate.stop(0.0)
+    node.close()
+
+
+def test_short_answers_load_nothing_of_streams() -> None:
+    node = listen()
+    gate, front = gatekeeper(node)
+    serving = gevent.spawn(serve_once, node, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    with socket.create_connection(front) as client:
+        client.sendall(JOB % (1, b"t1"))
+        assert bytes(take(client).body) == b"ok"
+    serving.get()
+    gate.stop(0.0)
+    node.close()
+    assert gate.nodes.desk is None and "spill.begun" not in gate.metrics.counts  # no budget was made
