Pass on answers over 64 KiB, and judge their node by the time to the head

- net/replies.py: SPILL 256 KiB to 64 KiB.
- net/nodes.py: a claim's start is kept; where its answer passes on, waited_ms is to the head.

--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -56,6 +56,7 @@
     cancelled: bool = False
     written: bool = False  # its last byte is
     waited_ms: float | None = None  # to the head of an answer that is streamed
+    began: float = 0.0  # ms
     cause: Any = None  # why it failed, for the front's words
 
     def end(self) -> None:
@@ -106,7 +107,7 @@
             claim.end()
 
     def _run(self, claim: Claim) -> None:
-        began = self._clock.now()
+        began = claim.began = self._clock.now()
         body = b""
         try:
             result, body = self._exchange(claim)
@@ -193,6 +194,8 @@
             if reply.long:
                 from ashlift.net.spill import pass_on  # loaded with the first answer that needs it
 
+                # Guards against a node that looks slow for the length of its answer: what counts is its head.
+                claim.waited_ms = self._clock.now() - claim.began
                 desk = self._spill_desk()
                 result, keep = pass_on(claim, sock, reply, timer, desk, self._inbox, self._metrics)
                 return result, b"", keep
--- a/ashlift/net/replies.py
+++ b/ashlift/net/replies.py
@@ -7,7 +7,8 @@
 import httptools
 
 HEAD_MOST = 16 * 1024  # of an answer, 1xx answers in front of it included
-SPILL = 256 * 1024  # bytes of a served answer's body held whole at most: beyond, it passes on as it comes
+SPILL = 64 * 1024  # bytes of a served answer's body held whole at most: beyond, it passes on as it comes,
+# for the first bytes of a longer one are what its client waits for
 LONGEST = 64 << 20  # bytes of a served answer that is told: one that announces more is no answer to pass on
 BODY_MOST = 1 << 20  # of an answer that is not served (it is thrown away): nodes may say much
 FED_MOST = 2 << 20  # all of such an answer: a body in tiny chunks takes many times its size
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -1,12 +1,21 @@
 """Answers too long to hold on the platform's path: passed on as they come, in bounded memory."""
 
+from typing import Any
+
 import gevent
 import httptools
 from gevent import socket
+from gevent.queue import SimpleQueue
 
 from ashlift.__main__ import Gatekeeper
+from ashlift.clock import UnixClock
+from ashlift.jobs import ClaimEnded, Headed, Job
+from ashlift.metrics import Metrics
+from ashlift.net.machine_list import MachineList
+from ashlift.net.nodes import Cargo, Limits, NodePool
 from ashlift.net.replies import SPILL
-from tests.play import config, listen
+from mintfront.interface import Result
+from tests.play import config, instance, listen
 
 JOB = (b"GET /availability-check HTTP/1.%d\r\nX-Qos: availability-check\r\nX-Trace-Id: %b\r\n"
        b"Api-Plan: basic\r\nApi-Customer: 07\r\nX-Expires-In: 5\r\n\r\n")  # fmt: skip
@@ -99,3 +108,31 @@
     gate.stop(0.0)
     node.close()
     assert gate.nodes.desk is None and "spill.begun" not in gate.metrics.counts  # no budget was made
+
+
+def test_a_node_is_judged_by_the_head_of_a_long_answer_not_its_length() -> None:
+    node, inbox = listen(), SimpleQueue[Any]()
+    machines = MachineList(("127.0.0.1", 9), (), inbox, Metrics())
+    machines.take({"generation": 1, "instances": [instance("n1", "{}:{}".format(*node.getsockname()))]})
+    inbox.get()
+    nodes = NodePool(machines, Limits(2000.0, 15_000.0, 8), UnixClock(), inbox, Metrics())
+    job = Job(0, 0, "aa", 9000.0, 0.0, lambda answer: None, Cargo(b"GET", b"/availability-check", b"t1"))
+    nodes.start(job, 0, "n1", 9000.0)
+    sock = node.accept()[0]
+    sock.recv(65536)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * SPILL) + b"p" * (SPILL + 1))
+    headed = inbox.get(timeout=10)
+    assert isinstance(headed, Headed)
+    gevent.sleep(0.3)  # the rest comes late: the node is no slower for it
+    sock.sendall(b"q" * (SPILL - 1))
+    ended = inbox.get(timeout=10)
+    assert isinstance(ended, ClaimEnded) and ended.result is Result.OK and ended.waited_ms < 250
+    opening: Any = headed.opening  # a streams' Opening
+    answer, got = opening.passage.answer, 0
+    assert answer is not None
+    while (part := answer.get()) is not None:
+        got += part.end - part.start
+        answer.give(part)
+    assert got == 2 * SPILL
+    sock.close()
+    node.close()
