Keep to half of the descriptors and memory where the socket is inherited

With GW_INHERITED_FD each now plans with half: 192 descriptors, half the memory. The budget of answers that pass on is an eighth of the memory, 1 to 8 MiB, in place of a fixed 8 MiB.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -49,7 +49,7 @@
         self.machines = MachineList(config.discovery, config.zones, inbox, self.metrics)
         self.desk = self._new_desk()
         self.nodes = NodePool(self.machines, Limits(config.dial_ms, config.idle_ms, config.node_links),
-                              self.clock, inbox, self.metrics, self.desk)  # fmt: skip
+                              self.clock, inbox, self.metrics, self.desk, config.spill_bytes)  # fmt: skip
         self.counter: TextCounter | None = None
         self.ratelimit: RateLimitFront | None = None
         port: Counter | None = None
--- a/ashlift/config.py
+++ b/ashlift/config.py
@@ -15,6 +15,8 @@
 RESERVE = 40  # descriptors kept for the list, the counter, the gRPC front, files and the runtime
 IDLE_SHARE = 0.125  # of all descriptors: client connections on which nothing is open
 NODE_SHARE = 0.35  # of the other descriptors: connections to execute nodes; the rest is for clients
+SPILL_SHARE = 8  # of the memory: at most so small a part holds answers that pass on as they come
+SPILL_BYTES = (1 << 20, 8 << 20)  # least and most of that
 
 
 class ConfigError(Exception):
@@ -57,6 +59,7 @@
     own: OwnSettings = OwnSettings()
     inherited_fd: int | None = None  # the clients' listening socket, held by the platform: nothing is bound
     mgmt: tuple[str, int] | None = None  # the operators' door; none where not named
+    spill_bytes: int = SPILL_BYTES[1]  # for answers that pass on as they come, where streams are not set
 
 
 def _address(where: str, value: object) -> tuple[str, int]:
@@ -146,6 +149,13 @@
         raise ConfigError(f"seed is not a hex number: {found.get('seed')!r}") from None
     limits = table(found, "limits") if "limits" in found else {}
     sockets = int(number(limits, "limits.", "sockets", 2 * RESERVE)) if "sockets" in limits else 1024
+    memory = number(limits, "limits.", "memory_mb", 16.0) if "memory_mb" in limits else 192.0
+    inherited = _descriptor("GW_INHERITED_FD", env.get("GW_INHERITED_FD"))
+    if inherited is not None:
+        # Guards against two processes over the limits of one: a successor starts beside this one with the
+        # same limits, and the platform counts both together.
+        sockets, memory = max(2 * RESERVE, sockets // 2), memory / 2
+    spill = int(min(SPILL_BYTES[1], max(SPILL_BYTES[0], memory * (1 << 20) / SPILL_SHARE)))
     site = table(facts, "Limits")
     nodes = int(NODE_SHARE * (sockets - RESERVE))
     known = found.get("known") or {}
@@ -170,6 +180,7 @@
         node_links=nodes,
         known=known,
         own=own,
-        inherited_fd=_descriptor("GW_INHERITED_FD", env.get("GW_INHERITED_FD")),
+        inherited_fd=inherited,
+        spill_bytes=spill,
         mgmt=_address("GW_MGMT", mgmt) if (mgmt := env.get("GW_MGMT") or found.get("mgmt")) else None,
     )  # fmt: skip
--- a/ashlift/net/nodes.py
+++ b/ashlift/net/nodes.py
@@ -78,20 +78,23 @@
     """Starts claims, each in a greenlet of its own, and owns every connection to a node."""
 
     def __init__(self, machines: MachineList, limits: Limits, clock: Clock, inbox: Inbox, metrics: Metrics,
-                 desk: "Desk | None" = None) -> None:  # fmt: skip
+                 desk: "Desk | None" = None, spill_bytes: int = 8 << 20) -> None:  # fmt: skip
         self._machines, self._limits, self._clock = machines, limits, clock
         self._inbox, self._metrics = inbox, metrics
         self._idle: dict[End, deque[Link]] = {}
         self._open = 0
         self._claims: dict[tuple[int, int], Claim] = {}
         self.desk = desk  # where long answers get their places; made at the first where none is given
+        self._spill_bytes = spill_bytes  # the budget of such a desk
 
     def _spill_desk(self) -> "Desk":
         if self.desk is None:
             from ashlift.streams.passage import Desk
             from ashlift.settings.model import Streaming
 
-            self.desk = Desk(Streaming(enabled=True), {})
+            most = self._spill_bytes
+            self.desk = Desk(Streaming(enabled=True, buffer_bytes=most,
+                                       stream_buffer_bytes=min(256 << 10, most // 8)), {})  # fmt: skip
         return self.desk
 
     def start(self, job: Job, attempt: int, server: str, timeout_ms: float) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -21,6 +21,7 @@
 from mintfront.interface import Server, ServerState
 from tests.play import config, instance, listen
 from tests.standins import Node
+from tests.test_wirehost import FACTS
 
 NOWHERE = {"d": "127.0.0.1:9", "k": "127.0.0.1:9", "n1": "127.0.0.1:9"}
 
@@ -346,3 +347,14 @@
         assert third.machines.ready("n1") is not None
         third.stop(0.0)
     node.server.stop()
+
+
+def test_a_process_beside_its_successor_keeps_to_half_the_limits() -> None:
+    facts = {**FACTS, "Categories": [FACTS["Categories"][0] | {"Name": "availability-check"}],
+             "Plans": [FACTS["Plans"][0] | {"Name": "basic"}]}  # fmt: skip
+    found = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:9", "counter": "127.0.0.1:9", "settings": facts,
+             "limits": {"sockets": 384, "memory_mb": 32}}  # fmt: skip
+    alone, beside = (configuration.read(found, env) for env in ({}, {"GW_INHERITED_FD": "7"}))
+    assert alone.client_links + alone.node_links == 384 - configuration.RESERVE
+    assert beside.client_links + beside.node_links == 192 - configuration.RESERVE
+    assert alone.spill_bytes == 4 << 20 and beside.spill_bytes == 2 << 20
