Split the ceilings between two processes of one gatekeeper that run side by side

Tests: two module instances asked every 20 ms against a ceiling of 4 a second keep the store above -2 when told they share (below it when not); two gatekeepers on one TMPDIR find each other, and the one left finds itself alone once the other's mark is gone. 374 pass.

--- a/ashlift/__main__.py
+++ b/ashlift/__main__.py
@@ -23,9 +23,11 @@
 from ashlift.operations.door import Door
 from ashlift.operations.life import Life
 from ashlift.operations.operator import Operator
+from ashlift.operations.siblings import Marks
 from ashlift.operations.store import HandStore
 from ashlift.owner import Owner
 from mintfront.control import Gateway
+from mintfront.interface import Sharing
 
 if TYPE_CHECKING:
     from ashlift.ratelimit.server import RateLimitFront
@@ -77,8 +79,10 @@
                            self.desk)  # fmt: skip
         # The operators' door, where the configuration names one; what is out by hand passes through TMPDIR.
         self.door = Door(inbox, self.metrics) if config.mgmt is not None else None
-        kept = Path(tempfile.gettempdir()) / f"ashlift-{config.name}.handouts.json"
-        self.hands = HandStore(kept, config.name)
+        folder = Path(tempfile.gettempdir())
+        self.hands = HandStore(folder / f"ashlift-{config.name}.handouts.json", config.name)
+        # Where the socket is inherited a successor may run beside this process: they split the ceilings.
+        self.marks = Marks(folder, config.name) if config.inherited_fd is not None else None
         self.operator = Operator(config.name, classes, self.life, self.machines,
                                  self.hands if self.door is not None else None, self.front.standby,
                                  lambda: dict(self.metrics.counts))  # fmt: skip
@@ -115,6 +119,9 @@
         parts = [part for part in (self.owner, self.machines, self.nodes, self.counter) if part is not None]
         self._running = [gevent.spawn(part.run) for part in parts]
         self._running.append(gevent.spawn(self.front.run, self._listener))
+        if self.marks is not None:
+            share = self.owner.inbox.put
+            self._running.append(gevent.spawn(self.marks.run, lambda parts: share(Sharing(parts))))
         if self.door is not None and self._door is not None:
             self._running.append(gevent.spawn(self.door.run, self._door))
             told = self.owner.inbox.put
@@ -159,6 +166,8 @@
         gevent.killall(self._running)
         if self._door is not None:
             self._door.close()
+        if self.marks is not None:
+            self.marks.remove()
         self.owner.close()
 
 
--- a/ashlift/jobs.py
+++ b/ashlift/jobs.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from mintfront.interface import Counted, Result, ServerList, Timer
+from mintfront.interface import Counted, Result, ServerList, Sharing, Timer
 
 
 class Verdict(Enum):
@@ -122,7 +122,7 @@
 
 
 Message = (Job | Left | ClaimEnded | BodyBegun | Headed | Delivered | Command | HandsWritten | Counted
-           | ServerList | Timer)  # fmt: skip
+           | ServerList | Timer | Sharing)  # fmt: skip
 
 
 class Inbox(Protocol):
--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -14,7 +14,7 @@
 from mintfront.interface import (
     Action, Admit, Cancel, ClientLeft, Count, Counted, Effect, Event, Fail, KeyScope, Outcome, Plan,
     Probe, Probed, Refuse, Request, Result, Send, Server, ServerList, ServerState, SetTimer, Settings,
-    StreamStarted, Subscribe, Timer,
+    Sharing, StreamStarted, Subscribe, Timer,
 )  # fmt: skip
 from mintfront.state import Attempt, Bucket, Customer, Live, ServerView
 
@@ -117,6 +117,7 @@
         self.suspects: dict[str, ServerView] = {}  # left out until a probe (or else a request) is answered
         self.failed = 0  # calls to the counter in a row
         self.failing_at = math.inf  # when the counter last began to fail
+        self.parts = 1  # processes that this gateway runs as, side by side
         self.actions: list[Action] = []
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -149,6 +150,8 @@
                 self._flowing(self.live[event.request], event)
             case ClientLeft():
                 self._close(event.request)
+            case Sharing():
+                self.parts = max(1, event.parts)
         return self.actions
 
     # ---- a request from arrival to answer
@@ -428,7 +431,7 @@
             self.dirty[customer.name] = customer
 
     def _take_ceiling(self, now: float, customer: Customer, units: float) -> bool:
-        plan, share = customer.plan, customer.share
+        plan, share = customer.plan, customer.share / self.parts
         grown = customer.ceiling + plan.ceiling_rate * share * (now - customer.ceiling_at) / 1000
         customer.ceiling, customer.ceiling_at = min(plan.ceiling_burst * share, grown), now
         taken = units if plan.ceiling_rate > 0 and customer.ceiling >= units else 0.0
@@ -438,7 +441,7 @@
     def _open_room(self, now: float, customer: Customer) -> bool:
         most = customer.plan.max_out
         if now - customer.open_read_at > OPEN_STALE_MS or not self.settings.counter:
-            return not most or customer.open + 1 <= max(1.0, most * customer.share)
+            return not most or customer.open + 1 <= max(1.0, most * customer.share / self.parts)
         return not most or customer.open + customer.open_far < most
 
     def _open_changed(self, customer: Customer) -> None:
--- a/mintfront/interface.py
+++ b/mintfront/interface.py
@@ -210,7 +210,16 @@
     data: bytes = field(repr=False)
 
 
-Event = ServerList | Request | Outcome | StreamStarted | ClientLeft | Timer | Probed | Counted | PeerNote
+@dataclass(frozen=True, slots=True)
+class Sharing:
+    """This gateway runs as so many processes side by side for a while (an upgrade): its shares of ceilings
+    and open attempts are split between them."""
+
+    parts: int
+
+
+Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | Timer | Probed | Counted | PeerNote
+         | Sharing)  # fmt: skip
 
 
 # ---- actions
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -18,6 +18,7 @@
 from ashlift.operations.figures import Gauges, answered, lines
 from ashlift.operations.handouts import HandOuts, StateError, decode, encode
 from ashlift.operations.life import Life, PhaseError
+from ashlift.operations.siblings import alive
 from mintfront.interface import Server, ServerState
 from tests.play import config, instance, listen
 from tests.standins import Node
@@ -358,3 +359,27 @@
     assert alone.client_links + alone.node_links == 384 - configuration.RESERVE
     assert beside.client_links + beside.node_links == 192 - configuration.RESERVE
     assert alone.spill_bytes == 4 << 20 and beside.spill_bytes == 2 << 20
+
+
+def test_a_mark_not_touched_for_a_second_is_of_a_process_that_is_gone() -> None:
+    assert alive([100.0, 99.5, 98.9], 100.0) == 2 and alive([], 100.0) == 1
+
+
+def test_two_processes_side_by_side_split_the_ceilings(kept: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    node, held = Node(), listen()
+    settings = config(NOWHERE | {"n1": node.address}, {})
+    old = Gatekeeper(replace(settings, inherited_fd=os.dup(held.fileno())))
+    old.start()
+    monkeypatch.setattr(os, "getpid", lambda: 1)  # a process of its own, as the marks tell
+    new = Gatekeeper(replace(settings, inherited_fd=os.dup(held.fileno())))
+    new.start()
+    with gevent.Timeout(10):
+        while not old.owner._gateway.parts == new.owner._gateway.parts == 2:
+            gevent.sleep(0.02)
+        old.stop(0.0)
+        assert old.marks is not None and not old.marks.path.exists()
+        while new.owner._gateway.parts != 1:  # the old one's mark is gone
+            gevent.sleep(0.02)
+    new.stop(0.0)
+    held.close()
+    node.server.stop()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -135,6 +135,25 @@
     assert lowest >= -2
 
 
+@pytest.mark.parametrize("told", [True, False])
+def test_two_processes_of_one_gatekeeper_keep_its_ceiling_between_them(told: bool) -> None:
+    plan = i.Plan(rate=50, burst=200, ceiling_rate=4, ceiling_burst=16, ceiling_slack=2)  # no quota binds
+    processes = [Driver(replace(BASE, plans=(plan,), counter=False), seed=n) for n in range(2)]
+    for gate in processes:
+        gate.do(i.Sharing(2 if told else 1))
+    store, lowest = 16.0, 16.0
+    for _ in range(1500):  # both are asked every 20 ms: far beyond the ceiling
+        store = min(16.0, store + 4 * 0.02)
+        for gate in processes:
+            number, out = gate.ask(set_size=1)
+            for send in sends(out):
+                store -= 1
+                gate.end(number, send.server, i.Result.OK)
+            lowest = min(lowest, store)
+            gate.run(20.0)
+    assert (lowest >= -2) is told  # each alone would take the whole share
+
+
 def test_open_attempts_stay_under_a_cap_without_the_counter() -> None:
     gate = Driver(replace(BASE, plans=(i.Plan(max_out=6),), counter=False))
     out = [gate.ask(set_size=2)[1] for _ in range(10)]
