Flush the hand-outs file before marking it, so that a process does not read its own write back

Cause: HandStore.save took the file's mark (inode, size, mtime) by fstat before the buffered write had reached the file, so the mark was of an empty file. Change: flush before fstat. Not taken: comparing contents instead of marks; the mark is the cheaper look. Measured: a test in which the writer's next look finds nothing; it fails without the flush.

--- a/ashlift/operations/store.py
+++ b/ashlift/operations/store.py
@@ -50,6 +50,7 @@
         try:
             with open(spare, "wb") as file:
                 file.write(encode(self._name, out, now))
+                file.flush()  # else the mark is of an empty file, and the next look takes this write for news
                 self._seen = _mark(os.fstat(file.fileno()))
             os.replace(spare, self.path)
         except OSError as error:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -19,6 +19,7 @@
 from ashlift.operations.handouts import HandOuts, StateError, decode, encode
 from ashlift.operations.life import Life, PhaseError
 from ashlift.operations.siblings import alive
+from ashlift.operations.store import HandStore
 from mintfront.interface import Server, ServerState
 from tests.play import config, instance, listen
 from tests.standins import Node
@@ -129,6 +130,12 @@
     assert (went, came) == ({"s2"}, {"s1"}) and hands.out == {"s2": 5.0} and hands.back == {"s1": 10.0}
 
 
+def test_a_process_does_not_take_its_own_write_for_news(tmp_path: Path) -> None:
+    mine, other = HandStore(tmp_path / "h.json", "g1"), HandStore(tmp_path / "h.json", "g1")
+    mine.save({"s1": 5.0}, 9.0)
+    assert mine.news() is None and other.news() == {"s1": 5.0} and other.news() is None
+
+
 @pytest.mark.parametrize(
     ("data", "why"),
     [
