Begin ashlift lab with its checker: one answer a job, advice on refusals, quota by token bucket

Change: ashlift_lab/ (never imported by the daemon): history.py reads a run's JSON lines, each fault naming its line and key; checker.py gives one verdict line for each of one_answer (jobs open at a kill are reported by gatekeeper, not breaches), advice and quota (the most by which any stretch exceeds burst + rate x length, by Lindley's recursion, against a stated bound). Not taken: a linearizability checker such as Knossos' model search; the invariants here are over counts and answers, which need no search over orders. Measured: tests plant a doubled, a lost and a stray answer, a bare refusal and a burst of 8 units where the bucket holds 4; each is caught alone, and the clean history passes.

--- a/ashlift/cli.py
+++ b/ashlift/cli.py
@@ -116,3 +116,28 @@
     names = {bool: "true or false", int: "a whole number", float: "a number", str: "text"}
     literal = getattr(slot.kind, "__args__", ())
     return names.get(slot.kind) or ("one or more names" if ... in literal else ", ".join(map(str, literal)))
+
+
+@ashlift.group("lab")
+def lab_group() -> None:
+    """Our own installation of several gatekeepers, faults between them, and a checker (ashlift_lab)."""
+
+
+@lab_group.command("check")
+@click.argument("history", type=FILE)
+@click.option("--allowed", type=click.FloatRange(min=0), default=0.0, show_default=True,
+              help="Units a firm may be served beyond its token bucket: the stated bound for the faults.")
+def lab_check(history: Path, allowed: float) -> None:
+    """Check a recorded HISTORY (JSON lines): one verdict line an invariant; exits with 1 on any breach."""
+    from ashlift_lab.checker import check  # the lab is never loaded by the daemon or the other commands
+    from ashlift_lab.history import HistoryError, read
+
+    try:
+        with open(history, encoding="utf-8") as file:
+            verdicts = check(read(file), allowed)
+    except (OSError, HistoryError) as error:
+        click.echo(f"{history}:{error}", err=True)
+        sys.exit(2)
+    for verdict in verdicts:
+        click.echo(verdict.line())
+    sys.exit(0 if all(verdict.ok for verdict in verdicts) else 1)
--- /dev/null
+++ b/ashlift_lab/history.py
@@ -0,0 +1,104 @@
+"""What a lab run recorded: one JSON object a line, in the order the load driver saw it.
+
+Shapes (times `t` in ms of the run, units as the platform's `X-Units`):
+
+    {"kind": "plan", "name": "basic", "rate": 20.0, "burst": 40.0}            quota: units a second, and burst
+    {"kind": "asked", "t": 12.5, "job": "j1", "firm": "f1", "plan": "basic", "units": 1, "gatekeeper": "g1"}
+    {"kind": "answered", "t": 14.0, "job": "j1", "status": 200, "retry_after": null}
+    {"kind": "killed", "t": 900.0, "gatekeeper": "g1"}                        a process that got SIGKILL
+    {"kind": "fault", "t": 500.0, "what": "partition g1|g2,g3", "until": 3500.0}
+
+A line that cannot be right raises `HistoryError` naming its line number and key; nothing after it is guessed.
+"""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+
+class HistoryError(ValueError):
+    """A line of a history that cannot be taken: `where` is "LINE: key"."""
+
+
+@dataclass(frozen=True)
+class Plan:
+    name: str
+    rate: float  # units a second
+    burst: float  # units
+
+
+@dataclass
+class Job:
+    job: str
+    firm: str
+    plan: str
+    units: float
+    gatekeeper: str
+    asked_at: float  # ms
+    # (ms, status, Retry-After in seconds or None), in the order recorded
+    answers: list[tuple[float, int, float | None]] = field(default_factory=list)
+
+
+@dataclass
+class History:
+    plans: dict[str, Plan] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    killed: dict[str, float] = field(default_factory=dict)  # gatekeeper -> ms of its first kill
+    faults: list[tuple[float, float, str]] = field(default_factory=list)  # (from ms, until ms, what)
+    strays: list[tuple[int, str]] = field(default_factory=list)  # (line, job) answers of no job asked
+
+
+def _get(line: int, row: dict[str, object], key: str, kind: type | tuple[type, ...]) -> object:
+    value = row.get(key)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise HistoryError(f"{line}: {key}: wants {getattr(kind, '__name__', 'a number')}, has {value!r}")
+    return value
+
+
+def read(lines: Iterable[str]) -> History:
+    """Read a history from its lines; blank lines are passed over."""
+    history, number = History(), (int, float)
+    for at, text in enumerate(lines, 1):
+        if not text.strip():
+            continue
+        try:
+            row = json.loads(text)
+        except json.JSONDecodeError as error:
+            raise HistoryError(f"{at}: not JSON ({error.msg})") from None
+        if not isinstance(row, dict):
+            raise HistoryError(f"{at}: not a JSON object")
+        kind = _get(at, row, "kind", str)
+        if kind == "plan":
+            name = str(_get(at, row, "name", str))
+            history.plans[name] = Plan(name, float(_get(at, row, "rate", number)),  # type: ignore[arg-type]
+                                       float(_get(at, row, "burst", number)))  # type: ignore[arg-type]  # fmt: skip
+            continue
+        t = float(_get(at, row, "t", number))  # type: ignore[arg-type]
+        if kind == "asked":
+            job = str(_get(at, row, "job", str))
+            if job in history.jobs:
+                raise HistoryError(f"{at}: job: {job!r} was asked before")
+            plan = str(_get(at, row, "plan", str))
+            if plan not in history.plans:
+                raise HistoryError(f"{at}: plan: {plan!r} is no plan named before it")
+            history.jobs[job] = Job(job, str(_get(at, row, "firm", str)), plan,
+                                    float(_get(at, row, "units", number)),  # type: ignore[arg-type]
+                                    str(_get(at, row, "gatekeeper", str)), t)  # fmt: skip
+        elif kind == "answered":
+            job = str(_get(at, row, "job", str))
+            status = int(_get(at, row, "status", int))  # type: ignore[call-overload]
+            after = row.get("retry_after")
+            if after is not None and (not isinstance(after, number) or isinstance(after, bool) or after < 0):
+                raise HistoryError(f"{at}: retry_after: wants seconds or null, has {after!r}")
+            if job in history.jobs:
+                history.jobs[job].answers.append((t, status, None if after is None else float(after)))
+            else:
+                history.strays.append((at, job))
+        elif kind == "killed":
+            history.killed.setdefault(str(_get(at, row, "gatekeeper", str)), t)
+        elif kind == "fault":
+            until = float(_get(at, row, "until", number))  # type: ignore[arg-type]
+            history.faults.append((t, until, str(_get(at, row, "what", str))))
+        else:
+            raise HistoryError(f"{at}: kind: {kind!r} is none of plan, asked, answered, killed, fault")
+    return history
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,77 @@
+"""The lab's checker catches breaches planted in recorded histories, and passes the clean one."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from ashlift.cli import ashlift
+
+from ashlift_lab.checker import check
+from ashlift_lab.history import HistoryError, read
+
+PLAN = {"kind": "plan", "name": "basic", "rate": 10.0, "burst": 5.0}
+
+
+def asked(job: str, t: float, gatekeeper: str = "g1", units: float = 1) -> dict[str, object]:
+    return {"kind": "asked", "t": t, "job": job, "firm": "f1", "plan": "basic", "units": units,
+            "gatekeeper": gatekeeper}  # fmt: skip
+
+
+def answered(job: str, t: float, status: int = 200, after: float | None = None) -> dict[str, object]:
+    return {"kind": "answered", "t": t, "job": job, "status": status, "retry_after": after}
+
+
+def clean() -> list[dict[str, object]]:
+    """Ten jobs a second for two seconds from a burst of five, all in the bucket; a refusal with advice."""
+    rows: list[dict[str, object]] = [PLAN]
+    for n in range(20):
+        rows += [asked(f"j{n}", 100.0 * n), answered(f"j{n}", 100.0 * n + 3)]
+    return rows + [asked("r", 2000.0), answered("r", 2001.0, 429, 0.1)]
+
+
+def lines(rows: list[dict[str, object]]) -> list[str]:
+    return [json.dumps(row) for row in rows]
+
+
+def failed(rows: list[dict[str, object]], allowed: float = 0.0) -> set[str]:
+    return {verdict.name for verdict in check(read(lines(rows)), allowed) if not verdict.ok}
+
+
+def test_a_clean_history_passes_and_each_planted_breach_is_caught() -> None:
+    assert failed(clean()) == set()
+    assert failed([*clean(), answered("j3", 900.0)]) == {"one_answer"}  # doubled
+    assert failed([row for row in clean() if row != answered("j7", 703.0)]) == {"one_answer"}  # lost
+    assert failed([*clean(), answered("nobody", 5.0)]) == {"one_answer"}
+    assert failed([*clean(), asked("x", 2100.0), answered("x", 2101.0, 429)]) == {"advice"}
+    burst = [asked(f"b{n}", 1500.0, units=2) for n in range(4)]
+    burst += [answered(f"b{n}", 1502.0) for n in range(4)]
+    assert failed([*clean(), *burst]) == {"quota"}  # 8 units at once where the bucket holds 4
+    assert failed([*clean(), *burst], allowed=8.0) == set()
+
+
+def test_jobs_open_at_a_kill_are_reported_not_breaches() -> None:
+    rows = [*clean(), asked("k", 2500.0, gatekeeper="g2")]
+    rows.append({"kind": "killed", "t": 2600.0, "gatekeeper": "g2"})
+    (verdict,) = [verdict for verdict in check(read(lines(rows))) if verdict.name == "one_answer"]
+    assert verdict.ok and "open at a kill: g2 1" in verdict.line()
+    assert failed([*rows, asked("late", 2700.0, gatekeeper="g3")]) == {"one_answer"}
+
+
+@pytest.mark.parametrize(
+    ("text", "where"),
+    [("{", "1: not JSON"), ('{"kind": "asked", "t": 1}', "1: job"), ('{"kind": "nap", "t": 1}', "1: kind"),
+     (json.dumps(asked("a", 1.0)), "1: plan")],
+)  # fmt: skip
+def test_a_line_that_cannot_be_right_names_its_place_and_key(text: str, where: str) -> None:
+    with pytest.raises(HistoryError, match=f"^{where}"):
+        read([text])
+
+
+def test_the_command_line_says_one_line_an_invariant_and_fails_on_a_breach(tmp_path: Path) -> None:
+    path = tmp_path / "h.jsonl"
+    path.write_text("\n".join(lines([*clean(), answered("j3", 900.0)])))
+    result = CliRunner().invoke(ashlift, ["lab", "check", str(path)])
+    assert result.exit_code == 1 and result.output.splitlines()[0].startswith("FAIL one_answer")
+    assert [line.split()[0] for line in result.output.splitlines()] == ["FAIL", "PASS", "PASS"]
