Lay the lab's faults by time: ways of links, partitions of any shape, one-way drops

Change: ashlift_lab/faults.py: a Way is one direction (g1>counter); a Fault lays pass, drop, delay (with jitter) or cut on some ways for a stretch; the last that covers a moment wins. partition() cuts both ways between sides, one_way() drops a single direction (B hears nothing of A, A still hears B). changes() gives the moments at which a proxy must look again. Not taken: faults as a list of iptables-like rules matched by address; the harness names processes, not ports. Measured: a test over a partition, a one-way drop and a delay laid over them; a bad stretch names its key.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,6 +9,7 @@
 from ashlift.cli import ashlift
 
 from ashlift_lab.checker import check
+from ashlift_lab.faults import Fault, FaultError, Schedule, State, Way, one_way, partition
 from ashlift_lab.history import HistoryError, read
 
 PLAN = {"kind": "plan", "name": "basic", "rate": 10.0, "burst": 5.0}
@@ -75,3 +76,19 @@
     result = CliRunner().invoke(ashlift, ["lab", "check", str(path)])
     assert result.exit_code == 1 and result.output.splitlines()[0].startswith("FAIL one_answer")
     assert [line.split()[0] for line in result.output.splitlines()] == ["FAIL", "PASS", "PASS"]
+
+
+def test_faults_lay_over_one_another_and_a_partition_cuts_both_ways_between_sides() -> None:
+    split = partition([{"g1"}, {"g2", "g3"}], 1000.0, 4000.0)
+    slow = Fault(frozenset({Way("g1", "g2")}), 2500.0, 2600.0, State("delay", 50.0, 10.0))
+    schedule = Schedule([split, one_way("g2", "g3", 2000.0, 3000.0), slow])
+    assert {str(way) for way in split.ways} == {"g1>g2", "g2>g1", "g1>g3", "g3>g1"}
+    assert schedule.state(Way("g1", "g2"), 999.0).kind == "pass"
+    assert schedule.state(Way("g2", "g1"), 1000.0).kind == "cut"
+    assert schedule.state(Way("g1", "g2"), 2550.0) == State("delay", 50.0, 10.0)  # the later one wins
+    assert schedule.state(Way("g2", "g3"), 2000.0).kind == "drop"  # g3 hears nothing of g2 ...
+    assert schedule.state(Way("g3", "g2"), 2000.0).kind == "pass"  # ... and g2 still hears g3
+    assert schedule.state(Way("g1", "g3"), 4000.0).kind == "pass"
+    assert schedule.changes() == [1000.0, 2000.0, 2500.0, 2600.0, 3000.0, 4000.0]
+    with pytest.raises(FaultError, match="^at"):
+        one_way("a", "b", 5.0, 5.0)
