Put our own TCP proxy between two processes of a lab run, doing what the faults say

Not taken: tc/netem or iptables: they need privileges and change the machine, not the run. Measured: a test with a scripted clock: bytes pass, then the answers alone are dropped while the far end still hears (3 bytes dropped, 6 passed), then a cut resets the standing connection and refuses a new one. UDP links, duplication and reordering of datagrams are not built yet.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,16 +1,20 @@
 """The lab's checker catches breaches planted in recorded histories, and passes the clean one."""
 
+import contextlib
 import json
 from pathlib import Path
 
+import gevent
 import pytest
 from click.testing import CliRunner
+from gevent import socket
 
 from ashlift.cli import ashlift
 
 from ashlift_lab.checker import check
 from ashlift_lab.faults import Fault, FaultError, Schedule, State, Way, one_way, partition
 from ashlift_lab.history import HistoryError, read
+from ashlift_lab.proxy import TcpLink
 
 PLAN = {"kind": "plan", "name": "basic", "rate": 10.0, "burst": 5.0}
 
@@ -92,3 +96,45 @@
     assert schedule.changes() == [1000.0, 2000.0, 2500.0, 2600.0, 3000.0, 4000.0]
     with pytest.raises(FaultError, match="^at"):
         one_way("a", "b", 5.0, 5.0)
+
+
+def echo_server() -> tuple[socket.socket, list[bytes]]:
+    heard: list[bytes] = []
+    server = socket.socket()
+    server.bind(("127.0.0.1", 0))
+    server.listen(8)
+
+    def serve(conn: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := conn.recv(1024):
+                heard.append(data)
+                conn.sendall(data)
+
+    gevent.spawn(lambda: [gevent.spawn(serve, server.accept()[0]) for _ in range(8)])
+    return server, heard
+
+
+def test_the_proxy_passes_drops_one_way_and_cuts_as_the_schedule_says() -> None:
+    server, heard = echo_server()
+    clock = [0.0]
+    # From 1 s the answers are dropped (the far end hears the near one, not the other way); from 2 s, a cut.
+    cut = partition([{"g1"}, {"counter"}], 2000.0, 9e9)
+    schedule = Schedule([one_way("counter", "g1", 1000.0, 2000.0), cut])
+    link = TcpLink("g1", "counter", server.getsockname(), schedule, seed=3, clock=lambda: clock[0])
+    with gevent.Timeout(10), socket.create_connection(link.address) as client:
+        client.sendall(b"one")
+        assert client.recv(16) == b"one"
+        clock[0] = 1.5
+        client.sendall(b"two")
+        while link.counts["counter>g1 dropped"] < 3:
+            gevent.sleep(0.01)
+        assert heard == [b"one", b"two"] and link.counts["g1>counter passed"] == 6
+        clock[0] = 2.5
+        with pytest.raises(ConnectionResetError):
+            client.sendall(b"three")
+            client.recv(16)
+        with pytest.raises(ConnectionResetError), socket.create_connection(link.address) as late:
+            late.recv(16)
+    assert link.counts["g1>counter refused"] == 1 and b"three" not in heard
+    link.close()
+    server.close()
