Run real gatekeeper processes in the lab: stand-ins, a proxy to the counter, load, kills

Change: ashlift_lab/standins.py (text counter, machine list watch, execute nodes, each by its protocol) and ashlift_lab/run.py: N processes of `python -m ashlift`, each with its own platform file and TMPDIR, each behind a TcpLink to the counter; Poisson load from a seeded generator, bounded to 20,000 jobs and 120 s; kills by SIGKILL, timed when the process is gone (before that its kernel still accepts); every process ended by its id at the end, also on an error. `ashlift lab run` takes gatekeepers, nodes, seconds, seed, node time, kills and cuts from the counter, writes the history and prints the checker's verdicts (exit 1 on a breach). Not taken: a process manager such as supervisor or circus: one more program, and the run must know each id.

--- a/ashlift/cli.py
+++ b/ashlift/cli.py
@@ -123,6 +123,58 @@
     """Our own installation of several gatekeepers, faults between them, and a checker (ashlift_lab)."""
 
 
+def _moments(text: str, parts: int) -> tuple[tuple[Any, ...], ...]:
+    """"1@2.5" or "1@1-3", comma-separated: a gatekeeper's number, then seconds."""
+    found: list[tuple[Any, ...]] = []
+    for item in filter(None, text.split(",")):
+        try:
+            who, _, when = item.partition("@")
+            times = [float(part) for part in when.split("-")]
+            if len(times) != parts:
+                raise ValueError
+            found.append((int(who), *times))
+        except ValueError:
+            raise click.BadParameter(f"{item!r}: wants G@S" + ("-S" if parts == 2 else "")) from None
+    return tuple(found)
+
+
+@lab_group.command("run")
+@click.option("--gatekeepers", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--nodes", type=click.IntRange(1, 60), default=4, show_default=True)
+@click.option("--seconds", type=click.FloatRange(0.5, 120), default=5.0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--work-ms", type=click.FloatRange(0, 10_000), default=2.0, show_default=True,
+              help="A node's time for a job.")  # fmt: skip
+@click.option("--kill", default="", help="Gatekeepers killed: G@S, comma-separated, as 1@2.5.")
+@click.option("--cut-counter", default="", help="Gatekeepers cut from the counter: G@FROM-TO, as 2@1-3.")
+@click.option("--history", type=FILE, default=Path("lab-history.jsonl"), show_default=True)
+@click.option("--allowed", type=click.FloatRange(min=0), default=None,
+              help="Units beyond a firm's bucket that the checker lets pass; twice the burst if unsaid.")
+def lab_run(gatekeepers: int, nodes: int, seconds: float, seed: int, work_ms: float, kill: str,
+            cut_counter: str, history: Path, allowed: float | None) -> None:  # fmt: skip
+    """Run real gatekeeper processes before our stand-ins, with faults, and check the history they made."""
+    from ashlift_lab.checker import check
+    from ashlift_lab.history import read
+    from ashlift_lab.run import LabError, Run, Scenario
+
+    try:
+        scenario = Scenario(gatekeepers, nodes, seconds, seed, work_ms=work_ms, kills=_moments(kill, 1),
+                            counter_cuts=_moments(cut_counter, 2))  # fmt: skip
+        with open(history, "w", encoding="utf-8") as out:
+            run = Run(scenario, out)
+            click.echo(f"lab: {gatekeepers} gatekeepers, {nodes} nodes, {seconds:g} s; logs in {run.folder}",
+                       err=True)  # fmt: skip
+            run.play()
+    except LabError as error:
+        raise click.ClickException(str(error)) from None
+    with open(history, encoding="utf-8") as file:
+        verdicts = check(read(file), 2 * scenario.burst if allowed is None else allowed)
+    for verdict in verdicts:
+        click.echo(verdict.line())
+    click.echo(f"history: {history}")
+    sys.exit(0 if all(verdict.ok for verdict in verdicts) else 1)
+
+
 @lab_group.command("check")
 @click.argument("history", type=FILE)
 @click.option("--allowed", type=click.FloatRange(min=0), default=0.0, show_default=True,
--- /dev/null
+++ b/ashlift_lab/run.py
@@ -0,0 +1,250 @@
+"""A lab run: several real gatekeeper processes, our stand-ins, a proxy between each gatekeeper and the
+counter, Poisson load, faults by time, and the history that the checker reads.
+
+Every process that a run starts is known by its id and ended by it (SIGTERM, then SIGKILL after `STOP_S`),
+also when the run is interrupted. Every loop is bounded: at most `JOBS_MOST` jobs and `SECONDS_MOST` seconds.
+"""
+
+import contextlib
+import json
+import os
+import random
+import re
+import signal
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TextIO
+
+import gevent
+from gevent import socket, subprocess
+
+from ashlift_lab.faults import Fault, Schedule, State, Way
+from ashlift_lab.proxy import TcpLink
+from ashlift_lab.standins import Counter, MachineList, Node
+
+JOBS_MOST = 20_000
+SECONDS_MOST = 120.0
+START_S = 20.0  # for a gatekeeper to say where it listens
+STOP_S = 3.0
+ROOT = Path(__file__).resolve().parent.parent  # the checkout: the gatekeepers run its code
+ANSWER_S = 5.0  # a job's patience is 2 s; what is not answered in this long is not answered
+
+
+class LabError(RuntimeError):
+    """A run that could not be made: the text names the part."""
+
+
+@dataclass(frozen=True)
+class Scenario:
+    gatekeepers: int = 3
+    nodes: int = 4
+    seconds: float = 5.0
+    seed: int = 1
+    firms: int = 4
+    rate: float = 20.0  # jobs a second, each firm, over all gatekeepers
+    quota: float = 10.0  # units a second, each firm's plan
+    burst: float = 20.0
+    work_ms: float = 2.0  # each node's time for a job
+    kills: tuple[tuple[int, float], ...] = ()  # (gatekeeper, s)
+    counter_cuts: tuple[tuple[int, float, float], ...] = ()  # (gatekeeper, from s, to s)
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.gatekeepers <= 9 or not 1 <= self.nodes <= 60:
+            raise LabError("gatekeepers: 1 to 9, nodes: 1 to 60")
+        if not 0 < self.seconds <= SECONDS_MOST or self.rate * self.firms * self.seconds > JOBS_MOST:
+            raise LabError(f"seconds: at most {SECONDS_MOST:g} and {JOBS_MOST} jobs in all")
+        if any(not 0 <= g < self.gatekeepers for g, *_ in (*self.kills, *self.counter_cuts)):
+            raise LabError("kills, counter_cuts: no such gatekeeper")
+
+
+def facts(scenario: Scenario, me: int) -> dict[str, Any]:
+    """The platform's settings of one gatekeeper of the run."""
+    return {
+        "Categories": [{"Name": "availability-check", "Effect": "pure", "GiveUpMs": 2000.0, "TargetMs": 600.0,
+                        "LateShare": 0.0, "Value": 3.0}],
+        "Discovery": "automatic",
+        "FamilyInfo": {"MayCount": True, "CountFee": 0.02, "CounterTimeoutMs": 30, "MaxUnits": 1,
+                       "MeterMs": 0},
+        "GroupSize": scenario.gatekeepers, "Me": me, "TickMs": 4.0, "Zone": 1, "Unheard": {"of": 1},
+        "Zones": ["memphis-dc"],
+        "Limits": {"Cancel": True, "MaxRetryAfterMs": 2000.0, "Probing": True, "RetryAfter": True,
+                   "TryLimit": 3},
+        "Plans": [{"Name": "basic", "CeilingRate": 0.0, "CeilingSlack": 0.0, "HardBurst": 0.0, "MaxOut": 0,
+                   "MostAtOnce": scenario.burst, "OverWorth": 0.0, "OverrunCost": 1.0, "Pays": 0.8,
+                   "QuotaRate": scenario.quota}],
+        "Report": {"Fields": [], "Via": "none"},
+        "Rules": {"ColdFrom": 0.18, "ColdMs": 17000.0, "FallMultiple": 2.0, "TipAfterMs": 3000.0},
+    }  # fmt: skip
+
+
+@dataclass
+class Gatekeeper:
+    name: str
+    process: "subprocess.Popen[bytes]"
+    log: Path
+    front: tuple[str, int] = ("127.0.0.1", 0)
+
+
+@dataclass
+class Run:
+    """Starts, drives and ends one scenario; `history` is written as JSON lines to `out`."""
+
+    scenario: Scenario
+    out: TextIO
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="ashlift-lab-")))
+    gatekeepers: list[Gatekeeper] = field(default_factory=list)
+    began: float = 0.0
+
+    def record(self, row: dict[str, Any]) -> None:
+        if "t" in row:
+            row["t"] = round(row["t"], 3)
+        self.out.write(json.dumps(row) + "\n")
+
+    def now_ms(self) -> float:
+        return (time.monotonic() - self.began) * 1000
+
+    def play(self) -> None:
+        sc = self.scenario
+        nodes = [Node(sc.work_ms) for _ in range(sc.nodes)]
+        listing = MachineList({f"n{at}": node.address for at, node in enumerate(nodes)})
+        counter = Counter()
+        faults = [Fault(frozenset({Way(f"g{g}", "counter"), Way("counter", f"g{g}")}), a * 1000, b * 1000,
+                        State("cut")) for g, a, b in sc.counter_cuts]  # fmt: skip
+        schedule = Schedule(faults)
+        links = [
+            TcpLink(f"g{g}", "counter", counter.address, schedule, sc.seed + g) for g in range(sc.gatekeepers)
+        ]
+        self.record({"kind": "plan", "name": "basic", "rate": sc.quota, "burst": sc.burst})
+        try:
+            for g in range(sc.gatekeepers):
+                self.gatekeepers.append(self._start(g, links[g].address, listing.address))
+            for keeper in self.gatekeepers:
+                keeper.front = self._listening(keeper)
+            self.began = time.monotonic()
+            for link in links:
+                link._began = self.began
+            for begin, end, what in schedule.shaded():
+                self.record({"kind": "fault", "t": begin, "until": end, "what": what})
+            killers = [gevent.spawn_later(s, self._kill, g) for g, s in sc.kills]
+            self._load()
+            gevent.killall(killers)
+        finally:
+            self.stop()
+            for link in links:
+                link.close()
+            counter.stop()
+            listing.stop()
+            for node in nodes:
+                node.stop()
+
+    def _start(self, g: int, counter: tuple[str, int], listing: tuple[str, int]) -> Gatekeeper:
+        name = f"g{g}"
+        config = {"name": name, "listen": f"127.0.0.1:{_free_port()}", "discovery": "{}:{}".format(*listing),
+                  "counter": "{}:{}".format(*counter), "seed": str(self.scenario.seed * 100 + g),
+                  "limits": {"sockets": 256}, "settings": facts(self.scenario, g)}  # fmt: skip
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(config))
+        log = self.folder / f"{name}.log"
+        env = {**os.environ, "GW_CONFIG": str(path), "TMPDIR": str(self.folder)}
+        with open(log, "wb") as err:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "ashlift"], env=env, stdout=err, stderr=err, cwd=ROOT
+            )
+        return Gatekeeper(name, process, log)
+
+    def _listening(self, keeper: Gatekeeper) -> tuple[str, int]:
+        deadline = time.monotonic() + START_S
+        while time.monotonic() < deadline:
+            found = re.search(
+                rf"{keeper.name} listens on ([\d.]+):(\d+)", keeper.log.read_text(errors="replace")
+            )
+            if found:
+                return found[1], int(found[2])
+            if keeper.process.poll() is not None:
+                raise LabError(f"{keeper.name}: ended with {keeper.process.returncode}; see {keeper.log}")
+            gevent.sleep(0.05)
+        raise LabError(f"{keeper.name}: did not listen within {START_S:g} s; see {keeper.log}")
+
+    def _kill(self, g: int) -> None:
+        keeper = self.gatekeepers[g]
+        with contextlib.suppress(OSError):
+            keeper.process.send_signal(signal.SIGKILL)
+        keeper.process.wait()  # the kill is when the process is gone: until then its kernel still accepts
+        self.record({"kind": "killed", "t": self.now_ms(), "gatekeeper": keeper.name})
+
+    def _load(self) -> None:
+        sc = self.scenario
+        chance = random.Random(sc.seed)
+        arrivals = sorted((t, f) for f in range(sc.firms) for t in _poisson(chance, sc.rate, sc.seconds))
+        jobs = []
+        for number, (t, firm) in enumerate(arrivals):
+            gevent.sleep(max(0.0, t - self.now_ms() / 1000))
+            keeper = self.gatekeepers[chance.randrange(len(self.gatekeepers))]
+            jobs.append(gevent.spawn(self._job, f"j{number}", f"{firm + 1:016x}", keeper))
+        gevent.joinall(jobs, timeout=ANSWER_S + 1)
+        gevent.killall(jobs)
+
+    def _job(self, job: str, firm: str, keeper: Gatekeeper) -> None:
+        head = (f"GET /availability-check/memphis?day=7 HTTP/1.1\r\nHost: lab\r\nX-Trace-Id: {job}\r\n"
+                f"X-Qos: availability-check\r\nApi-Plan: basic\r\nApi-Customer: {firm}\r\n"
+                f"X-Expires-In: 2.000\r\n"
+                f"Api-Terms: units=1,spread={len(self.gatekeepers)},first=0\r\n\r\n").encode()  # fmt: skip
+        try:
+            with socket.create_connection(keeper.front, timeout=ANSWER_S) as sock:
+                sock.sendall(head)
+                self.record({"kind": "asked", "t": self.now_ms(), "job": job, "firm": firm, "plan": "basic",
+                             "units": 1, "gatekeeper": keeper.name})  # fmt: skip
+                answer = _read_head(sock)
+        except OSError:
+            return  # refused before it was asked, or left without an answer: the checker sees which
+        if answer is not None:
+            status, after = answer
+            self.record(
+                {"kind": "answered", "t": self.now_ms(), "job": job, "status": status, "retry_after": after}
+            )
+
+    def stop(self) -> None:
+        """End every process this run started, by its id."""
+        for keeper in self.gatekeepers:
+            if keeper.process.poll() is None:
+                with contextlib.suppress(OSError):
+                    keeper.process.send_signal(signal.SIGTERM)
+        for keeper in self.gatekeepers:
+            try:
+                keeper.process.wait(timeout=STOP_S)
+            except subprocess.TimeoutExpired:
+                keeper.process.kill()
+                keeper.process.wait()
+
+
+def _free_port() -> int:
+    """A port that nothing holds now; the gatekeeper binds it a moment later (it takes no port 0)."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def _poisson(chance: random.Random, rate: float, seconds: float) -> list[float]:
+    times, t = [], chance.expovariate(rate)
+    while t < seconds:
+        times.append(t)
+        t += chance.expovariate(rate)
+    return times
+
+
+def _read_head(sock: socket.socket) -> tuple[int, float | None] | None:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return None
+        data += more
+    lines = data.split(b"\r\n\r\n", 1)[0].decode("latin-1").split("\r\n")
+    status = int(lines[0].split()[1])
+    advice = [line.split(":", 1)[1] for line in lines[1:] if line.lower().startswith("retry-after:")]
+    after = next((float(value) for value in advice),
+                 None)  # fmt: skip
+    return status, after
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,7 +1,9 @@
 """The lab's checker catches breaches planted in recorded histories, and passes the clean one."""
 
 import contextlib
+import io
 import json
+import re
 from pathlib import Path
 
 import gevent
@@ -15,6 +17,7 @@
 from ashlift_lab.faults import Fault, FaultError, Schedule, State, Way, one_way, partition
 from ashlift_lab.history import HistoryError, read
 from ashlift_lab.proxy import TcpLink
+from ashlift_lab.run import Run, Scenario
 
 PLAN = {"kind": "plan", "name": "basic", "rate": 10.0, "burst": 5.0}
 
@@ -138,3 +141,13 @@
     assert link.counts["g1>counter refused"] == 1 and b"three" not in heard
     link.close()
     server.close()
+
+
+def test_three_gatekeeper_processes_one_killed_amid_slow_jobs_have_its_open_jobs_reported() -> None:
+    """Real processes of the program: what was open at the killed one is reported by name, and all else
+    has its one answer, with advice on every refusal."""
+    out = io.StringIO()
+    Run(Scenario(gatekeepers=3, nodes=3, seconds=2.5, seed=4, work_ms=400.0, kills=((1, 1.2),)), out).play()
+    verdicts = {verdict.name: verdict for verdict in check(read(out.getvalue().splitlines()), allowed=40.0)}
+    assert all(verdict.ok for verdict in verdicts.values()), [v.line() for v in verdicts.values()]
+    assert re.search(r"open at a kill: g1 [1-9]", verdicts["one_answer"].text)
