Fail a lab run whose faults nothing crossed; keep what the proxy did in the history

Cause: a run that plans a cut through which no byte tried to pass proves nothing of that cut, and a verdict of PASS would hide it. Change: fault rows carry their ways; at the end each link's counts go into the history as seen rows; the checker's fourth verdict, crossed, wants for each fault something refused, dropped or reset on its ways.

--- a/ashlift_lab/checker.py
+++ b/ashlift_lab/checker.py
@@ -11,6 +11,8 @@
   plan's rate and burst. The excess is the most by which any stretch of time exceeds `burst + rate x length`
   (Lindley's recursion over the bucket); it may reach the bound that the design states for the run's faults,
   given as `allowed` units, and no more.
+- `crossed`: every fault of the scenario was met: on one of its ways the proxy refused, dropped or reset
+  something. A fault that nothing crossed proves nothing, so the run fails rather than pass unseen.
 """
 
 from collections import defaultdict
@@ -88,6 +90,18 @@
     return Verdict("quota", over == 0, text + (f"; {over} firms over it" if over else ""))
 
 
+def crossed(history: History) -> Verdict:
+    met = []
+    for _, _, what, ways in history.faults:
+        hits = sum(
+            history.seen.get((way, seen), 0) for way in ways for seen in ("refused", "dropped", "reset")
+        )
+        met.append((f"{what} {','.join(ways)}", hits))
+    unmet = [name for name, hits in met if not hits]
+    text = "; ".join(f"{name}: {hits} refused, dropped or reset" for name, hits in met) or "no faults"
+    return Verdict("crossed", not unmet, text + (f"; never met: {unmet}" if unmet else ""))
+
+
 def check(history: History, allowed: float = 0.0) -> list[Verdict]:
     """Every invariant, in a fixed order."""
-    return [one_answer(history), advice(history), quota(history, allowed)]
+    return [one_answer(history), advice(history), quota(history, allowed), crossed(history)]
--- a/ashlift_lab/history.py
+++ b/ashlift_lab/history.py
@@ -6,7 +6,8 @@
     {"kind": "asked", "t": 12.5, "job": "j1", "firm": "f1", "plan": "basic", "units": 1, "gatekeeper": "g1"}
     {"kind": "answered", "t": 14.0, "job": "j1", "status": 200, "retry_after": null}
     {"kind": "killed", "t": 900.0, "gatekeeper": "g1"}                        a process that got SIGKILL
-    {"kind": "fault", "t": 500.0, "what": "partition g1|g2,g3", "until": 3500.0}
+    {"kind": "fault", "t": 500.0, "until": 3500.0, "what": "cut", "ways": ["g1>counter", "counter>g1"]}
+    {"kind": "seen", "way": "g1>counter", "what": "refused", "count": 3}    what the proxy did, at the end
 
 A line that cannot be right raises `HistoryError` naming its line number and key; nothing after it is guessed.
 """
@@ -44,7 +45,10 @@
     plans: dict[str, Plan] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     killed: dict[str, float] = field(default_factory=dict)  # gatekeeper -> ms of its first kill
-    faults: list[tuple[float, float, str]] = field(default_factory=list)  # (from ms, until ms, what)
+    faults: list[tuple[float, float, str, tuple[str, ...]]] = field(
+        default_factory=list
+    )  # (from, until, what, ways)
+    seen: dict[tuple[str, str], int] = field(default_factory=dict)  # (way, what) -> count
     strays: list[tuple[int, str]] = field(default_factory=list)  # (line, job) answers of no job asked
 
 
@@ -73,6 +77,10 @@
             history.plans[name] = Plan(name, float(_get(at, row, "rate", number)),  # type: ignore[arg-type]
                                        float(_get(at, row, "burst", number)))  # type: ignore[arg-type]  # fmt: skip
             continue
+        if kind == "seen":
+            way, what = str(_get(at, row, "way", str)), str(_get(at, row, "what", str))
+            history.seen[way, what] = int(_get(at, row, "count", int))  # type: ignore[call-overload]
+            continue
         t = float(_get(at, row, "t", number))  # type: ignore[arg-type]
         if kind == "asked":
             job = str(_get(at, row, "job", str))
@@ -98,7 +106,10 @@
             history.killed.setdefault(str(_get(at, row, "gatekeeper", str)), t)
         elif kind == "fault":
             until = float(_get(at, row, "until", number))  # type: ignore[arg-type]
-            history.faults.append((t, until, str(_get(at, row, "what", str))))
+            ways = row.get("ways", [])
+            if not isinstance(ways, list) or not all(isinstance(way, str) for way in ways):
+                raise HistoryError(f"{at}: ways: wants a list of ways as text, has {ways!r}")
+            history.faults.append((t, until, str(_get(at, row, "what", str)), tuple(ways)))
         else:
-            raise HistoryError(f"{at}: kind: {kind!r} is none of plan, asked, answered, killed, fault")
+            raise HistoryError(f"{at}: kind: {kind!r} is none of plan, asked, answered, killed, fault, seen")
     return history
--- a/ashlift_lab/run.py
+++ b/ashlift_lab/run.py
@@ -126,11 +126,17 @@
             self.began = time.monotonic()
             for link in links:
                 link._began = self.began
-            for begin, end, what in schedule.shaded():
-                self.record({"kind": "fault", "t": begin, "until": end, "what": what})
+            for fault in schedule.faults:
+                ways = sorted(map(str, fault.ways))
+                self.record({"kind": "fault", "t": fault.begin, "until": fault.end, "what": fault.state.kind,
+                             "ways": ways})  # fmt: skip
             killers = [gevent.spawn_later(s, self._kill, g) for g, s in sc.kills]
             self._load()
             gevent.killall(killers)
+            for link in links:
+                for key, count in sorted(link.counts.items()):
+                    way, what = key.split(" ", 1)
+                    self.record({"kind": "seen", "way": way, "what": what, "count": count})
         finally:
             self.stop()
             for link in links:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -57,6 +57,10 @@
     burst += [answered(f"b{n}", 1502.0) for n in range(4)]
     assert failed([*clean(), *burst]) == {"quota"}  # 8 units at once where the bucket holds 4
     assert failed([*clean(), *burst], allowed=8.0) == set()
+    cut = {"kind": "fault", "t": 100.0, "until": 900.0, "what": "cut", "ways": ["g1>counter", "counter>g1"]}
+    assert failed([*clean(), cut]) == {"crossed"}  # planted, never met
+    met = {"kind": "seen", "way": "g1>counter", "what": "refused", "count": 2}
+    assert failed([*clean(), cut, met]) == set()
 
 
 def test_jobs_open_at_a_kill_are_reported_not_breaches() -> None:
@@ -82,7 +86,7 @@
     path.write_text("\n".join(lines([*clean(), answered("j3", 900.0)])))
     result = CliRunner().invoke(ashlift, ["lab", "check", str(path)])
     assert result.exit_code == 1 and result.output.splitlines()[0].startswith("FAIL one_answer")
-    assert [line.split()[0] for line in result.output.splitlines()] == ["FAIL", "PASS", "PASS"]
+    assert [line.split()[0] for line in result.output.splitlines()] == ["FAIL", "PASS", "PASS", "PASS"]
 
 
 def test_faults_lay_over_one_another_and_a_partition_cuts_both_ways_between_sides() -> None:
@@ -147,7 +151,9 @@
     """Real processes of the program: what was open at the killed one is reported by name, and all else
     has its one answer, with advice on every refusal."""
     out = io.StringIO()
-    Run(Scenario(gatekeepers=3, nodes=3, seconds=2.5, seed=4, work_ms=400.0, kills=((1, 1.2),)), out).play()
+    scenario = Scenario(3, 3, 2.5, seed=4, work_ms=400.0, kills=((1, 1.2),), counter_cuts=((2, 0.5, 1.5),))
+    Run(scenario, out).play()
     verdicts = {verdict.name: verdict for verdict in check(read(out.getvalue().splitlines()), allowed=40.0)}
     assert all(verdict.ok for verdict in verdicts.values()), [v.line() for v in verdicts.values()]
     assert re.search(r"open at a kill: g1 [1-9]", verdicts["one_answer"].text)
+    assert "cut counter>g2,g2>counter" in verdicts["crossed"].text  # the cut from the counter was met
