--- a/ashlift/cli.py
+++ b/ashlift/cli.py
@@ -147,11 +147,14 @@
               help="A node's time for a job.")  # fmt: skip
 @click.option("--kill", default="", help="Gatekeepers killed: G@S, comma-separated, as 1@2.5.")
 @click.option("--cut-counter", default="", help="Gatekeepers cut from the counter: G@FROM-TO, as 2@1-3.")
+@click.option("--restart", default="", help="Gatekeepers started anew where they are gone: G@S, as 1@4.")
+@click.option("--pause", default="", help="Gatekeepers stopped by SIGSTOP and woken: G@FROM-TO, as 0@1-3.")
 @click.option("--history", type=FILE, default=Path("lab-history.jsonl"), show_default=True)
 @click.option("--allowed", type=click.FloatRange(min=0), default=None,
               help="Units beyond a firm's bucket that the checker lets pass; twice the burst if unsaid.")
 def lab_run(gatekeepers: int, nodes: int, seconds: float, seed: int, work_ms: float, kill: str,
-            cut_counter: str, history: Path, allowed: float | None) -> None:  # fmt: skip
+            cut_counter: str, restart: str, pause: str, history: Path,
+            allowed: float | None) -> None:  # fmt: skip
     """Run real gatekeeper processes before our stand-ins, with faults, and check the history they made."""
     from ashlift_lab.checker import check
     from ashlift_lab.history import read
@@ -159,6 +162,7 @@
 
     try:
         scenario = Scenario(gatekeepers, nodes, seconds, seed, work_ms=work_ms, kills=_moments(kill, 1),
+                            restarts=_moments(restart, 1), pauses=_moments(pause, 2),
                             counter_cuts=_moments(cut_counter, 2))  # fmt: skip
         with open(history, "w", encoding="utf-8") as out:
             run = Run(scenario, out)
--- a/ashlift_lab/history.py
+++ b/ashlift_lab/history.py
@@ -6,6 +6,7 @@
     {"kind": "asked", "t": 12.5, "job": "j1", "firm": "f1", "plan": "basic", "units": 1, "gatekeeper": "g1"}
     {"kind": "answered", "t": 14.0, "job": "j1", "status": 200, "retry_after": null}
     {"kind": "killed", "t": 900.0, "gatekeeper": "g1"}                        a process that got SIGKILL
+    {"kind": "process", "t": 950.0, "gatekeeper": "g1", "what": "restarted"}   or paused, resumed
     {"kind": "fault", "t": 500.0, "until": 3500.0, "what": "cut", "ways": ["g1>counter", "counter>g1"]}
     {"kind": "seen", "way": "g1>counter", "what": "refused", "count": 3}    what the proxy did, at the end
 
@@ -49,6 +50,7 @@
         default_factory=list
     )  # (from, until, what, ways)
     seen: dict[tuple[str, str], int] = field(default_factory=dict)  # (way, what) -> count
+    processes: list[tuple[float, str, str]] = field(default_factory=list)  # (ms, gatekeeper, what)
     strays: list[tuple[int, str]] = field(default_factory=list)  # (line, job) answers of no job asked
 
 
@@ -104,6 +106,11 @@
                 history.strays.append((at, job))
         elif kind == "killed":
             history.killed.setdefault(str(_get(at, row, "gatekeeper", str)), t)
+        elif kind == "process":
+            what = str(_get(at, row, "what", str))
+            if what not in ("paused", "resumed", "restarted"):
+                raise HistoryError(f"{at}: what: {what!r} is none of paused, resumed, restarted")
+            history.processes.append((t, str(_get(at, row, "gatekeeper", str)), what))
         elif kind == "fault":
             until = float(_get(at, row, "until", number))  # type: ignore[arg-type]
             ways = row.get("ways", [])
@@ -111,5 +118,7 @@
                 raise HistoryError(f"{at}: ways: wants a list of ways as text, has {ways!r}")
             history.faults.append((t, until, str(_get(at, row, "what", str)), tuple(ways)))
         else:
-            raise HistoryError(f"{at}: kind: {kind!r} is none of plan, asked, answered, killed, fault, seen")
+            raise HistoryError(
+                f"{at}: kind: {kind!r} is none of plan, asked, answered, killed, process, fault, seen"
+            )
     return history
--- a/ashlift_lab/run.py
+++ b/ashlift_lab/run.py
@@ -49,6 +49,8 @@
     burst: float = 20.0
     work_ms: float = 2.0  # each node's time for a job
     kills: tuple[tuple[int, float], ...] = ()  # (gatekeeper, s)
+    restarts: tuple[tuple[int, float], ...] = ()  # (gatekeeper, s): started anew, if it is gone then
+    pauses: tuple[tuple[int, float, float], ...] = ()  # (gatekeeper, from s, to s): SIGSTOP, then SIGCONT
     counter_cuts: tuple[tuple[int, float, float], ...] = ()  # (gatekeeper, from s, to s)
 
     def __post_init__(self) -> None:
@@ -56,8 +58,9 @@
             raise LabError("gatekeepers: 1 to 9, nodes: 1 to 60")
         if not 0 < self.seconds <= SECONDS_MOST or self.rate * self.firms * self.seconds > JOBS_MOST:
             raise LabError(f"seconds: at most {SECONDS_MOST:g} and {JOBS_MOST} jobs in all")
-        if any(not 0 <= g < self.gatekeepers for g, *_ in (*self.kills, *self.counter_cuts)):
-            raise LabError("kills, counter_cuts: no such gatekeeper")
+        timed = (*self.kills, *self.restarts, *self.pauses, *self.counter_cuts)
+        if any(not 0 <= g < self.gatekeepers for g, *_ in timed):
+            raise LabError("kills, restarts, pauses, counter_cuts: no such gatekeeper")
 
 
 def facts(scenario: Scenario, me: int) -> dict[str, Any]:
@@ -131,6 +134,12 @@
                 self.record({"kind": "fault", "t": fault.begin, "until": fault.end, "what": fault.state.kind,
                              "ways": ways})  # fmt: skip
             killers = [gevent.spawn_later(s, self._kill, g) for g, s in sc.kills]
+            killers += [gevent.spawn_later(s, self._restart, g) for g, s in sc.restarts]
+            for g, begin, end in sc.pauses:
+                killers += [
+                    gevent.spawn_later(begin, self._pause, g),
+                    gevent.spawn_later(end, self._resume, g),
+                ]
             self._load()
             gevent.killall(killers)
             for link in links:
@@ -154,21 +163,23 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(config))
         log = self.folder / f"{name}.log"
+        return Gatekeeper(name, self._spawn(path, log), log)
+
+    def _spawn(self, path: Path, log: Path) -> "subprocess.Popen[bytes]":
         env = {**os.environ, "GW_CONFIG": str(path), "TMPDIR": str(self.folder)}
-        with open(log, "wb") as err:
-            process = subprocess.Popen(
+        with open(log, "ab") as err:
+            return subprocess.Popen(
                 [sys.executable, "-m", "ashlift"], env=env, stdout=err, stderr=err, cwd=ROOT
             )
-        return Gatekeeper(name, process, log)
 
-    def _listening(self, keeper: Gatekeeper) -> tuple[str, int]:
+    def _listening(self, keeper: Gatekeeper, before: int = 0) -> tuple[str, int]:
+        """Where it listens, once its log says so for the `before + 1`th time."""
         deadline = time.monotonic() + START_S
         while time.monotonic() < deadline:
-            found = re.search(
-                rf"{keeper.name} listens on ([\d.]+):(\d+)", keeper.log.read_text(errors="replace")
-            )
-            if found:
-                return found[1], int(found[2])
+            text = keeper.log.read_text(errors="replace")
+            found = re.findall(rf"{keeper.name} listens on ([\d.]+):(\d+)", text)
+            if len(found) > before:
+                return found[-1][0], int(found[-1][1])
             if keeper.process.poll() is not None:
                 raise LabError(f"{keeper.name}: ended with {keeper.process.returncode}; see {keeper.log}")
             gevent.sleep(0.05)
@@ -181,6 +192,27 @@
         keeper.process.wait()  # the kill is when the process is gone: until then its kernel still accepts
         self.record({"kind": "killed", "t": self.now_ms(), "gatekeeper": keeper.name})
 
+    def _restart(self, g: int) -> None:
+        keeper = self.gatekeepers[g]
+        if keeper.process.poll() is None:
+            return  # still there: nothing to start anew
+        before = keeper.log.read_text(errors="replace").count(" listens on ")
+        keeper.process = self._spawn(self.folder / f"{keeper.name}.json", keeper.log)
+        keeper.front = self._listening(keeper, before)
+        self.record({"kind": "process", "t": self.now_ms(), "gatekeeper": keeper.name, "what": "restarted"})
+
+    def _pause(self, g: int) -> None:
+        self._signal(g, signal.SIGSTOP, "paused")
+
+    def _resume(self, g: int) -> None:
+        self._signal(g, signal.SIGCONT, "resumed")
+
+    def _signal(self, g: int, sign: signal.Signals, what: str) -> None:
+        keeper = self.gatekeepers[g]
+        with contextlib.suppress(OSError):
+            keeper.process.send_signal(sign)
+        self.record({"kind": "process", "t": self.now_ms(), "gatekeeper": keeper.name, "what": what})
+
     def _load(self) -> None:
         sc = self.scenario
         chance = random.Random(sc.seed)
@@ -213,9 +245,11 @@
             )
 
     def stop(self) -> None:
-        """End every process this run started, by its id."""
+        """End every process this run started, by its id; a paused one is woken to hear SIGTERM."""
         for keeper in self.gatekeepers:
             if keeper.process.poll() is None:
+                with contextlib.suppress(OSError):
+                    keeper.process.send_signal(signal.SIGCONT)
                 with contextlib.suppress(OSError):
                     keeper.process.send_signal(signal.SIGTERM)
         for keeper in self.gatekeepers:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -147,13 +147,19 @@
     server.close()
 
 
-def test_three_gatekeeper_processes_one_killed_amid_slow_jobs_have_its_open_jobs_reported() -> None:
-    """Real processes of the program: what was open at the killed one is reported by name, and all else
-    has its one answer, with advice on every refusal."""
+def test_three_gatekeeper_processes_killed_restarted_paused_and_cut_keep_one_answer_a_job() -> None:
+    """Real processes of the program: what was open at the killed one is reported by name; the paused one
+    answers all it took once it goes on; the restarted one serves again; the cut from the counter is met."""
     out = io.StringIO()
-    scenario = Scenario(3, 3, 2.5, seed=4, work_ms=400.0, kills=((1, 1.2),), counter_cuts=((2, 0.5, 1.5),))
+    scenario = Scenario(3, 3, 3.0, seed=4, work_ms=400.0, kills=((1, 1.2),), restarts=((1, 1.8),),
+                        pauses=((0, 0.6, 1.6),), counter_cuts=((2, 0.5, 1.5),))  # fmt: skip
     Run(scenario, out).play()
     verdicts = {verdict.name: verdict for verdict in check(read(out.getvalue().splitlines()), allowed=40.0)}
     assert all(verdict.ok for verdict in verdicts.values()), [v.line() for v in verdicts.values()]
     assert re.search(r"open at a kill: g1 [1-9]", verdicts["one_answer"].text)
     assert "cut counter>g2,g2>counter" in verdicts["crossed"].text  # the cut from the counter was met
+    history = read(out.getvalue().splitlines())
+    assert [what for _, _, what in history.processes] == ["paused", "resumed", "restarted"]
+    restarted = history.processes[-1][0]
+    again = [job for job in history.jobs.values() if job.gatekeeper == "g1" and job.asked_at > restarted]
+    assert again and all(job.answers for job in again)
