Carry datagrams through the lab's proxy: drop one way, duplicate, reorder, delay

Change: UdpLink beside TcpLink: the near end sends to the link, answers go back to the last sender, each datagram asks the schedule; the faults gain duplicate (sent twice) and reorder (held behind the next). Measured: a test with a scripted clock: one datagram passes, one is sent twice, two come in turned order, and the far end's answer is dropped on its way alone (counts 1 reordered, 1 dropped).

--- a/ashlift_lab/faults.py
+++ b/ashlift_lab/faults.py
@@ -7,13 +7,14 @@
 States: `pass`; `drop` (bytes or datagrams are read and thrown away: the far end hears nothing, the near
 end is not told); `delay` by `ms` with `jitter` ms more at most (drawn by the proxy's seeded generator);
 `cut` (new connections are refused, and what stands is reset). A partition of any shape is cuts or drops of
-ways: "A sees B, B does not see A" is a drop of `B>A` alone.
+ways: "A sees B, B does not see A" is a drop of `B>A` alone. Datagrams alone may also be `duplicate` (each
+sent twice) or `reorder` (each held back and sent behind the next); on TCP these pass.
 """
 
 from dataclasses import dataclass
 from typing import Literal
 
-Kind = Literal["pass", "drop", "delay", "cut"]
+Kind = Literal["pass", "drop", "delay", "cut", "duplicate", "reorder"]
 
 
 class FaultError(ValueError):
--- a/ashlift_lab/proxy.py
+++ b/ashlift_lab/proxy.py
@@ -130,3 +130,60 @@
         self._listener.close()
         for pair in list(self._pairs):
             self._end(pair)
+
+
+class UdpLink:
+    """Datagrams between `near` and `far` (which listens at `target`): the near end sends to `address`;
+    what the far end answers goes back to whoever sent last. Each datagram asks the schedule for its way."""
+
+    def __init__(self, near: str, far: str, target: tuple[str, int], schedule: Schedule, seed: int,
+                 listen: tuple[str, int] = ("127.0.0.1", 0),
+                 clock: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
+        self.out, self.back = Way(near, far), Way(far, near)
+        self._target, self._schedule, self._random = _loopback(target), schedule, random.Random(seed)
+        self._clock, self._began = clock, clock()
+        self._near_side = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._near_side.bind(_loopback(listen))
+        self._far_side = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._far_side.bind(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self._near_side.getsockname()
+        self.counts: Counter[str] = Counter()
+        self._near: tuple[str, int] | None = None
+        self._held: dict[Way, bytes] = {}
+        self._running = [gevent.spawn(self._relay, self._near_side, self.out),
+                         gevent.spawn(self._relay, self._far_side, self.back)]  # fmt: skip
+
+    def _relay(self, source: socket.socket, way: Way) -> None:
+        sink = self._far_side if way is self.out else self._near_side
+        while True:
+            try:
+                data, sender = source.recvfrom(CHUNK)
+            except OSError:
+                return
+            if way is self.out:
+                self._near = sender
+            where = self._target if way is self.out else self._near
+            state = self._schedule.state(way, (self._clock() - self._began) * 1000)
+            if where is None or state.kind in ("drop", "cut"):
+                self.counts[f"{way} dropped"] += 1
+                continue
+            if state.kind == "delay":
+                gevent.sleep((state.ms + state.jitter * self._random.random()) / 1000)
+            sends = [data]
+            if state.kind == "duplicate":
+                sends, self.counts[f"{way} duplicated"] = [data, data], self.counts[f"{way} duplicated"] + 1
+            elif state.kind == "reorder":
+                held = self._held.pop(way, None)
+                if held is None:
+                    self._held[way] = data
+                    continue
+                sends, self.counts[f"{way} reordered"] = [data, held], self.counts[f"{way} reordered"] + 1
+            for one in sends:
+                with contextlib.suppress(OSError):
+                    sink.sendto(one, where)
+                self.counts[f"{way} passed"] += 1
+
+    def close(self) -> None:
+        gevent.killall(self._running)
+        self._near_side.close()
+        self._far_side.close()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,7 +16,7 @@
 from ashlift_lab.checker import check
 from ashlift_lab.faults import Fault, FaultError, Schedule, State, Way, one_way, partition
 from ashlift_lab.history import HistoryError, read
-from ashlift_lab.proxy import TcpLink
+from ashlift_lab.proxy import TcpLink, UdpLink
 from ashlift_lab.run import Run, Scenario
 
 PLAN = {"kind": "plan", "name": "basic", "rate": 10.0, "burst": 5.0}
@@ -163,3 +163,31 @@
     restarted = history.processes[-1][0]
     again = [job for job in history.jobs.values() if job.gatekeeper == "g1" and job.asked_at > restarted]
     assert again and all(job.answers for job in again)
+
+
+def test_datagrams_are_dropped_one_way_duplicated_and_reordered_as_the_schedule_says() -> None:
+    far = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    far.bind(("127.0.0.1", 0))
+    clock = [0.0]
+    schedule = Schedule([Fault(frozenset({Way("g1", "g2")}), 1000.0, 2000.0, State("duplicate")),
+                         Fault(frozenset({Way("g1", "g2")}), 2000.0, 3000.0, State("reorder")),
+                         one_way("g2", "g1", 0.0, 9e9)])  # fmt: skip
+    link = UdpLink("g1", "g2", far.getsockname(), schedule, seed=3, clock=lambda: clock[0])
+    near = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    heard = []
+    with gevent.Timeout(10):
+        near.sendto(b"a", link.address)
+        heard.append(far.recvfrom(64))
+        far.sendto(b"answer", heard[0][1])  # g1 hears nothing of g2
+        clock[0] = 1.5
+        near.sendto(b"b", link.address)
+        heard += [far.recvfrom(64), far.recvfrom(64)]
+        clock[0] = 2.5
+        near.sendto(b"c", link.address)
+        near.sendto(b"d", link.address)
+        heard += [far.recvfrom(64), far.recvfrom(64)]
+        while not link.counts["g2>g1 dropped"]:
+            gevent.sleep(0.01)
+    assert [data for data, _ in heard] == [b"a", b"b", b"b", b"d", b"c"]
+    assert link.counts["g2>g1 dropped"] == 1 and link.counts["g1>g2 reordered"] == 1
+    link.close()
