Share what both links of the lab's proxy hold in one base, and start their clock by a call

Cause: a read of the change found TcpLink's and UdpLink's first lines written twice (ways, far end, schedule, clock, counts), and run.py setting a link's private start. Change: Link holds them with now_ms() and begin(); both links build on it.

--- a/ashlift_lab/proxy.py
+++ b/ashlift_lab/proxy.py
@@ -40,28 +40,40 @@
     sock.close()
 
 
-class TcpLink:
-    """Between `near` and `far`, which listens at `target`; listens itself at `listen` (port 0: any)."""
+class Link:
+    """What both kinds of link share: the two ways, the far end, the schedule and its clock."""
 
     def __init__(self, near: str, far: str, target: tuple[str, int], schedule: Schedule, seed: int,
-                 listen: tuple[str, int] = ("127.0.0.1", 0),
-                 clock: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
+                 clock: Callable[[], float]) -> None:  # fmt: skip
         self.out, self.back = Way(near, far), Way(far, near)
         self._target, self._schedule, self._random = _loopback(target), schedule, random.Random(seed)
         self._clock, self._began = clock, clock()
+        self.counts: Counter[str] = Counter()
+
+    def begin(self, at: float) -> None:
+        """Count the schedule's time from `at` (a reading of the link's clock): the run's start."""
+        self._began = at
+
+    def now_ms(self) -> float:
+        """Ms since the run began: the schedule's time."""
+        return (self._clock() - self._began) * 1000
+
+
+class TcpLink(Link):
+    """Between `near` and `far`, which listens at `target`; listens itself at `listen` (port 0: any)."""
+
+    def __init__(self, near: str, far: str, target: tuple[str, int], schedule: Schedule, seed: int,
+                 listen: tuple[str, int] = ("127.0.0.1", 0),
+                 clock: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
+        super().__init__(near, far, target, schedule, seed, clock)
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(_loopback(listen))
         self._listener.listen(128)
         self.address: tuple[str, int] = self._listener.getsockname()
-        self.counts: Counter[str] = Counter()
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
         self._running = [gevent.spawn(self._accept), gevent.spawn(self._watch)]
 
-    def now_ms(self) -> float:
-        """Ms since the link was made: the schedule's time."""
-        return (self._clock() - self._began) * 1000
-
     def _cut(self, way: Way) -> bool:
         return self._schedule.state(way, self.now_ms()).kind == "cut"
 
@@ -132,22 +144,19 @@
             self._end(pair)
 
 
-class UdpLink:
+class UdpLink(Link):
     """Datagrams between `near` and `far` (which listens at `target`): the near end sends to `address`;
     what the far end answers goes back to whoever sent last. Each datagram asks the schedule for its way."""
 
     def __init__(self, near: str, far: str, target: tuple[str, int], schedule: Schedule, seed: int,
                  listen: tuple[str, int] = ("127.0.0.1", 0),
                  clock: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
-        self.out, self.back = Way(near, far), Way(far, near)
-        self._target, self._schedule, self._random = _loopback(target), schedule, random.Random(seed)
-        self._clock, self._began = clock, clock()
+        super().__init__(near, far, target, schedule, seed, clock)
         self._near_side = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._near_side.bind(_loopback(listen))
         self._far_side = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._far_side.bind(("127.0.0.1", 0))
         self.address: tuple[str, int] = self._near_side.getsockname()
-        self.counts: Counter[str] = Counter()
         self._near: tuple[str, int] | None = None
         self._held: dict[Way, bytes] = {}
         self._running = [gevent.spawn(self._relay, self._near_side, self.out),
@@ -163,7 +172,7 @@
             if way is self.out:
                 self._near = sender
             where = self._target if way is self.out else self._near
-            state = self._schedule.state(way, (self._clock() - self._began) * 1000)
+            state = self._schedule.state(way, self.now_ms())
             if where is None or state.kind in ("drop", "cut"):
                 self.counts[f"{way} dropped"] += 1
                 continue
--- a/ashlift_lab/run.py
+++ b/ashlift_lab/run.py
@@ -128,7 +128,7 @@
                 keeper.front = self._listening(keeper)
             self.began = time.monotonic()
             for link in links:
-                link._began = self.began
+                link.begin(self.began)
             for fault in schedule.faults:
                 ways = sorted(map(str, fault.ways))
                 self.record({"kind": "fault", "t": fault.begin, "until": fault.end, "what": fault.state.kind,
