Sort a firm's served jobs before the checker's bucket runs over them

Cause: a read of the change found the quota check starting its clock at the first job in recorded order but walking them sorted; a job recorded out of time order made the refill negative and counted an excess that was not there. Change: sort once, start at the earliest. Measured: a clean history with one job recorded ahead of its time failed the quota verdict before and passes now; the planted burst still fails it.

--- a/ashlift_lab/checker.py
+++ b/ashlift_lab/checker.py
@@ -72,8 +72,9 @@
     worst: dict[str, float] = {}
     for firm, items in served.items():
         plan = history.plans[plans[firm]]
-        level, at, most = plan.burst, items[0][0] if items else 0.0, 0.0
-        for t, units in sorted(items):
+        items.sort()  # recorded in the order asked were written, which two greenlets may turn
+        level, at, most = plan.burst, items[0][0], 0.0
+        for t, units in items:
             level = min(plan.burst, level + plan.rate * (t - at) / 1000) - units
             at, most = t, max(most, -level)
         worst[firm] = most
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -57,6 +57,8 @@
     burst += [answered(f"b{n}", 1502.0) for n in range(4)]
     assert failed([*clean(), *burst]) == {"quota"}  # 8 units at once where the bucket holds 4
     assert failed([*clean(), *burst], allowed=8.0) == set()
+    early = [PLAN, asked("late", 900.0), answered("late", 901.0)]
+    assert failed([*early, *clean()[1:]]) == set()  # asked rows out of time order
     cut = {"kind": "fault", "t": 100.0, "until": 900.0, "what": "cut", "ways": ["g1>counter", "counter>g1"]}
     assert failed([*clean(), cut]) == {"crossed"}  # planted, never met
     met = {"kind": "seen", "way": "g1>counter", "what": "refused", "count": 2}
