--- a/ashlift/cli.py
+++ b/ashlift/cli.py
@@ -139,10 +139,11 @@
 
 
 @lab_group.command("run")
+@click.argument("scenario", type=click.Path(exists=True, dir_okay=False, path_type=Path), required=False)
 @click.option("--gatekeepers", type=click.IntRange(1, 9), default=3, show_default=True)
 @click.option("--nodes", type=click.IntRange(1, 60), default=4, show_default=True)
 @click.option("--seconds", type=click.FloatRange(0.5, 120), default=5.0, show_default=True)
-@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--seed", type=int, default=None, help="The scenario's own, or 1.")
 @click.option("--work-ms", type=click.FloatRange(0, 10_000), default=2.0, show_default=True,
               help="A node's time for a job.")  # fmt: skip
 @click.option("--kill", default="", help="Gatekeepers killed: G@S, comma-separated, as 1@2.5.")
@@ -150,35 +151,160 @@
 @click.option("--restart", default="", help="Gatekeepers started anew where they are gone: G@S, as 1@4.")
 @click.option("--pause", default="", help="Gatekeepers stopped by SIGSTOP and woken: G@FROM-TO, as 0@1-3.")
 @click.option("--history", type=FILE, default=Path("lab-history.jsonl"), show_default=True)
+@click.option("--results", type=FILE, default=Path("lab-results.sqlite"), show_default=True)
+@click.option("--report", "report_to", type=FILE, default=None, help="Write the run's HTML report here.")
 @click.option("--allowed", type=click.FloatRange(min=0), default=None,
-              help="Units beyond a firm's bucket that the checker lets pass; twice the burst if unsaid.")
-def lab_run(gatekeepers: int, nodes: int, seconds: float, seed: int, work_ms: float, kill: str,
-            cut_counter: str, restart: str, pause: str, history: Path,
-            allowed: float | None) -> None:  # fmt: skip
-    """Run real gatekeeper processes before our stand-ins, with faults, and check the history they made."""
+              help="Units beyond a firm's bucket the checker lets pass; the scenario's, or twice the burst.")
+def lab_run(scenario: Path | None, gatekeepers: int, nodes: int, seconds: float, seed: int | None,
+            work_ms: float, kill: str, cut_counter: str, restart: str, pause: str, history: Path,
+            results: Path, report_to: Path | None, allowed: float | None) -> None:  # fmt: skip
+    """Run real gatekeeper processes before our stand-ins, with faults, check the history they made and
+    keep it in the results. A SCENARIO file (S-expressions: ashlift_lab/scenario.py) takes the options'
+    place."""
+    import dataclasses
+    import time as clock
+
     from ashlift_lab.checker import check
     from ashlift_lab.history import read
-    from ashlift_lab.run import LabError, Run, Scenario
+    from ashlift_lab.run import LabError, Run, commit
+    from ashlift_lab.scenario import Scenario, ScenarioError, load
 
     try:
-        scenario = Scenario(gatekeepers, nodes, seconds, seed, work_ms=work_ms, kills=_moments(kill, 1),
+        if scenario is not None:
+            text = scenario.read_text(encoding="utf-8")
+            plan = load(text, str(scenario))
+        else:
+            plan = Scenario(gatekeepers, nodes, seconds, work_ms=work_ms, kills=_moments(kill, 1),
                             restarts=_moments(restart, 1), pauses=_moments(pause, 2),
                             counter_cuts=_moments(cut_counter, 2))  # fmt: skip
+            text = repr(plan)
+        if seed is not None:
+            plan = dataclasses.replace(plan, seed=seed)
+        began = clock.strftime("%Y-%m-%dT%H:%M:%S")
         with open(history, "w", encoding="utf-8") as out:
-            run = Run(scenario, out)
-            click.echo(f"lab: {gatekeepers} gatekeepers, {nodes} nodes, {seconds:g} s; logs in {run.folder}",
-                       err=True)  # fmt: skip
+            run = Run(plan, out, progress=_progress(plan.seconds))
+            click.echo(f"lab: {plan.name}, {plan.gatekeepers} gatekeepers, {plan.nodes} nodes, "
+                       f"{plan.seconds:g} s, seed {plan.seed}; logs in {run.folder}", err=True)  # fmt: skip
             run.play()
-    except LabError as error:
+        click.echo("", err=True)
+    except (LabError, ScenarioError) as error:
         raise click.ClickException(str(error)) from None
+    bound = allowed if allowed is not None else plan.allowed if plan.allowed is not None else 2 * plan.burst
     with open(history, encoding="utf-8") as file:
-        verdicts = check(read(file), 2 * scenario.burst if allowed is None else allowed)
+        recorded = read(file)
+    verdicts = check(recorded, bound)
     for verdict in verdicts:
         click.echo(verdict.line())
-    click.echo(f"history: {history}")
+    store = _results(results)
+    number = store.store(recorded, verdicts, name=plan.name, began=began, git=commit(), seed=plan.seed,
+                         scenario=text, allows=plan.firms * plan.quota)  # fmt: skip
+    click.echo(f"history: {history}; run {number} in {results}")
+    if report_to is not None:
+        _write_report(store, number, report_to)
     sys.exit(0 if all(verdict.ok for verdict in verdicts) else 1)
 
 
+def _progress(seconds: float) -> Any:
+    def tell(t: float, sent: int, done: int) -> None:
+        click.echo(f"\r  {t:5.1f} / {seconds:g} s  jobs sent {sent}, done {done}", nl=False, err=True)
+
+    return tell
+
+
+def _results(path: Path) -> Any:
+    from ashlift_lab.results import Results  # hdrhistogram is loaded by the lab alone
+
+    return Results(path)
+
+
+def _write_report(store: Any, number: int, path: Path) -> None:
+    from ashlift_lab.report import page
+
+    path.write_text(page(store, number), encoding="utf-8")
+    click.echo(f"report: {path.resolve()}")
+
+
+RESULTS = click.option("--results", type=FILE, default=Path("lab-results.sqlite"), show_default=True)
+
+
+def _kept(results: Path) -> Any:
+    if not results.exists():
+        raise click.ClickException(f"{results}: no results here; `ashlift lab run` makes them")
+    return _results(results)
+
+
+def _summary(store: Any, number: int) -> Any:
+    from ashlift_lab.results import ResultsError
+
+    try:
+        return store.summary(number)
+    except ResultsError as error:
+        raise click.ClickException(str(error)) from None
+
+
+@lab_group.command("list")
+@RESULTS
+def lab_list(results: Path) -> None:
+    """The kept runs: id, name, when, commit, seed, jobs, share admitted, p99, verdict."""
+    store = _kept(results)
+    for number in store.ids():
+        one = store.summary(number)
+        share = one.admitted / one.asked if one.asked else 0.0
+        click.echo(f"{one.id:4}  {one.name:20} {one.began}  {one.git:10} seed {one.seed:<6} "
+                   f"{one.asked:6} jobs {share:6.1%} admitted  p99 {one.percentile_ms(99):8.1f} ms  "
+                   f"{'ok' if one.ok else 'BREACH'}")  # fmt: skip
+
+
+@lab_group.command("show")
+@click.argument("number", metavar="ID", type=int)
+@RESULTS
+def lab_show(number: int, results: Path) -> None:
+    """One kept run: its scenario, verdicts, faults, process events and seconds."""
+    store = _kept(results)
+    one = _summary(store, number)
+    detail = store.detail(number)
+    click.echo(f"run {one.id}: {one.name}, seed {one.seed}, commit {one.git}, began {one.began}")
+    click.echo(detail["scenario"].rstrip())
+    for name, ok, text in detail["verdicts"]:
+        click.echo(f"{name}: {'ok' if ok else 'BREACH'}: {text}")
+    for begin, until, what, ways in detail["faults"]:
+        click.echo(f"fault {begin / 1000:g}-{until / 1000:g} s: {what} on {len(ways)} ways")
+    for t, keeper, what in detail["processes"]:
+        click.echo(f"process {t / 1000:.3f} s: {keeper} {what}")
+    click.echo("second  gatekeeper  asked  admitted  refused  unanswered")
+    for row in detail["seconds"]:
+        click.echo("{:6}  {:10}  {:5}  {:8}  {:7}  {:10}".format(*row))
+
+
+@lab_group.command("compare")
+@click.argument("first", metavar="A", type=int)
+@click.argument("second", metavar="B", type=int)
+@RESULTS
+def lab_compare(first: int, second: int, results: Path) -> None:
+    """Two kept runs side by side, with B over A."""
+    store = _kept(results)
+    a, b = _summary(store, first), _summary(store, second)
+    rows = [("jobs", a.asked, b.asked), ("admitted", a.admitted, b.admitted),
+            ("refused", a.refused, b.refused), ("unanswered", a.unanswered, b.unanswered)]  # fmt: skip
+    rows += [(f"p{share:g} ms", a.percentile_ms(share), b.percentile_ms(share)) for share in (50, 99, 99.9)]
+    click.echo(f"{'':12} {'run ' + str(a.id):>12} {'run ' + str(b.id):>12}  B/A")
+    for name, x, y in rows:
+        ratio = f"{y / x:.3f}" if x else "-"
+        click.echo(f"{name:12} {x:12.5g} {y:12.5g}  {ratio}")
+    click.echo(f"{'verdicts':12} {'ok' if a.ok else 'BREACH':>12} {'ok' if b.ok else 'BREACH':>12}")
+
+
+@lab_group.command("report")
+@click.argument("number", metavar="ID", type=int)
+@RESULTS
+@click.option("--out", type=FILE, default=None, help="Where the page goes; lab-report-ID.html if unsaid.")
+def lab_report(number: int, results: Path, out: Path | None) -> None:
+    """One self-contained HTML page of a kept run, with its charts."""
+    store = _kept(results)
+    _summary(store, number)
+    _write_report(store, number, out or Path(f"lab-report-{number}.html"))
+
+
 @lab_group.command("check")
 @click.argument("history", type=FILE)
 @click.option("--allowed", type=click.FloatRange(min=0), default=0.0, show_default=True,
--- a/ashlift_lab/history.py
+++ b/ashlift_lab/history.py
@@ -6,7 +6,7 @@
     {"kind": "asked", "t": 12.5, "job": "j1", "firm": "f1", "plan": "basic", "units": 1, "gatekeeper": "g1"}
     {"kind": "answered", "t": 14.0, "job": "j1", "status": 200, "retry_after": null}
     {"kind": "killed", "t": 900.0, "gatekeeper": "g1"}                        a process that got SIGKILL
-    {"kind": "process", "t": 950.0, "gatekeeper": "g1", "what": "restarted"}   or paused, resumed
+    {"kind": "process", "t": 950.0, "gatekeeper": "g1", "what": "restarted"}   or paused, resumed, terminated
     {"kind": "fault", "t": 500.0, "until": 3500.0, "what": "cut", "ways": ["g1>counter", "counter>g1"]}
     {"kind": "seen", "way": "g1>counter", "what": "refused", "count": 3}    what the proxy did, at the end
 
@@ -108,8 +108,8 @@
             history.killed.setdefault(str(_get(at, row, "gatekeeper", str)), t)
         elif kind == "process":
             what = str(_get(at, row, "what", str))
-            if what not in ("paused", "resumed", "restarted"):
-                raise HistoryError(f"{at}: what: {what!r} is none of paused, resumed, restarted")
+            if what not in ("paused", "resumed", "restarted", "terminated"):
+                raise HistoryError(f"{at}: what: {what!r} is none of paused, resumed, restarted, terminated")
             history.processes.append((t, str(_get(at, row, "gatekeeper", str)), what))
         elif kind == "fault":
             until = float(_get(at, row, "until", number))  # type: ignore[arg-type]
--- a/ashlift_lab/proxy.py
+++ b/ashlift_lab/proxy.py
@@ -114,6 +114,7 @@
                     continue
                 if state.kind == "delay":
                     gevent.sleep((state.ms + state.jitter * self._random.random()) / 1000)
+                    self.counts[f"{way} delayed"] += len(data)
                 if state.kind == "cut":
                     break
                 sink.sendall(data)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,7 +17,8 @@
 from ashlift_lab.faults import Fault, FaultError, Schedule, State, Way, one_way, partition
 from ashlift_lab.history import HistoryError, read
 from ashlift_lab.proxy import TcpLink, UdpLink
-from ashlift_lab.run import Run, Scenario
+from ashlift_lab.run import Run
+from ashlift_lab.scenario import Scenario
 
 PLAN = {"kind": "plan", "name": "basic", "rate": 10.0, "burst": 5.0}
 
