--- a/ashlift_lab/checker.py
+++ b/ashlift_lab/checker.py
@@ -11,8 +11,9 @@
   plan's rate and burst. The excess is the most by which any stretch of time exceeds `burst + rate x length`
   (Lindley's recursion over the bucket); it may reach the bound that the design states for the run's faults,
   given as `allowed` units, and no more.
-- `crossed`: every fault of the scenario was met: on one of its ways the proxy refused, dropped or reset
-  something. A fault that nothing crossed proves nothing, so the run fails rather than pass unseen.
+- `crossed`: every fault of the scenario was met: on one of its ways the proxy refused, dropped, reset,
+  delayed, duplicated or reordered something (`MET`). A fault that nothing crossed proves nothing, so the run
+  fails rather than pass unseen.
 """
 
 from collections import defaultdict
--- a/ashlift_lab/run.py
+++ b/ashlift_lab/run.py
@@ -1,5 +1,5 @@
-"""A lab run: several real gatekeeper processes, our stand-ins, a proxy between each gatekeeper and the
-counter, Poisson load, faults by time, and the history that the checker reads.
+"""A lab run: several real gatekeeper processes, our stand-ins, a proxy on every link, Poisson or ramped load,
+faults by time, and the history that the checker reads.
 
 Every process that a run starts is known by its id and ended by it (SIGTERM, then SIGKILL after `STOP_S`),
 also when the run is interrupted. Every loop is bounded: at most `JOBS_MOST` jobs and `SECONDS_MOST` seconds
@@ -11,6 +11,7 @@
 """
 
 import contextlib
+from collections.abc import Callable
 import json
 import os
 import random
@@ -21,7 +22,6 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from collections.abc import Callable
 from typing import Any, TextIO
 
 import gevent
