--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -127,18 +127,23 @@
 def test_the_proxy_passes_drops_one_way_and_cuts_as_the_schedule_says() -> None:
     server, heard = echo_server()
     clock = [0.0]
-    # From 1 s the answers are dropped (the far end hears the near one, not the other way); from 2 s, a cut.
+    # From 0.5 s the asks wait 5 to 10 ms; from 1 s the answers are dropped (the far end hears the near one,
+    # not the other way); from 2 s, a cut.
     cut = partition([{"g1"}, {"counter"}], 2000.0, 9e9)
-    schedule = Schedule([one_way("counter", "g1", 1000.0, 2000.0), cut])
+    slow = Fault(frozenset({Way("g1", "counter")}), 500.0, 1000.0, State("delay", 5.0, 5.0))
+    schedule = Schedule([slow, one_way("counter", "g1", 1000.0, 2000.0), cut])
     link = TcpLink("g1", "counter", server.getsockname(), schedule, seed=3, clock=lambda: clock[0])
     with gevent.Timeout(10), socket.create_connection(link.address) as client:
         client.sendall(b"one")
         assert client.recv(16) == b"one"
+        clock[0] = 0.7
+        client.sendall(b"slow")
+        assert client.recv(16) == b"slow" and link.counts["g1>counter delayed"] == 4
         clock[0] = 1.5
         client.sendall(b"two")
         while link.counts["counter>g1 dropped"] < 3:
             gevent.sleep(0.01)
-        assert heard == [b"one", b"two"] and link.counts["g1>counter passed"] == 6
+        assert heard == [b"one", b"slow", b"two"] and link.counts["g1>counter passed"] == 10
         clock[0] = 2.5
         with pytest.raises(ConnectionResetError):
             client.sendall(b"three")
