--- a/ashlift/settings/reader.py
+++ b/ashlift/settings/reader.py
@@ -4,6 +4,7 @@
     (name value ... (name value ...))     names and values are bare words or "text"; `;` begins a remark
 """
 
+import re
 from dataclasses import dataclass
 from functools import cache
 from typing import Any
@@ -106,8 +107,8 @@
 def read(text: str) -> Items | Fault:
     """The one list that a file holds, or what is wrong with its form."""
     deep = 0
-    for sign in text:
-        deep += (sign == "(") - (sign == ")")
+    for part in re.sub(r'"(\\.|[^"\\])*"|;[^\n]*', "", text):  # brackets within text or remarks are not lists
+        deep += (part == "(") - (part == ")")
         if deep > DEEPEST:
             return Fault(Spot(1, 1), "", f"lists more than {DEEPEST} deep")
     try:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 
 import pytest
 from click.testing import CliRunner
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ashlift import config as configuration
@@ -91,6 +91,7 @@
 
 
 @given(st.recursive(st.text(alphabet='ab"\\ ;(', max_size=5), lambda inner: st.lists(inner, max_size=4)))
+@example([["(" * 40, "; " + "(" * 33]])  # brackets in text are no lists: once told "too deep"
 def test_what_is_written_is_read_back(tree: object) -> None:
     def write(node: object) -> str:
         if isinstance(node, list):
