Name a scenario's unknown gatekeeper at its word, and read a delay's jitter plainly

Cause: the last read of the change found that (restart g2 1s) in a two-gatekeeper scenario was told at 1:1 without the key, and a delay's optional jitter was read through a made-up word. Change: a gatekeeper in a process fault is checked against the scenario's ends where it stands; the jitter is read only when given.

--- a/ashlift_lab/scenario.py
+++ b/ashlift_lab/scenario.py
@@ -201,7 +201,7 @@
     if key in ("kill", "term", "restart", "pause"):
         if len(args) != (3 if key == "pause" else 2):
             raise _at(item.spot, where, "wants G AT" + (" UNTIL" if key == "pause" else ""))
-        who = _gatekeeper(args[0], where)
+        who = _gatekeeper(args[0], where, ends)
         times = tuple(seconds(arg, where) for arg in args[1:])
         field_name = {"kill": "kills", "term": "terms", "restart": "restarts", "pause": "pauses"}[key]
         form.acts.setdefault(field_name, []).append((who, *times))
@@ -222,8 +222,8 @@
         if key == "delay":
             if len(args) not in (5, 6):
                 raise _at(item.spot, where, "wants FROM UNTIL A B MS [JITTER]")
-            ms, jitter = (seconds(arg, where) * 1000 for arg in (*args[4:], Word("0", False, item.spot))[:2])
-            state = State("delay", ms, jitter)
+            jitter = seconds(args[5], where) * 1000 if len(args) == 6 else 0.0
+            state = State("delay", seconds(args[4], where) * 1000, jitter)
         elif len(args) != 4:
             raise _at(item.spot, where, "wants FROM UNTIL A B")
         form.faults.append(Fault(frozenset(ways), begin, end, state))
@@ -266,8 +266,8 @@
     return [f"{found[1]}{at}" for at in range(low, high + 1)]
 
 
-def _gatekeeper(word: Word | Items, where: str) -> int:
-    found = re.fullmatch(r"g(\d+)", _plain(word).text)
+def _gatekeeper(word: Word | Items, where: str, ends: list[str]) -> int:
+    found = re.fullmatch(r"g(\d+)", _end(word, where, ends))
     if found is None:
         raise _at(word.spot, where, "wants a gatekeeper: g0, g1, ...")
     return int(found[1])
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -34,6 +34,7 @@
      ("(scenario (gatekeepers 2) (faults (partition 1 2 (g0 n3-n1) rest)))",
       "s:1:54: faults.partition: n3-n1: a range runs upwards"),
      ("(scenario (gatekeepers 2) (faults (kill g0)))", "s:1:35: faults.kill: wants G AT"),
+     ("(scenario (gatekeepers 2) (faults (restart g2 1s)))", "s:1:44: faults.restart: g2: no such end"),
      ("(scenario (seed 1))", "s:1:1: gatekeepers: is missing"),
      ("(scenario (gatekeepers 2)", "s:1:26: the file ends within a list")],
 )  # fmt: skip
