--- a/jig/reading.py
+++ b/jig/reading.py
@@ -150,7 +150,10 @@
         (tuple[Endpoint, ...], _endpoints), (Ports, _ports), (Weights, _weights), (dict[str, str], _words),
     ]  # fmt: skip
     for wanted, hook in hooks:
-        made.register_structure_hook_func(partial(eq, wanted), hook)
+        if wanted in (str, bool, float, int):  # these go by class, before all that goes by a predicate
+            made.register_structure_hook(wanted, hook)
+        else:
+            made.register_structure_hook_func(partial(eq, wanted), hook)
     return made
 
 
