--- a/jig/configuration.py
+++ b/jig/configuration.py
@@ -65,7 +65,7 @@
 
 
 def apply(current: Mapping[str, Any], kind: str, if_match: str, body: Any) -> Change | Fault:
-    """What the call (`put`: all anew; `patch`: by name) makes of `current`; `if_match`: the version it builds on.
+    """What the call (`put`: all anew; `patch`: by name) makes of `current`. `if_match`: what it builds on.
     Fault: `stale`, or `invalid` with a detail of `OBJECT NAME: FIELD: what`, several parted by `; `."""
     base, now = number_of(if_match), number_of(current_version(current))
     if isinstance(base, Fault):
--- a/jig/tables.py
+++ b/jig/tables.py
@@ -81,7 +81,7 @@
 
 @attrs.frozen
 class Service:
-    """`max_connections`: of one worker, 0 = not told; `warmup`: s; `warmup_rate`: requests a second, or inf."""
+    """`max_connections`: of one worker, 0 = not told; `warmup`: s; `warmup_rate`: a second, or inf."""
 
     name: str
     health_check: str
@@ -114,10 +114,11 @@
 
 def _route(name: str, value: Any) -> Route:
     shape = _sound(RouteShape, name, value)
+    split = tuple(pair for pair in split_of(shape) if pair[1] > 0)
     aim = shape.target_latency or shape.timeout or 1.0
     return Route(
         name, host_of(shape.host), shape.path_prefix, shape.route_type == "idempotent", shape.timeout or None,
-        aim, shape.priority, tuple(pair for pair in split_of(shape) if pair[1] > 0), max(1, shape.max_attempts),
+        aim, shape.priority, split, max(1, shape.max_attempts),
         shape.anonymous, frozenset(shape.home_regions),
     )  # fmt: skip
 
