--- a/jig/configuration.py
+++ b/jig/configuration.py
@@ -80,12 +80,19 @@
     return change
 
 
-def check(body: Any) -> list[Fault]:
-    """Every fault of a whole configuration that stands by itself (no version before it)."""
-    flaws, _ = _changed({}, -1, "put", "0", body)
+def faults(current: Mapping[str, Any], kind: str, body: Any) -> list[Fault]:
+    """Everything that keeps a call from being applied to `current`, whatever it says that it builds on."""
+    now = number_of(current_version(current))
+    flaws, _ = _changed(current, now, kind, FIRST, body) if isinstance(now, int) else ([now.detail], None)
     return [Fault(INVALID, flaw) for flaw in flaws]
 
 
+def laid_out(body: Any) -> dict[str, Any] | list[Fault]:
+    """A whole configuration that stands by itself (no version before it) as a map, or all its faults."""
+    flaws, change = _changed({}, -1, "put", "0", body)
+    return change.set if change and not flaws else [Fault(INVALID, flaw) for flaw in flaws]
+
+
 def whole(entries: Mapping[str, Any]) -> dict[str, Any]:
     """The configuration as it is put."""
     keys = [key for key in entries if key.partition("/")[0] in SHAPES]
--- /dev/null
+++ b/toolbox/__main__.py
@@ -0,0 +1,7 @@
+"""`python3 -m toolbox`."""
+
+import sys
+
+from toolbox.commands import main
+
+sys.exit(main())
--- /dev/null
+++ b/toolbox/commands.py
@@ -0,0 +1,150 @@
+"""The commands. Each gives 0, 1 where two configurations differ, and 2 where it could not do its work.
+
+What was asked for goes to standard output, every fault in one line to standard error.
+"""
+
+import json
+from typing import Any
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.outputs.output import Type
+
+from ashlift import __version__
+from jig import configuration, settings
+from toolbox import showing, sources
+from workbench.faults import INVALID, Fault
+
+DIFFERENT = 1
+FAILED = 2
+
+
+class _Tool(Command):
+    def tell(self, lines: list[str]) -> int:
+        for line in lines:
+            self.io.output.write_line(line, type=Type.RAW)
+        return 0
+
+    def fail(self, faults: list[Fault]) -> int:
+        for fault in faults:
+            self.io.error_output.write_line(" ".join(fault.detail.split()), type=Type.RAW)
+        return FAILED
+
+
+class Check(_Tool):
+    name = "check"
+    description = "Check a settings file (TOML) or a configuration (JSON): every fault by place and key."
+    arguments = [argument("file", "The file; what begins with a brace is a configuration.")]
+    options = [option("on", None, "The configuration (file or address) that it is to follow.", flag=False)]
+
+    def handle(self) -> int:
+        file, on = self.argument("file"), self.option("on")
+        data = sources.read_file(file)
+        if isinstance(data, Fault):
+            return self.fail([data])
+        if not (file.endswith(".json") or data.lstrip()[:1] == b"{"):
+            found = settings.read(file)
+            return self.fail(found) if isinstance(found, list) else self.tell([f"{file}: settings, no fault"])
+        body = sources.parse_json(data, file)
+        if isinstance(body, Fault):
+            return self.fail([body])
+        faults = self._follow(body, on) if on else self._alone(body)
+        if faults:
+            return self.fail([Fault(one.reason, f"{file}: {one.detail}") for one in faults])
+        return self.tell([f"{file}: configuration, no fault"])
+
+    def _alone(self, body: Any) -> list[Fault]:
+        if _is_patch(body):
+            return [Fault(INVALID, "is a change by name: tell what it is to follow with --on")]
+        found = configuration.laid_out(body)
+        return found if isinstance(found, list) else []
+
+    def _follow(self, body: Any, on: str) -> list[Fault]:
+        current = _entries(on)
+        if isinstance(current, list):
+            return current
+        return configuration.faults(current, "patch" if _is_patch(body) else "put", body)
+
+
+class Status(_Tool):
+    name = "status"
+    description = "The state of the system, as one core machine sees it."
+    arguments = [argument("address", "A Control address, such as 10.0.0.4:8200.")]
+    options = [option("json", None, "The answer as it came.", flag=True)]
+
+    def handle(self) -> int:
+        return self._show(showing.status)
+
+    def _show(self, lines: Any) -> int:
+        address = self.argument("address")
+        answer = sources.call(address, "/status")
+        if isinstance(answer, Fault):
+            return self.fail([answer])
+        if not isinstance(answer, dict):
+            return self.fail([Fault(INVALID, f"{address}: GET /status: is not a JSON object")])
+        return self.tell([json.dumps(answer, indent=2)] if self.option("json") else lines(answer))
+
+
+class Members(Status):
+    name = "members"
+    description = "The core machines, gatekeepers and workers, each on a line."
+
+    def handle(self) -> int:
+        return self._show(showing.members)
+
+
+class ConfigShow(_Tool):
+    name = "config show"
+    description = "The newest configuration, as JSON that can be sent again."
+    arguments = [argument("address", "A Control address, such as 10.0.0.4:8200.")]
+
+    def handle(self) -> int:
+        answer = sources.call(self.argument("address"), "/config")
+        if isinstance(answer, Fault):
+            return self.fail([answer])
+        return self.tell([json.dumps(answer, indent=2, ensure_ascii=False)])
+
+
+class ConfigDiff(_Tool):
+    name = "config diff"
+    description = "What turns one configuration into another: + there only in the second, - gone, ~ changed."
+    arguments = [
+        argument("first", "A file, or a Control address."),
+        argument("second", "A file, or a Control address."),
+    ]
+
+    def handle(self) -> int:
+        first, second = _entries(self.argument("first")), _entries(self.argument("second"))
+        faults = [fault for found in (first, second) if isinstance(found, list) for fault in found]
+        if isinstance(first, list) or isinstance(second, list):
+            return self.fail(faults)
+        lines = showing.differences(first, second)
+        self.tell(lines)
+        return DIFFERENT if lines else 0
+
+
+def _is_patch(body: Any) -> bool:
+    return isinstance(body, dict) and "Objects" not in body and ("Upsert" in body or "Withdraw" in body)
+
+
+def _entries(source: str) -> dict[str, Any] | list[Fault]:
+    """The map of the configuration in a file or at an address, or its faults, each told with its place."""
+    body = sources.configuration(source)
+    if isinstance(body, Fault):
+        return [body]
+    found = configuration.laid_out(body)
+    if isinstance(found, list):
+        return [Fault(one.reason, f"{source}: {one.detail}") for one in found]
+    return found
+
+
+def application() -> Application:
+    made = Application("toolbox", __version__)
+    for command in (Check(), Status(), Members(), ConfigShow(), ConfigDiff()):
+        made.add(command)
+    return made
+
+
+def main() -> int:
+    return application().run()
--- /dev/null
+++ b/toolbox/showing.py
@@ -0,0 +1,103 @@
+"""What the commands print, as lines. Pure: values in, text out; what an answer lacks is shown as `-`."""
+
+import json
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from jig.configuration import current_version
+
+ORDER = ("zone", "service", "node", "id", "ip")
+Rows = Sequence[Mapping[str, Any]]
+
+
+def cell(value: Any) -> str:
+    """A value on one line."""
+    if value is None or value == "":
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.2f}".rstrip("0").rstrip(".")
+    return " ".join((value if isinstance(value, str) else json.dumps(value)).split())
+
+
+def table(keys: Sequence[str], rows: Rows) -> list[str]:
+    """Columns under their keys; one line where there is nothing."""
+    if not rows:
+        return ["  none"]
+    lines = [list(keys), *([cell(row.get(key)) for key in keys] for row in rows)]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(keys))]
+    padded = ([text.ljust(width) for text, width in zip(line, widths, strict=True)] for line in lines)
+    return [f"  {'  '.join(line)}".rstrip() for line in padded]
+
+
+def rows_of(answer: Mapping[str, Any], key: str) -> Rows:
+    found = answer.get(key)
+    rows = [row if isinstance(row, dict) else {"ip": row} for row in found] if isinstance(found, list) else []
+    return sorted(rows, key=lambda row: [cell(row.get(name)) for name in ORDER])
+
+
+def status(answer: Mapping[str, Any]) -> list[str]:
+    """The state of the system as one core machine sees it, in a few lines."""
+    gatekeepers, workers = rows_of(answer, "gatekeepers"), rows_of(answer, "workers")
+    age = answer.get("age")
+    proof = f"proven current {age:.2f} s ago" if isinstance(age, int | float) else "not proven current"
+    ready = sum(row.get("ready") is True for row in gatekeepers)
+    lines = [
+        f"node           {cell(answer.get('node'))}",
+        f"configuration  {cell(answer.get('version'))}, {proof}",
+        f"store          leader {cell(answer.get('leader'))}, term {cell(answer.get('term'))}, "
+        f"index {cell(answer.get('index'))}, {len(rows_of(answer, 'members'))} members",
+        f"gatekeepers    {len(gatekeepers)}, {ready} ready",
+        f"workers        {len(workers)}",
+    ]
+    for service, states in sorted(_states(workers).items()):
+        told = ", ".join(f"{count} {state}" for state, count in sorted(states.items()))
+        lines.append(f"  {service}: {told}")
+    return lines
+
+
+def _states(workers: Rows) -> dict[str, Counter[str]]:
+    found: dict[str, Counter[str]] = {}
+    for row in workers:
+        warm = row.get("warm")
+        cold = isinstance(warm, int | float) and not isinstance(warm, bool) and warm > 0
+        state = f"{cell(row.get('state'))}{' (cold)' if cold else ''}"
+        found.setdefault(cell(row.get("service")), Counter())[state] += 1
+    return found
+
+
+def members(answer: Mapping[str, Any]) -> list[str]:
+    """Who belongs to the system, each on a line."""
+    core, gatekeepers = rows_of(answer, "members"), rows_of(answer, "gatekeepers")
+    more = sorted({key for row in core for key in row} - {"ip"})
+    return [
+        "core", *table(["ip", *more], core),
+        "gatekeepers", *table(["node", "zone", "region", "front", "ready", "since"], gatekeepers),
+        "workers", *table(["id", "service", "zone", "state", "warm"], rows_of(answer, "workers")),
+    ]  # fmt: skip
+
+
+def differences(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
+    """What turns the map of one configuration into that of another, a line an object or field."""
+    lines = []
+    if current_version(old) != current_version(new):
+        lines.append(f"~ ConfigVersion: {current_version(old)} -> {current_version(new)}")
+    for key in _objects([*old, *(key for key in new if key not in old)]):
+        name = key.replace("/", " ", 1)
+        if key not in new:
+            lines.append(f"- {name}")
+        elif key not in old:
+            lines.append(f"+ {name}")
+        else:
+            before, after = old[key], new[key]
+            for field in dict.fromkeys([*before, *after]):
+                was, now = (json.dumps(one[field]) if field in one else "not told" for one in (before, after))
+                if was != now:
+                    lines.append(f"~ {name}: {field}: {was} -> {now}")
+    return lines
+
+
+def _objects(keys: Iterable[str]) -> list[str]:
+    return [key for key in keys if key.partition("/")[0] in ("Routes", "Services", "Tenants", "Limits")]
