--- /dev/null
+++ b/lathe/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy: clients' front, readiness, the way to workers, the limiter, tries."""
--- /dev/null
+++ b/lathe/__main__.py
@@ -0,0 +1,122 @@
+"""The proxy's process: settings, parts, signals. `python3 -m lathe`, settings by ASHLIFT_SETTINGS."""
+
+import gc
+import os
+import random
+import signal
+import sys
+import time
+
+import gevent
+import logbook
+from gevent.event import Event
+
+from jig import settings as jig_settings
+from jig.tables import Limits
+from lathe import events
+from lathe.desk import Desk
+from lathe.front import Front, serve_readiness
+from lathe.gate import Gate
+from lathe.news import News
+from workbench.events import SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
+
+PATH = "/etc/ashlift/settings.toml"
+LOOK_S = 1.0  # between looks at the settings file
+SWEEP_S = 1.0
+LEAVE_SHARE = 0.55  # of Grace: so long connections are taken, for clients may hold an old /lookup
+END_SHARE = 0.93  # of Grace: then the process ends
+
+
+class Program:
+    def __init__(self, path: str, settings: jig_settings.Settings) -> None:
+        rng = random.Random(os.urandom(8))
+        self.path, self.settings = path, settings
+        self.gate = Gate(settings, rng)
+        self.desk = Desk(self.gate)
+        self.front = Front(self.desk, self._limits)
+        self.news = News(settings, self.gate, os.urandom(4).hex(), rng, self._changed)
+        self._ready = False
+        self._stop = Event()
+        self._read_again = Event()
+
+    def _limits(self) -> Limits:
+        table = self.gate.ledger.table
+        return table.limits if table is not None else Limits()
+
+    def _changed(self) -> None:
+        ready = self.gate.ready(time.monotonic())
+        if ready != self._ready:
+            self._ready = ready
+            tell(events.READY if ready else events.UNREADY, index=self.gate.ledger.index)
+
+    def run(self) -> int:
+        front, readiness = self.settings.bindings.front, self.settings.bindings.readiness
+        if front is None or readiness is None:
+            tell(SETTINGS_BAD, level=logbook.ERROR, key="Bindings", what="Front and Readiness are needed")
+            return 2
+        serve_readiness(readiness, lambda: self.gate.ready(time.monotonic()))
+        self.front.listen(front)
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGHUP, self._read_again.set)
+        gevent.spawn(self.news.run)
+        gevent.spawn(self._sweep)
+        gevent.spawn(self._watch)
+        tell(STARTED, zone=self.settings.zone)
+        self._stop.wait()
+        return self._leave()
+
+    def _leave(self) -> int:
+        """Out of /lookup first; then no new connections; then the end, with all answered or Grace over."""
+        began, grace = time.monotonic(), self.settings.bounds.grace
+        self.gate.leaving = self.front.leaving = True
+        tell(STOPPING, busy=self.desk.busy)
+        gevent.sleep(LEAVE_SHARE * grace)
+        self.front.close()
+        while self.desk.busy and time.monotonic() < began + END_SHARE * grace:
+            gevent.sleep(0.02)
+        gevent.sleep(0.05)
+        return 0
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_S)
+            self.desk.links.sweep(set(self.gate.crew.views))
+
+    def _watch(self) -> None:
+        """Read the settings again after SIGHUP, or when the file has changed without one."""
+        seen = _stamp(self.path)
+        while True:
+            if self._read_again.wait(LOOK_S) or _stamp(self.path) != seen:
+                self._read_again.clear()
+                seen = _stamp(self.path)
+                read = jig_settings.read(self.path)
+                if isinstance(read, list):
+                    for fault in read:
+                        tell(SETTINGS_BAD, level=logbook.ERROR, what=fault.detail)
+                else:
+                    self.news.seeds = [host for host, _ in read.seeds]
+                    tell(SETTINGS_READ, seeds=",".join(self.news.seeds))
+
+
+def _stamp(path: str) -> tuple[int, int]:
+    try:
+        found = os.stat(path)
+    except OSError:
+        return 0, 0
+    return found.st_mtime_ns, found.st_size
+
+
+def main() -> int:
+    path = os.environ.get("ASHLIFT_SETTINGS", PATH)
+    read = jig_settings.read(path)
+    if isinstance(read, list):
+        for fault in read:
+            print(f"lathe: {fault.detail}", file=sys.stderr)
+        return 2
+    set_up("lathe", read.node_name)
+    gc.freeze()
+    return Program(path, read).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lathe/asking.py
@@ -0,0 +1,109 @@
+"""Turns the bytes of one client connection into requests, within the operator's Limits. No sockets."""
+
+from dataclasses import dataclass, field
+
+import httptools
+
+from jig.tables import Limits
+
+HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                 b"upgrade", b"content-length", b"expect"))  # fmt: skip
+Headers = list[tuple[bytes, bytes]]
+
+
+class BadRequestError(Exception):
+    """What a client sent cannot be taken; carries the status of its answer."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+@dataclass(slots=True, eq=False)
+class Asked:
+    """One request as it came; header names as they were sent."""
+
+    method: bytes = b""
+    target: bytes = b""
+    headers: Headers = field(default_factory=list)
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0  # bytes of the body so far
+    head: int = 0  # bytes of the head so far
+    keep: bool = True
+    headed: bool = False
+    framed: bool = False  # its body has a length or comes in chunks
+
+    def one(self, name: bytes) -> bytes:
+        """The value of a header, empty where there is none; 400 where it stands twice with other words."""
+        found = {value for key, value in self.headers if key.lower() == name}
+        if len(found) > 1:
+            raise BadRequestError(400)
+        return found.pop() if found else b""
+
+    @property
+    def body(self) -> bytes:
+        return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
+
+
+class RequestReader:
+    """Feed it bytes; `done` holds the requests that are whole, in their order."""
+
+    def __init__(self) -> None:
+        self.limits = Limits()
+        self.asked: Asked | None = None  # being read
+        self.done: list[Asked] = []
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Raises BadRequestError: then nothing more can be read here."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise BadRequestError(400) from None
+        except httptools.HttpParserError as error:
+            cause = error.__context__  # a callback's own error comes wrapped
+            raise cause if isinstance(cause, BadRequestError) else BadRequestError(400) from None
+
+    def _head(self, size: int) -> Asked:
+        asked = self.asked
+        assert asked is not None
+        asked.head += size
+        if asked.head > self.limits.max_header_bytes:
+            raise BadRequestError(431)
+        return asked
+
+    # httptools calls these
+
+    def on_message_begin(self) -> None:
+        self.asked = Asked()
+
+    def on_url(self, url: bytes) -> None:
+        self._head(len(url)).target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        asked = self._head(len(name) + len(value) + 4)
+        if not asked.headed:  # a trailer says nothing
+            asked.headers.append((name, value.strip()))
+
+    def on_headers_complete(self) -> None:
+        asked = self.asked
+        assert asked is not None
+        asked.headed, asked.method = True, self._parser.get_method()
+        length, coding = asked.one(b"content-length"), asked.one(b"transfer-encoding")
+        asked.framed = bool(length or coding)
+        if length and int(length) > self.limits.max_body_bytes:
+            raise BadRequestError(413)
+
+    def on_body(self, body: bytes) -> None:
+        asked = self.asked
+        assert asked is not None
+        asked.size += len(body)
+        if asked.size > self.limits.max_body_bytes:
+            raise BadRequestError(413)
+        asked.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        asked, self.asked = self.asked, None
+        assert asked is not None
+        asked.keep = self._parser.should_keep_alive()
+        self.done.append(asked)
--- /dev/null
+++ b/lathe/desk.py
@@ -0,0 +1,139 @@
+"""Carries requests through the gate: greenlets for tries, one waiting place a request. Decides nothing."""
+
+import time
+
+import gevent
+from gevent.event import Event
+
+from lathe.answering import ATTEMPT, Answer, relay
+from lathe.asking import HOP, Asked, BadRequestError
+from lathe.crew import View
+from lathe.gate import Gate, Live, Turn
+from lathe.links import Ended, Links, Outcome, Try
+
+OURS = HOP | {b"x-tenant", b"x-target-instance", b"x-time-remaining", b"authorization"}
+REMAINING_MOST = 3600.0
+
+
+class Case:
+    """A request with its tries under way."""
+
+    def __init__(self) -> None:
+        self.woken = Event()
+        self.out: dict[Try, View] = {}
+        self.ended: list[tuple[Try, View, Outcome]] = []
+        self.gone = self.closed = False
+
+
+class Desk:
+    def __init__(self, gate: Gate) -> None:
+        self.gate, self.links = gate, Links()
+        self.busy = 0  # requests under way
+        self.told: dict[str, int] = {}  # answers by cause or status
+
+    def handle(self, asked: Asked, case: Case) -> Answer | None:
+        """The answer to a request; None: its client has gone."""
+        self.busy += 1
+        try:
+            answer = self._handle(asked, case)
+        except BadRequestError as bad:
+            answer = Answer(bad.status, cause="bad")
+        finally:
+            self.busy -= 1
+        if answer is not None:
+            word = answer.cause or str(answer.status)
+            self.told[word] = self.told.get(word, 0) + 1
+        return answer
+
+    def _handle(self, asked: Asked, case: Case) -> Answer | None:
+        now = time.monotonic()
+        attempt, told = asked.one(ATTEMPT), asked.one(b"x-time-remaining")
+        try:
+            remaining = float(told) / 1000 if told else REMAINING_MOST
+            path = asked.target.decode("ascii").partition("?")[0]
+            host = asked.one(b"host").decode("ascii")
+            scheme, _, key = asked.one(b"authorization").decode("ascii").partition(" ")
+        except ValueError:
+            raise BadRequestError(400) from None
+        if not attempt or not path.startswith("/") or not 0 < remaining <= REMAINING_MOST:
+            raise BadRequestError(400)
+        live = self.gate.arrive(now, host, path, key.strip() if scheme.lower() == "bearer" else "", remaining)
+        if isinstance(live, Turn):
+            return _own(live)
+        try:
+            return self._run(asked, attempt, live, case)
+        finally:
+            case.closed = True
+            now = time.monotonic()
+            for _, view, outcome in case.ended:
+                self.gate.ended(now, live, view, outcome, True)
+            for one in list(case.out):
+                one.cancel()
+            if not live.may_run and not live.out:
+                self.gate.never_ran(now, live)
+
+    def _run(self, asked: Asked, attempt: bytes, live: Live, case: Case) -> Answer | None:
+        gate = self.gate
+        failure: Answer | None = None  # a worker's own word, kept while there is hope of a better one
+        view = gate.pick(time.monotonic(), live, False)
+        while True:
+            if isinstance(view, View):
+                self._start(asked, attempt, live, case, view)
+            elif not case.out:
+                return failure or _own(view)
+            now = time.monotonic()
+            if not case.ended:
+                at = gate.hedge(live) if len(case.out) == 1 else None
+                case.woken.wait(max(0.0, min(live.deadline, live.deadline if at is None else at) - now))
+                case.woken.clear()
+                now = time.monotonic()
+            if case.gone:
+                return None
+            while case.ended:
+                one, tried, outcome = case.ended.pop()
+                final = gate.ended(now, live, tried, outcome, one.cancelled)
+                if outcome.ended is Ended.ANSWERED and outcome.reply is not None:
+                    failure = relay(outcome.reply)
+                    if final:
+                        return failure
+            if now >= live.deadline:
+                return failure or Answer(504, cause="late")
+            view = gate.pick(now, live, True) if not case.out or gate.hedges(now, live) else gate.stay(live)
+
+    def _start(self, asked: Asked, attempt: bytes, live: Live, case: Case, view: View) -> None:
+        one = Try()
+        case.out[one] = view
+        gevent.spawn(self._try, one, asked, attempt, live, case, view)
+
+    def _try(self, one: Try, asked: Asked, attempt: bytes, live: Live, case: Case, view: View) -> None:
+        left = live.deadline - time.monotonic()
+        request, worker = _request(asked, live, view, left), view.worker
+        most, dial = self.gate.connections(view), self.gate.dial(view)
+        outcome = self.links.exchange(one, worker.id, worker.address, request, attempt, most, dial, left)
+        del case.out[one]
+        if case.closed:
+            self.gate.ended(time.monotonic(), live, view, outcome, True)
+        else:
+            case.ended.append((one, view, outcome))
+            case.woken.set()
+
+
+def _own(turn: Turn) -> Answer:
+    return Answer(turn.status, again=turn.again, cause=turn.cause)
+
+
+def _request(asked: Asked, live: Live, view: View, left: float) -> bytes:
+    lines = [b"%b %b HTTP/1.1" % (asked.method, asked.target)]
+    named = {token.strip().lower() for token in asked.one(b"connection").split(b",")}
+    lines += [b"%b: %b" % (name, value) for name, value in asked.headers
+              if (low := name.lower()) not in OURS and low not in named]  # fmt: skip
+    lines.append(b"X-Time-Remaining: %d" % max(1, int(left * 1000)))
+    lines.append(b"X-Target-Instance: " + view.worker.id.encode())
+    if live.tenant is not None:
+        lines.append(b"X-Tenant: " + live.tenant.name.encode())
+    if asked.framed:
+        lines.append(b"Content-Length: %d" % asked.size)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + asked.body
+
+
+__all__ = ["Case", "Desk"]
--- /dev/null
+++ b/lathe/events.py
@@ -0,0 +1,6 @@
+"""The proxy's numbered events."""
+
+from typing import Final
+
+READY: Final = (401, "ready for clients")
+UNREADY: Final = (402, "not ready for clients")
--- /dev/null
+++ b/lathe/gate.py
@@ -0,0 +1,237 @@
+"""What happens to a request: let in or turned away, which worker, once more or the end. Pure.
+
+A turn says at once what a client gets. 429 and 503 promise that the request has not run and never will.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from gauge.limits import Limiter
+from gauge.retries import RetryBudget
+from gauge.warmth import ColdPace, owners
+from jig.settings import Settings
+from jig.tables import Route, Service, Tenant
+from lathe.crew import Crew, View
+from lathe.ledger import Change, Ledger
+from lathe.links import Ended, Outcome
+
+KNOWN_S = 1.0  # 401, 403 and 404 need a proof that is younger than this
+FENCE_SPARE_S = 0.3  # of Revoke, for the way of the request to the worker
+UNREADY_AGAIN_S = 0.3
+BUSY_AGAIN_S = 0.15
+DIAL_NEAR_S, DIAL_FAR_S = 0.25, 0.4
+COLD_OWNERS = 2
+BEAT_LATE = 1.2  # x heartbeat: so old may be what a worker last told of its warmth
+EDGE_S = 0.02  # before a deadline, the answer must be on its way
+HEDGE_LEAST, HEDGE_BEFORE = 1.8, 1.6  # x usual latency: after so long a silence; so long before the aim
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """The end of a request by our own word."""
+
+    status: int
+    cause: str
+    again: float | None = None  # s
+
+
+@dataclass(slots=True, eq=False)
+class Live:
+    """A request that has been let in."""
+
+    route: Route
+    tenant: Tenant | None
+    service: str
+    homes: frozenset[str]
+    came: float
+    deadline: float
+    tried: list[str] = field(default_factory=list)
+    out: int = 0  # tries under way
+    may_run: bool = False
+    arrived: bool = False  # one of its tries reached a worker
+    alone: bool = False  # no further try beside the one that is out
+
+
+class Gate:
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self.settings, self.bounds, self._rng = settings, settings.bounds, rng
+        self.ledger = Ledger()
+        self.crew = Crew(settings.zone, settings.zones, rng)
+        self.limiter = Limiter(rng, settings.bounds)
+        self.retries = RetryBudget(settings.bounds)
+        self.pace = ColdPace()
+        self.leaving = False
+        self._quotas: dict[str, Tenant] = {}
+
+    # ---- news
+
+    def news(self, now: float, change: Change) -> None:
+        """Bring everything in line with the ledger."""
+        ledger = self.ledger
+        table = ledger.table
+        if change.config and table is not None:
+            quotas = table.tenants
+            for name in set(self._quotas) - set(quotas):
+                self.limiter.forget(name)
+            for tenant in quotas.values():
+                self.limiter.set_quota(tenant.name, tenant.rate, tenant.burst)
+            self._quotas = quotas
+            if ledger.evacuated != self.crew.evacuated:
+                warmup = max((service.warmup for service in table.services.values()), default=0.0)
+                self.crew.evacuate(now, ledger.evacuated, warmup + BEAT_LATE * self.settings.heartbeat)
+        if change.workers:
+            self.crew.know(ledger.workers.values())
+        if change.members:
+            self.limiter.set_members(now, max(1, len(ledger.members)))
+
+    def ready(self, now: float) -> bool:
+        """Whether clients may be sent here."""
+        return not self.leaving and self.ledger.table is not None and self._fresh(now)
+
+    def _fresh(self, now: float) -> bool:
+        return self.ledger.age(now) <= self.bounds.revoke - FENCE_SPARE_S
+
+    # ---- a request
+
+    def arrive(self, now: float, host: str, path: str, key: str, remaining: float) -> Live | Turn:
+        """Let a request in that has come whole. `remaining`: s that its client will wait."""
+        table, known = self.ledger.table, self.ledger.age(now) <= KNOWN_S
+        unready = Turn(503, "unready", UNREADY_AGAIN_S)
+        if table is None:
+            return unready
+        route = table.route(host, path)
+        if route is None:
+            return Turn(404, "route") if known else unready
+        tenant = None
+        if table.has_tenants and not route.anonymous:
+            tenant = table.tenant_of(key)
+            if tenant is None:
+                return Turn(401, "key") if known else unready
+            if not self._fresh(now):
+                return unready
+        homes = route.homes
+        if tenant is not None and tenant.homes:
+            homes = homes & tenant.homes if homes else tenant.homes
+            if not homes:
+                return Turn(503, "homes", 1.0)
+        if tenant is not None:
+            again = self.limiter.admit(now, tenant.name)
+            if again is not None:
+                return Turn(429, "quota", again)
+        service = self._service(route)
+        deadline = now + min(remaining, route.timeout or remaining) - EDGE_S
+        self.retries.request(now, service)
+        return Live(route, tenant, service, homes, now, deadline)
+
+    def _service(self, route: Route) -> str:
+        if len(route.split) == 1:
+            return route.split[0][0]
+        names = [name for name, weight in route.split if weight > 0]
+        return self._rng.choices(names, [weight for _, weight in route.split if weight > 0])[0]
+
+    def pick(self, now: float, live: Live, further: bool) -> View | Turn:
+        """The worker for the next try. A `further` one (beside or after another) is paid from the budget,
+        unless no worker has been reached yet."""
+        turn = self._give_up(live)
+        if live.deadline <= now:
+            return turn
+        spent = len(live.tried) >= live.route.attempts
+        if further and (spent or (live.may_run and not live.route.repeatable)):
+            return turn
+        members = max(1, len(self.ledger.members))
+        if further:
+            live.alone = True  # beside what is out now, nothing more is tried unless this one is
+        paid = live.arrived or live.out > 0
+        if paid and not self.retries.may(now, live.service, members):
+            return turn
+        views = self.crew.open(live.service, live.homes, live.tried)
+        for view in self.crew.order(now, views, self.crew.usual(live.route.name, live.route.aim)):
+            if self._may(now, view):
+                if paid:
+                    self.retries.spent(now, live.service)
+                self.crew.sent(now, view)
+                live.tried.append(view.worker.id)
+                live.out += 1
+                return view
+        return turn
+
+    def _may(self, now: float, view: View) -> bool:
+        """A cold worker gets little, from few."""
+        cold = max(view.cold_until, view.worker.warm_at)
+        service = self._known(view)
+        if now >= cold or service is None or service.warmup_rate <= 0:
+            return view.out < 2 * max(1, view.worker.capacity) + 2
+        if self.settings.node_name not in owners(view.worker.id, self.ledger.members, COLD_OWNERS):
+            return False
+        sure = self.ledger.age(now) <= KNOWN_S
+        if not sure or not self.pace.may(now, view.worker.id, service.warmup_rate, 1 / COLD_OWNERS):
+            return False
+        self.pace.sent(now, view.worker.id)
+        return True
+
+    def _known(self, view: View) -> Service | None:
+        table = self.ledger.table
+        return table.services.get(view.worker.service) if table is not None else None
+
+    def connections(self, view: View) -> int:
+        """How many connections to a worker are ours."""
+        service = self._known(view)
+        most = service.max_connections if service is not None and service.max_connections else 64
+        return max(2, int(0.9 * most / max(1, len(self.ledger.members))))
+
+    def dial(self, view: View) -> float:
+        return DIAL_NEAR_S if self.crew.region(view) == self.settings.region else DIAL_FAR_S
+
+    def hedge(self, live: Live) -> float | None:
+        """When a silent try of a repeatable request gets another beside it (steady time); None: never."""
+        if not live.route.repeatable or live.alone or len(live.tried) >= live.route.attempts:
+            return None
+        usual = self.crew.usual(live.route.name, live.route.aim)
+        at = live.came + max(HEDGE_LEAST * usual, live.route.aim - HEDGE_BEFORE * usual)
+        return at if at + usual < live.deadline else None
+
+    def hedges(self, now: float, live: Live) -> bool:
+        at = self.hedge(live)
+        return at is not None and now >= at
+
+    def stay(self, live: Live) -> Turn:
+        """No further try now."""
+        return self._give_up(live)
+
+    def ended(self, now: float, live: Live, view: View, outcome: Outcome, cancelled: bool) -> bool:
+        """Learn from a try that ended; whether its answer is the request's answer."""
+        live.out -= 1
+        self.crew.back(view)
+        match outcome.ended:
+            case Ended.ANSWERED:
+                live.arrived = live.may_run = True
+                reply = outcome.reply
+                assert reply is not None
+                if reply.status < 500:
+                    self.crew.answered(now, view, live.route.name, live.route.aim, outcome.waited)
+                    return True
+                return not live.route.repeatable or len(live.tried) >= live.route.attempts
+            case Ended.NOT_RUN:
+                live.arrived |= outcome.reply is not None
+                self.crew.busy(now, view)
+            case Ended.UNREACHED:
+                self.crew.failed(now, view)
+            case Ended.LOST | Ended.LATE:
+                live.arrived = live.may_run = True
+                if not cancelled:
+                    self.crew.failed(now, view)
+            case Ended.FULL:
+                live.tried.remove(view.worker.id)
+                self.crew.busy(now, view)
+        return False
+
+    def _give_up(self, live: Live) -> Turn:
+        """What the client gets when there is no further try: a promise only where it holds."""
+        if live.may_run or live.out:
+            return Turn(504, "unanswered")
+        return Turn(503, "no worker", BUSY_AGAIN_S)
+
+    def never_ran(self, now: float, live: Live) -> None:
+        """It was let in, and no worker has had it: its unit is free again."""
+        if live.tenant is not None and not live.may_run:
+            self.limiter.give_back(now, live.tenant.name)
--- /dev/null
+++ b/lathe/links.py
@@ -0,0 +1,172 @@
+"""Connections to workers: kept, checked before each use, and closed when anything on them is in doubt."""
+
+import time
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import gevent
+from gevent import socket
+
+from ashlift.net.links import quiet
+from ashlift.net.replies import SpoiltAnswerError
+from lathe.answering import ATTEMPT, WorkerReply
+from workbench.bench import Address
+
+IDLE_S = 4.0  # an idle connection is used again for so long, or as long as `Keep-Alive` says, less a second
+IDLE_EACH = 16  # kept to one worker
+
+
+class Ended(Enum):
+    """How one try at one worker ended."""
+
+    ANSWERED = auto()  # the worker's own sound answer
+    NOT_RUN = auto()  # it says that it has not run it, or no connection came up
+    UNREACHED = auto()  # no connection came up
+    LOST = auto()  # it may have run, and there is no answer of use
+    LATE = auto()  # it may be running still
+    FULL = auto()  # no connection to be had here: nothing was sent
+
+
+@dataclass(slots=True)
+class Outcome:
+    ended: Ended
+    reply: WorkerReply | None = None
+    waited: float = 0.0  # s
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    sock: socket.socket
+    usable_until: float = 0.0
+
+
+class Try:
+    """One try under way; `cancel` closes its connection."""
+
+    def __init__(self) -> None:
+        self.sock: socket.socket | None = None
+        self.cancelled = self.sent = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+        if self.sock is not None:
+            self.sock.close()
+
+
+class Links:
+    """All connections to workers of this process. A worker is its id: its address may pass to another."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, deque[Link]] = {}
+        self._open: dict[str, int] = {}
+
+    def exchange(self, one: Try, worker: str, address: Address, request: bytes, attempt: bytes, most: int,
+                 dial: float, left: float) -> Outcome:  # fmt: skip
+        """Send a request and read its answer. `dial`, `left`: s; `most`: connections to this worker."""
+        began = time.monotonic()
+        timer = gevent.Timeout(left)
+        timer.start()
+        link: Link | None = None
+        keep_s = 0.0
+        try:
+            link = self._take(worker)
+            if link is None:
+                if self._open.get(worker, 0) >= most:
+                    return Outcome(Ended.FULL)
+                link = self._dial(worker, address, min(dial, left))
+            if one.cancelled:
+                keep_s = IDLE_S
+                return Outcome(Ended.NOT_RUN)
+            one.sock, one.sent = link.sock, True
+            link.sock.sendall(request)
+            reply, keep_s = self._read(link.sock, attempt)
+            waited = time.monotonic() - began
+            if reply is None:
+                return Outcome(Ended.LOST, None, waited)
+            return Outcome(Ended.NOT_RUN if reply.not_run else Ended.ANSWERED, reply, waited)
+        except gevent.Timeout as over:
+            if over is not timer:
+                raise
+            return Outcome(Ended.LATE if one.sent else Ended.UNREACHED, None, time.monotonic() - began)
+        except (OSError, SpoiltAnswerError):
+            return Outcome(Ended.LOST if one.sent else Ended.UNREACHED, None, time.monotonic() - began)
+        finally:
+            timer.close()
+            one.sock = None
+            if link is not None:
+                self._give(worker, link, 0.0 if one.cancelled and one.sent else keep_s)
+
+    @staticmethod
+    def _read(sock: socket.socket, attempt: bytes) -> tuple[WorkerReply | None, float]:
+        """The answer with our id, and for how long the connection may be used again. An answer with another
+        id is a late second one of an earlier request: ours may follow, and then the connection goes."""
+        doubted = False
+        while True:
+            reply = WorkerReply()
+            while not reply.done:
+                data = sock.recv(65536)
+                if not data:
+                    return None, 0.0
+                reply.feed(data)
+            if reply.one(ATTEMPT) == attempt:
+                break
+            if not reply.keep or doubted:
+                return None, 0.0
+            doubted = True
+        if not (reply.sound() or reply.not_run):
+            return None, 0.0
+        if doubted or not reply.keep or reply.to_close:
+            return reply, 0.0
+        told = reply.one(b"keep-alive") or b""
+        seconds = told.partition(b"timeout=")[2].split(b",")[0].strip()
+        return reply, min(IDLE_S, int(seconds) - 1.0) if seconds.isdigit() else IDLE_S
+
+    def _take(self, worker: str) -> Link | None:
+        """The connection used last that still stands and on which nothing lies unread."""
+        links, now = self._idle.get(worker), time.monotonic()
+        while links:
+            link = links.pop()
+            if now < link.usable_until and quiet(link.sock):
+                return link
+            self._close(worker, link)
+        return None
+
+    def _dial(self, worker: str, address: Address, within: float) -> Link:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._open[worker] = self._open.get(worker, 0) + 1
+        link = Link(sock)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with gevent.Timeout(within, OSError("no connection came up")):
+                sock.connect(address)
+        except BaseException:
+            self._close(worker, link)
+            raise
+        return link
+
+    def _give(self, worker: str, link: Link, keep_s: float) -> None:
+        if keep_s <= 0:
+            return self._close(worker, link)
+        link.usable_until = time.monotonic() + keep_s
+        links = self._idle.setdefault(worker, deque())
+        links.append(link)
+        if len(links) > IDLE_EACH:
+            self._close(worker, links.popleft())
+
+    def _close(self, worker: str, link: Link) -> None:
+        link.sock.close()
+        left = self._open.get(worker, 1) - 1
+        if left:
+            self._open[worker] = left
+        else:
+            self._open.pop(worker, None)
+
+    def sweep(self, wanted: set[str]) -> None:
+        """Close what has stood idle too long or leads to a worker that is gone."""
+        now = time.monotonic()
+        for worker, links in list(self._idle.items()):
+            while links and (links[0].usable_until <= now or worker not in wanted):
+                self._close(worker, links.popleft())
+            if not links:
+                del self._idle[worker]
