Add the registry: beats, sessions, lookup, count sums, outside calls passed to the store

The list of workers and gatekeepers has no holder any more. Every core machine now runs a registry: its own source under versions, copies of the others' pulled by difference, the operator's word watched from the store; HTTP for workers, the operator and clients. Ruled out: telling a beat's CallSeq on every beat (30 a second would wake every gatekeeper); it is told with the change it made.

--- /dev/null
+++ b/pegboard/__init__.py
@@ -0,0 +1,1 @@
+"""The registry: workers' beats, gatekeepers' sessions, count sums, `/lookup`. Takes the outside calls."""
--- /dev/null
+++ b/pegboard/__main__.py
@@ -0,0 +1,124 @@
+"""`python3 -m pegboard`: the registry of one core machine, as its settings file says."""
+
+import os
+import secrets
+import signal
+import sys
+import time
+import zlib
+
+import gevent
+import logbook
+from gevent.event import Event
+
+from jig import settings as jig_settings
+from jig.settings import Settings
+from pegboard.door import Door, Resource
+from pegboard.loops import Bell, Calls, Loops
+from pegboard.registry import Registry, Self
+from pegboard.resources import Config, Evacuation, Instances, Lookup, Status
+from pegboard.store import Store
+from workbench.bench import Address, Callers, serve
+from workbench.events import SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
+
+PATH = "/etc/ashlift/settings.toml"
+LOOK_S = 1.0  # the settings file is looked at so often
+LEAVE_S = 0.6  # what is at work when the end is asked for is answered within this
+
+
+class Program:
+    def __init__(self, path: str, settings: Settings) -> None:
+        self._path, self._settings = path, settings
+        self._stamp = self._look()
+        self._ended = Event()
+        low = settings.internal_ports[0]
+        control = settings.bindings.control or settings.bindings.directory
+        assert control is not None
+        me = Self(
+            settings.node_name, secrets.token_hex(4), settings.ip, settings.zone, settings.region,
+            control[1], settings.heartbeat,
+        )  # fmt: skip
+        self._registry = Registry(me, self._seeds(), settings.zones, time.monotonic())
+        self._bell, callers = Bell(self._registry), Callers()
+        store = Store(settings.ip, low, self._stores, callers)
+        self._loops = Loops(self._registry, store, self._bell, callers, low + 1)
+        ring = self._bell.ring
+        resources: dict[str, Resource] = {
+            "instances": Instances(self._registry, ring),
+            "config": Config(store),
+            "evacuation": Evacuation(store, lambda: self._settings),
+            "lookup": Lookup(self._registry),
+            "status": Status(self._registry),
+        }
+        addresses = {settings.bindings.control, settings.bindings.directory} - {None}
+        self._doors = [Door(address, resources) for address in addresses if address]
+        self._frames: Address = (settings.ip, low + 1)
+
+    def _seeds(self) -> list[str]:
+        return list(dict.fromkeys(host for host, _ in self._settings.seeds))
+
+    def _stores(self) -> list[str]:
+        """IPs of the stores, those whose registries stand and are near first."""
+        me = self._registry.me
+        known = self._registry.members()
+        return [ip for ip in self._registry.controls(me.zone, me.region, time.monotonic()) if ip in known]
+
+    def run(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._ended.set)
+        gevent.signal_handler(signal.SIGHUP, self._read)
+        server = serve(self._frames, Calls(self._registry, self._bell).handlers)
+        for door in self._doors:
+            door.start()
+        self._loops.start()
+        tell(STARTED, source=self._registry.me.source, seeds=",".join(self._registry.seeds))
+        while not self._ended.wait(LOOK_S):
+            if self._look() != self._stamp:
+                self._read()
+        tell(STOPPING)
+        server.close()
+        self._bell.leave()
+        for door in self._doors:
+            door.leave()
+        until = time.monotonic() + LEAVE_S
+        while time.monotonic() < until and (self._bell.held or any(door.busy for door in self._doors)):
+            gevent.sleep(0.01)
+        gevent.sleep(0.02)  # answers given in the last moment are written by greenlets of their own
+        self._loops.stop()
+
+    def _look(self) -> int:
+        """A number that changes with the settings file."""
+        try:
+            with open(self._path, "rb") as file:
+                return zlib.crc32(file.read())
+        except OSError:
+            return 0
+
+    def _read(self) -> None:
+        self._stamp = self._look()
+        found = jig_settings.read(self._path)
+        if isinstance(found, list):
+            return tell(SETTINGS_BAD, level=logbook.ERROR, faults="; ".join(map(str, found)))
+        self._settings = found
+        self._registry.seeds, self._registry.zones = self._seeds(), found.zones
+        tell(SETTINGS_READ, seeds=",".join(self._registry.seeds))
+
+
+def main() -> int:
+    path = os.environ.get("ASHLIFT_SETTINGS", PATH)
+    settings = jig_settings.read(path)
+    if isinstance(settings, list):
+        set_up("pegboard", "?")
+        for fault in settings:
+            tell(SETTINGS_BAD, level=logbook.ERROR, fault=fault.detail)
+        return 2
+    set_up("pegboard", settings.node_name)
+    if settings.bindings.control is None and settings.bindings.directory is None:
+        tell(SETTINGS_BAD, level=logbook.ERROR, fault="neither Bindings.Control nor Bindings.Directory")
+        return 2
+    Program(path, settings).run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pegboard/door.py
@@ -0,0 +1,226 @@
+"""Outside calls: HTTP/1.1 on httptools, one greenlet a connection, bounded in size and time."""
+
+import json
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import httptools
+from gevent import socket
+from gevent.server import StreamServer
+
+from workbench.bench import Address, tune
+
+HEAD_MOST = 32 << 10  # bytes of target and headers
+BODY_MOST = 64 << 10  # bytes, where a resource does not say otherwise
+READ_S = 10.0  # s from a request's first byte to its last
+IDLE_S = 30.0  # s that a connection may wait for its next request
+STATUSES = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    412: "Precondition Failed", 413: "Content Too Large", 422: "Unprocessable Content",
+    431: "Request Header Fields Too Large", 503: "Service Unavailable",
+}  # fmt: skip
+
+
+@attrs.define
+class Request:
+    """One call, read whole. `segments`: the path's, without the first; `headers` by lower-case name."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def segments(self) -> list[str]:
+        return self.path.split("/")[2:]
+
+
+@attrs.frozen
+class Answer:
+    """A status and a JSON value; `retry_after` in s."""
+
+    status: int
+    body: Any = attrs.field(factory=dict)
+    retry_after: float | None = None
+
+    def wire(self, close: bool) -> bytes:
+        body = json.dumps(self.body, separators=(",", ":")).encode()
+        head = f"HTTP/1.1 {self.status} {STATUSES.get(self.status, 'Status')}\r\n"
+        head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        if self.retry_after is not None:
+            head += f"Retry-After: {self.retry_after:g}\r\n"
+        if close:
+            head += "Connection: close\r\n"
+        return head.encode() + b"\r\n" + body
+
+
+def refusal(status: int, why: str, retry_after: float | None = None) -> Answer:
+    return Answer(status, {"error": why}, retry_after)
+
+
+Take = Callable[[Request], Answer]
+
+
+class Resource:
+    """Takes the calls of one resource: its methods `put`, `get`, ... are what may be called."""
+
+    body_most = BODY_MOST
+
+    def take(self, request: Request) -> Answer:
+        method = getattr(self, request.method.lower(), None) if request.method in METHODS else None
+        return method(request) if method else refusal(405, f"no {request.method} here")
+
+
+METHODS = frozenset(("GET", "PUT", "PATCH", "POST", "DELETE"))
+
+
+class _Reading:
+    """The parser's callbacks: whole requests come to `done`; `wrong` is the answer to one that cannot be."""
+
+    def __init__(self, body_most: Callable[[str], int]) -> None:
+        self.done: list[tuple[Request, bool]] = []
+        self.wrong: Answer | None = None
+        self.under_way = self.expects = False
+        self._body_most = body_most
+        self.parser = httptools.HttpRequestParser(self)
+
+    def on_message_begin(self) -> None:
+        self.under_way, self.expects = True, False
+        self._url, self._body, self._headers = b"", bytearray(), dict[str, str]()
+        self._size, self._most = 0, 0
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._count(name + value)
+
+    def _count(self, data: bytes) -> None:
+        self._size += len(data) + 4
+        if self._size > HEAD_MOST:
+            self.wrong = refusal(431, f"more than {HEAD_MOST} bytes of headers")
+
+    def on_headers_complete(self) -> None:
+        self._path, _, self._query = self._url.decode("latin-1").partition("?")
+        self._most = self._body_most(self._path)
+        length = self._headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self._most:
+            self.wrong = refusal(413, f"more than {self._most} bytes")
+        self.expects = self._headers.get("expect", "").lower() == "100-continue"
+
+    def on_body(self, data: bytes) -> None:
+        self.expects = False
+        if len(self._body) + len(data) > self._most:
+            self.wrong = refusal(413, f"more than {self._most} bytes")
+        else:
+            self._body += data
+
+    def on_message_complete(self) -> None:
+        self.under_way = self.expects = False
+        query = {key: values[-1] for key, values in parse_qs(self._query).items()}
+        method = self.parser.get_method().decode("latin-1")
+        request = Request(method, self._path, query, self._headers, bytes(self._body))
+        self.done.append((request, self.parser.should_keep_alive()))
+
+    def feed(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.wrong = self.wrong or refusal(400, f"not HTTP: {error}")
+
+
+class Door:
+    """Listens at one address; `resources` by the first segment of the path."""
+
+    def __init__(self, address: Address, resources: Mapping[str, Resource]) -> None:
+        self._resources = resources
+        self._open: dict[socket.socket, bool] = {}  # connection -> whether a call is at work on it
+        self.leaving = False
+        self._server = StreamServer(address, self._connection, backlog=1024)
+        self._server.reuse_addr = 1  # type: ignore[misc]
+
+    def start(self) -> None:
+        """Raises OSError where the address cannot be had."""
+        self._server.start()
+
+    def leave(self) -> None:
+        """Take no connection and no call more; what is at work is answered."""
+        self.leaving = True
+        self._server.close()
+        for sock, busy in list(self._open.items()):
+            if not busy:
+                sock.close()
+
+    @property
+    def busy(self) -> bool:
+        return any(self._open.values())
+
+    def _resource(self, path: str) -> Resource | None:
+        return self._resources.get(path.partition("/")[2].partition("/")[0])
+
+    def _body_most(self, path: str) -> int:
+        resource = self._resource(path)
+        return resource.body_most if resource else BODY_MOST
+
+    def _answer(self, request: Request) -> Answer:
+        resource = self._resource(request.path)
+        return resource.take(request) if resource else refusal(404, f"nothing at {request.path[:100]}")
+
+    def _connection(self, sock: socket.socket, _: Address) -> None:
+        self._open[sock] = False
+        try:
+            tune(sock)
+            self._serve(sock)
+        except OSError:
+            pass
+        finally:
+            del self._open[sock]
+            sock.close()
+
+    def _serve(self, sock: socket.socket) -> None:
+        reading, began = _Reading(self._body_most), 0.0
+        while not self.leaving:
+            left = began + READ_S - time.monotonic() if reading.under_way else IDLE_S
+            sock.settimeout(max(0.01, left))
+            try:
+                data = sock.recv(65536)
+            except TimeoutError:
+                if reading.under_way:
+                    self._refuse(sock, refusal(408, f"not whole within {READ_S:g} s"))
+                return
+            if not data:
+                return
+            if not reading.under_way:
+                began = time.monotonic()
+            reading.feed(data)
+            self._open[sock] = True
+            for request, keep in reading.done:
+                answer = self._answer(request)
+                keep = keep and not self.leaving
+                sock.settimeout(READ_S)
+                sock.sendall(answer.wire(not keep))
+                if not keep:
+                    return
+            self._open[sock] = False
+            reading.done.clear()
+            if reading.wrong:
+                return self._refuse(sock, reading.wrong)
+            if reading.expects:
+                reading.expects = False
+                sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    @staticmethod
+    def _refuse(sock: socket.socket, answer: Answer) -> None:
+        """Answer and end; what still comes is read for a moment, or closing would reset the answer."""
+        sock.settimeout(0.5)
+        sock.sendall(answer.wire(True))
+        sock.shutdown(socket.SHUT_WR)
+        until = time.monotonic() + 0.5
+        while time.monotonic() < until and sock.recv(65536):
+            pass
--- /dev/null
+++ b/pegboard/resources.py
@@ -0,0 +1,144 @@
+"""What workers, operators, clients and the command line may call: one handler object a resource."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from jig.configuration import whole
+from jig.settings import Settings
+from pegboard import events
+from pegboard.door import Answer, Request, Resource, refusal
+from pegboard.records import read_beat, read_json
+from pegboard.registry import Registry
+from pegboard.store import Store
+from workbench.events import tell
+from workbench.faults import Fault
+
+AGAIN_S = 0.3  # Retry-After where there was no clear answer
+TTL = "1s"
+Ring = Callable[[], None]  # tells whoever holds a call open that there may be news
+
+
+class Instances(Resource):
+    """PUT and DELETE /instances/ID: beats of workers, answered at once."""
+
+    def __init__(self, registry: Registry, ring: Ring) -> None:
+        self._registry, self._ring = registry, ring
+
+    def put(self, request: Request) -> Answer:
+        now = time.monotonic()
+        key = self._key(request)
+        if key is None:
+            return refusal(400, "PUT /instances/ID")
+        said = read_beat(request.body, now)
+        if isinstance(said, Fault):
+            return refusal(400, said.detail)
+        self._registry.beat(key, said, now)
+        self._ring()
+        return Answer(200, {"HeartbeatTarget": self._registry.target(said.zone, now)})
+
+    def delete(self, request: Request) -> Answer:
+        key = self._key(request)
+        if key is None:
+            return refusal(400, "DELETE /instances/ID")
+        self._registry.leave(key, time.monotonic())
+        self._ring()
+        tell(events.WORKER_GONE, worker=key)
+        return Answer(200)
+
+    @staticmethod
+    def _key(request: Request) -> str | None:
+        segments = request.segments
+        return segments[0] if len(segments) == 1 and 0 < len(segments[0]) <= 200 else None
+
+
+class _Orders(Resource):
+    """Orders of the operator: answered by the store, and by nobody before it."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def _order(self, kind: str, if_match: str | None, body: Any, size: int = 0) -> Answer:
+        answer = self._store.submit(kind, if_match, body, size)
+        if isinstance(answer, Fault):
+            tell(events.ORDER, kind=kind, fault=answer)
+            return refusal(503, f"no clear answer: {answer.reason}", AGAIN_S)
+        status = answer["status"]
+        why = answer.get("reason") or ""
+        tell(events.ORDER, kind=kind, status=status, index=answer.get("index"), reason=why)
+        if status == 200:
+            return Answer(200)
+        return refusal(status, why, AGAIN_S if status == 503 else None)
+
+
+class Config(_Orders):
+    """GET, PUT and PATCH /config."""
+
+    body_most = 8 << 20
+
+    def get(self, request: Request) -> Answer:
+        answer = self._store.read()
+        if isinstance(answer, Fault):
+            return refusal(503, f"no clear answer: {answer.reason}", AGAIN_S)
+        if not answer["objects"].get("Version"):
+            return refusal(404, "there is no configuration yet")
+        return Answer(200, whole(answer["objects"]))
+
+    def put(self, request: Request) -> Answer:
+        return self._change("put", request)
+
+    def patch(self, request: Request) -> Answer:
+        return self._change("patch", request)
+
+    def _change(self, kind: str, request: Request) -> Answer:
+        value = read_json(request.body)
+        if isinstance(value, Fault):
+            return refusal(400, value.detail)
+        if not isinstance(value, dict):
+            return refusal(400, "the body is no JSON object")
+        if_match = request.headers.get("if-match")
+        return self._order(kind, if_match.strip().strip('"') if if_match else None, value, len(request.body))
+
+
+class Evacuation(_Orders):
+    """POST and DELETE /evacuation/ZONE."""
+
+    def __init__(self, store: Store, settings: Callable[[], Settings]) -> None:
+        super().__init__(store)
+        self._settings = settings
+
+    def post(self, request: Request) -> Answer:
+        return self._zone("evacuate", request)
+
+    def delete(self, request: Request) -> Answer:
+        return self._zone("restore", request)
+
+    def _zone(self, kind: str, request: Request) -> Answer:
+        zone = "/".join(request.segments)
+        if zone not in self._settings().zones:
+            return refusal(404, f"no zone {zone[:100]}")
+        return self._order(kind, None, zone)
+
+
+class Lookup(Resource):
+    """GET /lookup?Name=&Region=&Zone=: where a client goes."""
+
+    def __init__(self, registry: Registry) -> None:
+        self._registry = registry
+
+    def get(self, request: Request) -> Answer:
+        zone, region = request.query.get("Zone", ""), request.query.get("Region", "")
+        found = self._registry.lookup(zone, region, time.monotonic())
+        if isinstance(found, Fault):
+            return refusal(503, found.detail, AGAIN_S)
+        return Answer(200, {"Addresses": found, "Ttl": TTL})
+
+
+class Status(Resource):
+    """GET /status: what this registry knows, for the command line."""
+
+    def __init__(self, registry: Registry) -> None:
+        self._registry = registry
+
+    def get(self, request: Request) -> Answer:
+        return Answer(200, self._registry.status(time.monotonic()))
