--- /dev/null
+++ b/trials/gauge_play.py
@@ -0,0 +1,177 @@
+"""Plays a scene of the limiter: gatekeepers, pegboards that sum, clients, on simulated time.
+
+A scene is a text file, a line a word and its figures:
+  gatekeepers N | pegboards N | rate R BURST | usual R | seconds S | skew A (0 even) | clump N (at once)
+  wave SHARE PERIOD_S | hot AT FOR X | cut AT FOR COUNT | kill AT DOWN_S SHARE | quota AT R BURST
+Figures of a play: the worst window over the bound, the share refused while calm, hot let in over rate.
+"""
+
+import math
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from gauge.limits import Counts, Limiter
+
+TICK = 0.02
+SCENES = Path(__file__).parent / "scenes"
+LEASE, FENCE, PULL = 2.0, 5.0, 0.25
+
+
+@dataclass(frozen=True)
+class Bounds:
+    quota_window: float = 5.0
+    quota_overrun: float = 0.1
+    quota_slack: float = 20.0
+
+
+@dataclass
+class Gatekeeper:
+    """One life of a gatekeeper, and the adds it waits to hear of."""
+
+    limiter: Limiter
+    weight: float
+    pull_at: float
+    asked: Counts = field(default_factory=dict)
+    told: dict[str, Counts] = field(default_factory=dict)
+    down_until: float = -1.0
+    cut_until: float = -1.0
+    heard_at: float = -math.inf
+    seen_at: float = -math.inf
+
+
+@dataclass
+class Figures:
+    worst: float  # worst window x bound
+    refused: float  # share of requests refused while calm
+    hot: float  # let in while hot x rate
+
+
+def read(name: str) -> list[tuple[str, list[float]]]:
+    lines = [line.split("#")[0].split() for line in (SCENES / name).read_text().splitlines()]
+    return [(words[0], [float(word) for word in words[1:]]) for words in lines if words]
+
+
+def _poisson(rng: random.Random, mean: float) -> int:
+    if mean <= 0:
+        return 0
+    limit, count, product = math.exp(-mean), 0, rng.random()
+    while product > limit:
+        count, product = count + 1, product * rng.random()
+    return count
+
+
+class Play:
+    """One scene with one seed."""
+
+    def __init__(self, scene: list[tuple[str, list[float]]], seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.steady = {word: figures for word, figures in scene}
+        self.events = [(word, f) for word, f in scene if word in ("hot", "cut", "kill", "quota")]
+        get = self.steady.get
+        self.rate, self.burst = self.steady["rate"]
+        skew = get("skew", [0.0])[0]
+        count, boards = int(self.steady["gatekeepers"][0]), int(get("pegboards", [3])[0])
+        # Sums as a pegboard knows them, by source.
+        self.boards: list[dict[str, Counts]] = [
+            {f"p{at}": {} for at in range(boards)} for _ in range(boards)]  # fmt: skip
+        self.swap_at = [self.rng.random() * PULL for _ in range(boards)]
+        self.gates = [self._start(0.0, self.rng.gammavariate(1 / skew, skew) if skew else 1.0)
+                      for _ in range(count)]  # fmt: skip
+        self.passed: list[float] = []
+        self.calm = [0, 0]
+        self.hot = [0, 0.0]
+
+    def _start(self, now: float, weight: float) -> Gatekeeper:
+        limiter = Limiter(random.Random(self.rng.random()), Bounds())
+        limiter.set_quota("t", self.rate, self.burst)
+        limiter.set_members(now, int(self.steady["gatekeepers"][0]))
+        return Gatekeeper(limiter, weight, now + self.rng.random() * PULL)
+
+    def run(self) -> Figures:
+        now, end = 0.0, self.steady["seconds"][0]
+        while now < end:
+            for at in range(len(self.boards)):
+                if now >= self.swap_at[at]:
+                    self.swap_at[at] = now + PULL + 0.04 * self.rng.random()
+                    for other, board in enumerate(self.boards):
+                        self.boards[at][f"p{other}"] = dict(board[f"p{other}"])
+            self._happen(now)
+            for at, gate in enumerate(self.gates):
+                if now >= gate.down_until and now >= gate.cut_until and now >= gate.pull_at:
+                    self._pull(now, at, gate)
+            self._arrivals(now)
+            now += TICK
+        bounds = Bounds()
+        most = (self.rate * 5 + self.burst) * (1 + bounds.quota_overrun) + bounds.quota_slack
+        return Figures(_worst(self.passed, 5.0) / most, self.calm[1] / max(1, self.calm[0]),
+                       self.hot[0] / max(1.0, self.hot[1] * self.rate))  # fmt: skip
+
+    def _happen(self, now: float) -> None:
+        for word, figures in self.events:
+            if not figures[0] <= now < figures[0] + TICK:
+                continue
+            live = [gate for gate in self.gates if now >= gate.down_until]
+            if word == "cut":
+                for gate in self.rng.sample(live, int(figures[2])):
+                    gate.cut_until = now + figures[1]
+            if word == "kill":
+                for gate in self.rng.sample(live, int(figures[2] * len(live))):
+                    fresh = self._start(now, gate.weight)
+                    gate.limiter, gate.told, gate.asked = fresh.limiter, {}, {}
+                    gate.down_until = now + figures[1] * (0.7 + 0.6 * self.rng.random())
+                    gate.pull_at, gate.heard_at = gate.down_until + fresh.pull_at - now, -math.inf
+            if word == "quota":
+                self.rate, self.burst = figures[1:]
+                for gate in self.gates:
+                    gate.limiter.set_quota("t", self.rate, self.burst)
+
+    def _pull(self, now: float, at: int, gate: Gatekeeper) -> None:
+        """The answer to the last call, and the next call. What was asked was added when the call came."""
+        index = at % len(self.boards)
+        board = self.boards[index]
+        gate.limiter.confirmed(gate.asked)
+        changed = {name: {t: s for t, s in sums.items() if gate.told.get(name, {}).get(t) != s}
+                   for name, sums in board.items() if name not in gate.told or gate.told[name] != sums}
+        gate.limiter.heard(now, changed)
+        gate.told = {name: dict(sums) for name, sums in board.items()}
+        gate.heard_at = gate.seen_at = now
+        gate.limiter.set_members(now, sum(now - other.seen_at <= LEASE for other in self.gates))
+        gate.asked = gate.limiter.fresh()
+        for tenant, (total, declined) in gate.asked.items():
+            old = board[f"p{index}"].get(tenant, (0, 0))
+            board[f"p{index}"][tenant] = (old[0] + total, old[1] + declined)
+        gate.pull_at = now + PULL + 0.02 + 0.03 * self.rng.random()
+
+    def _arrivals(self, now: float) -> None:
+        usual = self.steady["usual"][0]
+        share, period = self.steady.get("wave", [0.0, 1.0])
+        usual *= 1 + share * math.sin(2 * math.pi * now / period)
+        clump = int(self.steady.get("clump", [1])[0])
+        is_hot, calm = False, now > 2
+        for word, f in self.events:
+            if word == "hot" and f[0] <= now < f[0] + f[1]:
+                usual, is_hot = usual * f[2], True
+            if word in ("hot", "quota") and f[0] - 0.1 <= now < f[0] + (f[1] if word == "hot" else 99) + 3:
+                calm = False
+        live = [g for g in self.gates if now >= g.down_until and now - g.heard_at <= FENCE or now < 2]
+        weights = sum(gate.weight for gate in live)
+        for gate in live:
+            for _ in range(_poisson(self.rng, usual * TICK * gate.weight / weights / (1 + clump) * 2)):
+                for _ in range(self.rng.randint(1, clump)):
+                    passes = gate.limiter.admit(now, "t") is None
+                    if passes:
+                        self.passed.append(now)
+                    self.calm[0] += calm
+                    self.calm[1] += calm and not passes
+                    self.hot[0] += is_hot and passes
+        self.hot[1] += TICK * is_hot
+
+
+def _worst(times: list[float], span: float) -> int:
+    first = worst = 0
+    for at, time in enumerate(times):
+        while times[first] < time - span:
+            first += 1
+        worst = max(worst, at - first + 1)
+    return worst
