--- a/toolbox/showing.py
+++ b/toolbox/showing.py
@@ -49,6 +49,7 @@
         f"configuration  {cell(answer.get('version'))}, {proof}",
         f"store          leader {cell(answer.get('leader'))}, term {cell(answer.get('term'))}, "
         f"index {cell(answer.get('index'))}, {len(rows_of(answer, 'members'))} members",
+        *_sources(answer.get("sources")),
         f"gatekeepers    {len(gatekeepers)}, {ready} ready",
         f"workers        {len(workers)}",
     ]
@@ -58,6 +59,14 @@
     return lines
 
 
+def _sources(found: Any) -> list[str]:
+    """The other registries that are heard of, and for how long they have been silent."""
+    if not isinstance(found, dict) or not found:
+        return []
+    silent = {name: cell(one.get("silent")) for name, one in found.items() if isinstance(one, dict)}
+    return ["registries     " + ", ".join(f"{name} ({age} s ago)" for name, age in sorted(silent.items()))]
+
+
 def _states(workers: Rows) -> dict[str, Counter[str]]:
     found: dict[str, Counter[str]] = {}
     for row in workers:
--- /dev/null
+++ b/trials/test_jig_configuration.py
@@ -0,0 +1,133 @@
+"""Configurations: scenes of what is taken and refused, and any damage done to a sound one."""
+
+import copy
+import json
+import math
+from typing import Any
+
+from hypothesis import HealthCheck, given, seed
+from hypothesis import settings as how
+from hypothesis import strategies as st
+from ward import each, test
+
+from jig.configuration import Change, apply, digest, laid_out
+from jig.times import parse_time, show_time
+from trials.jig_play import Play, play
+from workbench.faults import Fault
+
+PUT: dict[str, Any] = {
+    "ConfigVersion": "00000007",
+    "Objects": [
+        {"ObjectType": "Routes", "Metadata": {"Name": "r"}, "Specification": {
+            "Host": "h.example", "PathPrefix": "/a/", "RouteType": "idempotent", "Timeout": "1500ms",
+            "TrafficSplit": [{"Service": "s", "Weight": 90}, {"Service": "t", "Weight": 10}], "Priority": 2}},
+        {"ObjectType": "Routes", "Metadata": {"Name": "q"}, "Specification": {
+            "Host": "h.example", "PathPrefix": "/a/b/", "Service": "s", "HomeRegions": ["x"]}},
+        {"ObjectType": "Services", "Metadata": {"Name": "s"}, "Specification": {"Warmup": "3s"}},
+        {"ObjectType": "Services", "Metadata": {"Name": "t"}, "Specification": {"MaxConnections": 110}},
+        {"ObjectType": "Tenants", "Metadata": {"Name": "u"}, "Specification": {"ApiKeys": ["k"]}},
+        {"ObjectType": "Limits", "Metadata": {}, "Specification": {"HeaderTimeout": "3000ms"}},
+    ],
+}  # fmt: skip
+PATCH = {
+    "ConfigVersion": "00000009",
+    "Upsert": {"Objects": PUT["Objects"][:2]},
+    "Withdraw": {"Tenants": ["u"]},
+}
+FLAT = st.one_of(
+    st.none(), st.booleans(), st.integers(-(10**18), 10**18), st.floats(), st.text(max_size=4),
+    st.sampled_from(["s", "t", "h.example", "/a/", "/a/b/", "-1ms", "2.5s", "0000000a", [], {}, [{}]]),
+)  # fmt: skip
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["set", "drop", "twice"]), st.integers(0, 10**6), FLAT), min_size=1, max_size=3
+)
+
+
+def damaged(body: Any, steps: list[tuple[str, int, Any]]) -> Any:
+    """A copy of `body`; each step sets, drops or doubles one value at a place drawn among all."""
+    holder = {"": copy.deepcopy(body)}
+    for what, drawn, value in steps:
+        places: list[tuple[Any, Any]] = []
+        stack: list[Any] = [holder]
+        while stack:
+            one = stack.pop()
+            inner = list(one.items() if isinstance(one, dict) else enumerate(one))
+            places += [(one, key) for key, _ in inner]
+            stack += [child for _, child in inner if isinstance(child, dict | list)]
+        one, key = places[drawn % len(places)]
+        if what == "set" or one is holder:
+            one[key] = copy.deepcopy(value)
+        elif what == "drop":
+            del one[key]
+        elif isinstance(one, list):
+            one.append(copy.deepcopy(one[key]))
+    return holder[""]
+
+
+def sound(entries: dict[str, Any]) -> bool:
+    """What the rules ask of a configuration in force, told another way than by the code under test."""
+    places = []
+    for key, route in entries.items():
+        if key.startswith("Routes/"):
+            split = route.get("TrafficSplit") or [{"Service": route["Service"], "Weight": 1}]
+            weights = [one["Weight"] for one in split]
+            if min(weights) < 0 or not 0 < sum(weights) < math.inf:
+                return False
+            if not all(f"Services/{one['Service']}" in entries for one in split):
+                return False
+            places.append((route["Host"].lower(), route["PathPrefix"]))
+    keys = [
+        (key, one)
+        for key in entries
+        if key.startswith("Tenants/")
+        for one in entries[key].get("ApiKeys") or []
+    ]
+    holders = {one: key for key, one in keys}
+    return len(set(places)) == len(places) and all(holders[one] == key for key, one in keys)
+
+
+@test("configurations: {name}")
+def _(name: str = each("jig_life.txt", "jig_valid.txt", "jig_invalid.txt")) -> None:
+    assert play(name) > 5
+
+
+@test("configurations: damage of any kind raises nothing, changes nothing given, is never half taken")
+def _() -> None:
+    verdicts = []
+
+    @seed(20)
+    @how(max_examples=400, database=None, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(st.sampled_from(["put", "patch"]), STEPS)
+    def fuzz(kind: str, steps: list[tuple[str, int, Any]]) -> None:
+        now = Play()
+        assert isinstance(now.call("put", "0", {**PUT, "ConfigVersion": "1"}), Change)
+        before = json.dumps(now.entries)
+        got = now.call(kind, "1", damaged(PUT if kind == "put" else PATCH, steps))
+        if isinstance(got, Fault):
+            assert json.dumps(now.entries) == before
+        else:
+            assert sound(now.entries)
+        verdicts.append(bool(got))
+
+    fuzz()
+    assert 0.05 < sum(verdicts) / len(verdicts) < 0.95, "neither all taken nor all refused"
+
+
+@test("configurations: equal calls have equal digests, others do not")
+def _() -> None:
+    again = json.loads(json.dumps(PUT, sort_keys=True))
+    other = damaged(PUT, [("set", 10, "x")])
+    assert digest("put", "0", PUT) == digest("put", "00000000", again) != digest("put", "1", PUT)
+    assert len({digest("put", "0", PUT), digest("patch", "0", PUT), digest("put", "0", other)}) == 3
+    change = apply({}, "put", "0", PUT)
+    assert isinstance(change, Change) and change.digest == digest("put", "0", PUT)
+    found = laid_out(PUT)
+    assert isinstance(found, dict) and sound(found)
+
+
+@test("times: a number and its unit, and nothing else")
+def _() -> None:
+    for text, seconds in {"1500ms": 1.5, "2.5s": 2.5, "0ms": 0.0, "0.125ms": 0.000125}.items():
+        assert parse_time(text) == seconds == parse_time(show_time(seconds))
+    for wrong in ("", "5", "-1s", "1 h", "1e999s", "\u0663s", "1,5s", "nans", 5, None, ["1s"]):
+        assert isinstance(parse_time(wrong), Fault), wrong
--- /dev/null
+++ b/trials/test_jig_settings.py
@@ -0,0 +1,90 @@
+"""The settings file: what is read, what stands in for what is not told, and every fault by its key."""
+
+from hypothesis import HealthCheck, given, seed
+from hypothesis import settings as how
+from hypothesis import strategies as st
+from ward import each, test
+
+from jig.settings import Bounds, Settings, parse, read
+from trials.jig_play import SCENES
+from workbench.faults import Fault
+
+PATH = str(SCENES / "jig_settings.toml")
+LINES = (SCENES / "jig_settings.toml").read_text().splitlines()
+LEAST = 'NodeName="n"\nIp="10.0.0.1"\nInternalPortRange=[7600,7601]\nSeedNodes=["10.0.0.1:80"]\n'
+WRONG = ["3", "-1", "1.5", "true", '"x"', '"3m"', '"10.0.0.1:99999"', '""', "[]", '["a"]', "[9,8]", "{}",
+         "nan", "1e400", "07:32:00", "9" * 30, '"\\u0000"', "?", ""]  # fmt: skip
+
+
+@test("settings: all that is told is read, fields that are not known are passed over")
+def _() -> None:
+    found = read(PATH)
+    assert isinstance(found, Settings), found
+    assert (found.node_name, found.ip, found.zone, found.region) == ("core-a-1", "10.1.0.11", "a", "r")
+    assert found.seeds == (("10.1.0.11", 8200), ("10.2.0.5", 8200)) and found.internal_ports == (7600, 7615)
+    assert found.bindings.control == ("10.1.0.11", 8200) and found.bindings.front is None
+    assert found.serves == ("control", "directory") and found.zones == {"a": "r"} and found.heartbeat == 1.5
+    assert (found.limits.cpu_share, found.limits.memory_mb, found.tolerance.machines) == (0.5, 296, 1)
+    assert found.bounds == Bounds(contact=4.5, revocation_strict=True, retry_slack=62.0, ttl_max=2.5)
+    assert found.bootstrap and found.quorum_member and found.data_directory == "/data/keeper"
+
+
+@test("settings: the least that a process needs is enough")
+def _() -> None:
+    found = parse(LEAST)
+    assert isinstance(found, Settings) and found.bounds == Bounds() and found.data_directory is None
+
+
+FAULTS = {
+    'Serves=["edge"]': "Bindings.Front: is missing, and the role serves edge",
+    "SeedNodes=[]": "SeedNodes: is empty",
+    "Bootstrap=1": "Bootstrap: is not true or false",
+    "Heartbeat=1500": "Heartbeat: is no time",
+    'SeedNodes=["10.0.0.1"]': "SeedNodes: is no address",
+    "[Bounds]\nRetrySlack=-1": "Bounds.RetrySlack: is below 0",
+    '[Bounds]\nRevoke="5"': "Bounds.Revoke: is no time",
+    '[Bindings]\nFront="10.0.0.1:0"': "Bindings.Front: is no address",
+    "Limits=3": "Limits: is not a table",
+    "Ip=": "is no TOML",
+}
+
+
+@test("settings: {line} is told as {fault}")
+def _(line: str = each(*FAULTS), fault: str = each(*FAULTS.values())) -> None:
+    base = [told for told in LEAST.splitlines() if told.split("=")[0] != line.split("=")[0]]
+    found = parse("\n".join([*base, line]), "f.toml")
+    assert isinstance(found, list) and len(found) == 1, found
+    assert found[0].detail.startswith(f"f.toml: {fault}"), found
+
+
+@test("settings: all faults are told at once, and a file that is not there is one")
+def _() -> None:
+    found = parse('Ip=3\nSeedNodes=["10.0.0.1:80"]\n[Bounds]\nDrain="3m"\n', "f")
+    assert isinstance(found, list)
+    keys = [fault.detail.split(": ")[1] for fault in found]
+    assert sorted(keys) == ["Bounds.Drain", "InternalPortRange", "Ip", "NodeName"]
+    missing = read(PATH + ".none")
+    assert isinstance(missing, list) and "cannot be read" in missing[0].detail
+
+
+@test("settings: damage of any kind raises nothing and is told by its place")
+def _() -> None:
+    verdicts = []
+
+    @seed(21)
+    @how(max_examples=300, database=None, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(
+        st.lists(st.tuples(st.integers(0, len(LINES) - 1), st.sampled_from(WRONG)), min_size=1, max_size=3)
+    )
+    def fuzz(steps: list[tuple[int, str]]) -> None:
+        lines = list(LINES)
+        for at, value in steps:
+            lines[at] = f"{lines[at].split(' = ')[0]} = {value}" if value else ""
+        found = parse("\n".join(lines), "f")
+        verdicts.append(isinstance(found, Settings))
+        if isinstance(found, list):
+            assert found and all(isinstance(one, Fault) and one.detail.startswith("f: ") for one in found)
+            assert not any("\n" in one.detail for one in found)
+
+    fuzz()
+    assert 0.05 < sum(verdicts) / len(verdicts) < 0.95, "neither all taken nor all refused"
