--- /dev/null
+++ b/vise/agreement.py
@@ -0,0 +1,377 @@
+"""One member of the store: events in, effects out. Invariants and their tests: docs/design/store.md.
+
+A member is blank (nothing of it counts), or follows, tries to be elected, or leads (`vise.leading`). Its durable state is
+`vote` and `state`; `Seat.keep` makes a change durable and only then goes on. While a Keep is out, events wait.
+"""
+
+import random
+from collections import deque
+from typing import Any
+
+from attrs import define, field
+
+from vise import events
+from vise.interface import (
+    BEHIND, CALL_S, DELTA, DRAWERS, ELECTION_S, HANDING_S, HEARTBEAT_S, MADE_WHOLE, MUTE_S, NOTHING, OLD,
+    UNHEARD_S, YES, Answered, Called, Effect, Event, Gone, Keep, Kept, Leave, Read, State, Submit, Tick, Vote,
+)  # fmt: skip
+from vise.leading import Decide, Lead
+from vise.ranges import Chest
+from vise.seat import MEMBERS, Broken, Seat, quorum, unpack
+from workbench.faults import INVALID, REFUSED, UNREADY, Fault
+
+JOIN_S = 0.5  # between two calls of one that is not a member
+AGAIN_S = (0.3, 0.7)  # by chance between these after an attempt: all others have been waiting as well
+GRACE_S = 0.3  # a granted pre-vote puts off one's own attempt by so much: two that try at once elect nobody
+ECHOES = 32  # rounds and steady times remembered for the proof
+
+
+@define
+class Attempt:
+    """An attempt to be elected; `term` is the one tried for."""
+
+    term: int
+    pre: bool
+    members: list[str]
+    started: float
+    votes: set[str] = field(factory=set)
+
+
+class Member(Seat):
+    """`vote` and `state`: what the disk holds, None: nothing was ever there, Fault: it cannot be read."""
+
+    def __init__(
+        self, me: str, seeds: list[str], bootstrap: bool, vote: Vote | Fault | None, state: State | Fault | None,
+        decide: Decide, chance: random.Random,
+    ) -> None:  # fmt: skip
+        held_vote = vote if isinstance(vote, Vote) else Vote(0, None, False)
+        held = state if isinstance(state, State) else State((0, 0), Chest())
+        whole = held_vote.whole and isinstance(state, State)
+        term = max(held_vote.term, held.stamp[0])
+        self._first = vote is None and state is None and bootstrap and me in seeds
+        self._was_whole = held_vote.whole and not whole  # on the disk: to be taken back
+        voted = held_vote.voted_for if term == held_vote.term else None
+        super().__init__(me, chance, Vote(term, voted, whole), held if whole else State((0, 0), Chest()))
+        self.seeds, self.decide = seeds, decide
+        self.incarnation = chance.getrandbits(31)
+        self.leader: str | None = None
+        self.lead: Lead | None = None
+        self.attempt: Attempt | None = None
+        self.staged: Chest | None = None if whole else held.chest  # what a repair has brought together so far
+        self.mute_until = self.heard_at = self.deadline = self.join_at = 0.0
+        self.leaving: float | None = None
+        self._deferred: deque[Event] = deque()
+        self._token = chance.getrandbits(30)
+        self._tokens: dict[int, float] = {}
+        self._echoes: list[tuple[int, int, int]] = []  # (round, token, commit told) of this term
+
+    # ---- running
+    def begin(self, now: float) -> list[Effect]:
+        self.now, self.effects = now, []
+        self._put_off()
+        self.heard_at = now - UNHEARD_S
+        if self._first:
+            members = {MEMBERS + ip: {} for ip in self.seeds}
+            state = State((0, 0), Chest(members))
+            self.tell(events.BEGUN, members=len(members))
+            self.keep(Vote(0, None, True), state, self._begun)
+        elif not self.vote.whole:
+            self._go_blank()
+            if self._was_whole:
+                self.keep(self.vote, None, lambda ok: None)
+        return self._done()
+
+    def _begun(self, ok: bool) -> None:
+        if not ok:
+            self._go_blank()
+
+    def _go_blank(self) -> None:
+        self.vote = self.vote._replace(whole=False)
+        self.mute_until = self.now + MUTE_S
+        self.tell(events.BLANK, incarnation=self.incarnation)
+
+    def handle(self, now: float, event: Event) -> list[Effect]:
+        """Take one event; do the effects in order. Raises Broken: stop the process."""
+        self.now, self.effects = max(now, self.now), []
+        if isinstance(event, Kept):
+            self.kept(event.ok)
+        else:
+            self._deferred.append(event)
+        while self._deferred and self.then is None:
+            self._take(self._deferred.popleft())
+        return self._done()
+
+    def _done(self) -> list[Effect]:
+        """The effects, a Keep last."""
+        if self.leaving is not None and self.lead is None and self.then is None:
+            self.effects.append(Gone())
+        return sorted(self.effects, key=lambda effect: isinstance(effect, Keep))
+
+    def due(self) -> float:
+        """When the next Tick is wanted, if nothing comes before."""
+        if self.lead:
+            return self.lead.next_beat
+        return self.deadline if self._stands() else self.join_at
+
+    def _take(self, event: Event) -> None:
+        match event:
+            case Tick():
+                self._tick()
+            case Called():
+                self._called(event)
+            case Answered(method="append") if self.lead:
+                self.lead.answered(event.peer, event.sent_at, event.context, event.body)
+            case Answered(method="ballot"):
+                self._voted(event)
+            case Answered(method="join") if isinstance(event.body, list) and event.body[0] not in (None, event.peer):
+                self.send(event.body[0], "join", [self.me, self.incarnation], None)
+            case Submit():
+                if self.lead:
+                    self.lead.submit(event.ref, event.order)
+                else:
+                    self.reply(event.ref, Fault(UNREADY, "leads not"))
+            case Read():
+                if self.lead:
+                    self.lead.read(event.ref)
+                else:
+                    self.reply(event.ref, Fault(UNREADY, "leads not"))
+            case Leave() if self.leaving is None:
+                self.leaving = self.now + HANDING_S
+                if self.lead:
+                    self.lead.leave()
+
+    def _tick(self) -> None:
+        if self.lead:
+            if self.leaving is not None and self.now >= self.leaving:
+                return self.step_down("the process ends")
+            return self.lead.tick()
+        if not self._stands():
+            if self.now >= max(self.join_at, self.mute_until) and self.now - self.heard_at >= UNHEARD_S:
+                self.join_at = self.now + JOIN_S
+                for ip in {*self.seeds, *self.members()} - {self.me}:
+                    self.send(ip, "join", [self.me, self.incarnation], None)
+        elif self.now >= self.deadline and self.leaving is None:
+            self._try()
+
+    def _stands(self) -> bool:
+        """Whether this member may stand for election."""
+        return self.vote.whole and MEMBERS + self.me in self.state.chest.map
+
+    def _put_off(self, span: tuple[float, float] = ELECTION_S) -> None:
+        self.deadline = self.now + self.chance.uniform(*span)
+
+    def _called(self, event: Called) -> None:
+        if not self.vote.whole and self.now < self.mute_until:
+            return self.reply(event.ref, Fault(UNREADY, "mute"))
+        try:
+            match event.method, event.body:
+                case "append", [int(), str(), int(), int(), int(), int(), int(), _]:
+                    self._append(event.ref, event.body)
+                case "ballot", [int(), str(), int(), int(), bool()]:
+                    self._ballot(event.ref, *event.body)
+                case "join", [str(), int()]:
+                    if self.lead:
+                        self.lead.learn(event.body[0])
+                    self.reply(event.ref, [self.leader])
+                case "succeed", [int()]:
+                    self._succeed(event.ref, event.body[0])
+                case _:
+                    self.reply(event.ref, Fault(INVALID, event.method))
+        except (ValueError, TypeError, LookupError) as error:
+            self.reply(event.ref, Fault(INVALID, str(error)))
+
+    # ---- elections
+    def _try(self) -> None:
+        """Ask whether a majority would vote for this member."""
+        self._put_off(AGAIN_S)
+        self.leader = None
+        self.attempt = Attempt(self.vote.term + 1, True, self.members(), self.now, {self.me})
+        self._ask()
+
+    def _stand(self) -> None:
+        """Ask for votes, having voted for oneself."""
+        self._put_off(AGAIN_S)
+        self.leader = None
+        self.attempt = None
+        term = self.vote.term + 1
+        self.keep(Vote(term, self.me, True), None, lambda ok: self._stood(ok, term))
+
+    def _stood(self, ok: bool, term: int) -> None:
+        if ok:
+            self.attempt = Attempt(term, False, self.members(), self.now, {self.me})
+            self._ask()
+
+    def _ask(self) -> None:
+        attempt = self.attempt
+        assert attempt is not None
+        body = [attempt.term, self.me, *self.stamp, attempt.pre]
+        for ip in attempt.members:
+            if ip != self.me:
+                self.send(ip, "ballot", body, (attempt.term, attempt.pre))
+        self._elected()
+
+    def _elected(self) -> None:
+        attempt = self.attempt
+        if attempt is None or len(attempt.votes & {*attempt.members}) < quorum(len(attempt.members)):
+            return
+        if attempt.pre:
+            return self._stand()
+        self.attempt, self.leader, self.staged = None, self.me, None
+        self._echoes = []
+        self.lead = Lead(self, self.decide)
+        self.lead.begin()
+
+    def _ballot(self, ref: Any, term: int, candidate: str, stamp_term: int, index: int, pre: bool) -> None:
+        if not self.vote.whole:
+            return self.reply(ref, Fault(UNREADY, "blank"))
+        fit = (stamp_term, index) >= self.stamp
+        if pre:
+            calm = self.lead is None and self.now - self.heard_at >= ELECTION_S[0]
+            granted = fit and calm and term > self.vote.term
+            if granted:
+                self.deadline = max(self.deadline, self.now + GRACE_S)
+            return self.reply(ref, [self.vote.term, granted])
+        if term < self.vote.term:
+            return self.reply(ref, [self.vote.term, False])
+        if term == self.vote.term and self.vote.voted_for is not None:
+            return self.reply(ref, [term, self.vote.voted_for == candidate])
+        self.step_down("a higher term")
+        self.leader = None
+        if fit:
+            self._put_off()
+        vote = Vote(term, candidate if fit else None, True)
+        if vote == self.vote:
+            return self.reply(ref, [term, False])
+        self.keep(vote, None, lambda ok: self.reply(ref, [term, fit] if ok else Fault(REFUSED, "disk")))
+
+    def _voted(self, event: Answered) -> None:
+        attempt = self.attempt
+        if isinstance(event.body, Fault) or not self.vote.whole:
+            return
+        theirs, granted = event.body
+        if theirs > (self.vote.term if attempt is None or attempt.pre else attempt.term):
+            return self.higher(theirs)
+        if attempt is None or event.context != (attempt.term, attempt.pre):
+            return
+        if granted is not True or self.now - event.sent_at >= CALL_S or self.now - attempt.started >= CALL_S:
+            return
+        attempt.votes.add(event.peer)
+        self._elected()
+
+    def _succeed(self, ref: Any, term: int) -> None:
+        if term != self.vote.term or not self._stands() or self.lead or self.leaving is not None:
+            return self.reply(ref, Fault(REFUSED, "not now"))
+        self.reply(ref, [True])
+        self._stand()
+
+    def higher(self, term: int) -> None:
+        """Someone is at a higher term: so is this member from now on."""
+        if term <= self.vote.term:
+            return
+        self.step_down("a higher term")
+        self.leader = None
+        self.keep(Vote(term, None, self.vote.whole), None, lambda ok: None)
+
+    def step_down(self, why: str) -> None:
+        self.attempt = None
+        self._echoes = []
+        if self.lead:
+            self.tell(events.STEPPED_DOWN, term=self.lead.term, why=why)
+            lead, self.lead, self.leader = self.lead, None, None
+            lead.end()
+            self._put_off()
+
+    # ---- following
+    def _append(self, ref: Any, body: list[Any]) -> None:
+        term, leader, round_, index, commit, echo, proved, payload = body
+        if term < self.vote.term:
+            return self.reply(ref, [self.vote.term, OLD, 0])
+        if term == self.vote.term and self.lead:
+            raise Broken(f"two leaders in term {term}")
+        newer = term > self.vote.term
+        if newer or self.leader != leader:
+            self.step_down("another leads")
+            self.tell(events.FOLLOWS, term=term, leader=leader)
+        self.attempt, self.leader, self.heard_at = None, leader, self.now
+        self._put_off()
+        named = (term, index)
+        self._learn(term, commit)
+        chest = self._received(payload, named)
+        vote = Vote(term, leader, self.vote.whole) if newer else None
+        restored = self._restored(payload, named)
+        state = State(named, chest) if chest is not None and named > self.stamp else None
+
+        def on(ok: bool) -> None:
+            if not ok:
+                return self.reply(ref, Fault(REFUSED, "disk"))
+            if restored:
+                self.tell(events.WHOLE, term=term, index=index)
+            if state is not None or restored:
+                self.staged = None
+            self._learn(term, commit)
+            self._proof(round_, echo, commit, proved)
+            self.reply(ref, self._answer(term, named, payload))
+
+        if restored:
+            self.keep(Vote(term, self.vote.voted_for or leader, True), self.state, on)
+        elif not self.vote.whole:  # in memory only: on the disk nothing of it may count before it is whole
+            self.vote, self.state = vote or self.vote, state or self.state
+            on(True)
+        elif vote or state:
+            self.keep(vote, state, on)
+        else:
+            on(True)
+
+    def _received(self, payload: Any, named: tuple[int, int]) -> Chest | None:
+        """The map that is named, if the payload leads to it."""
+        if not isinstance(payload, bytes):
+            return None
+        kind, *rest = unpack(payload)
+        if kind == DELTA:
+            term, index, set_, gone, digest = rest
+            if (term, index) != self.stamp:
+                return None
+            chest = self.state.chest.changed(set_, gone)
+        elif kind == DRAWERS:
+            drawers, digest = rest
+            chest = self.staged = (self.staged or self.state.chest).replaced(drawers)
+        else:
+            return None
+        return chest if chest.digest() == digest else None
+
+    def _restored(self, payload: Any, named: tuple[int, int]) -> bool:
+        """Whether the leader says that this life of a blank member counts from now on."""
+        if self.vote.whole or self.stamp != named or not isinstance(payload, bytes):
+            return False
+        return unpack(payload) == [MADE_WHOLE, self.incarnation]
+
+    def _answer(self, term: int, named: tuple[int, int], payload: Any) -> list[Any]:
+        self._token += 1
+        self._tokens[self._token] = self.now
+        while len(self._tokens) > ECHOES:
+            del self._tokens[next(iter(self._tokens))]
+        holds = self.stamp == named
+        digests = None
+        if not holds and payload is not None and self.stamp < named:
+            digests = (self.staged or self.state.chest).digests()
+        if not self.vote.whole:
+            return [term, NOTHING, self._token, self.incarnation, holds, digests]
+        return [term, YES, self._token] if holds else [term, BEHIND, self._token, digests]
+
+    def _learn(self, term: int, commit: int) -> None:
+        if commit and self.stamp == (term, commit):
+            self.committed(self.state)
+
+    def _proof(self, round_: int, echo: int, commit: int, proved: int) -> None:
+        """`echo` was this member's time before round `round_` began, when `commit` was the newest; rounds up to
+        `proved` were answered by a majority: so there was no newer leader at that time."""
+        self._echoes = [*self._echoes[-ECHOES:], (round_, echo, commit)]
+        stamp = self.news.stamp
+        for round_, echo, commit in self._echoes:
+            known = commit and stamp >= (self.vote.term, commit)
+            if round_ <= proved and known and echo in self._tokens:
+                self.proven(self._tokens[echo])
+        self._echoes = [one for one in self._echoes if one[0] > proved]
+
+
+__all__ = ["HEARTBEAT_S", "Member"]
--- /dev/null
+++ b/vise/daemon.py
@@ -0,0 +1,227 @@
+"""The store's process: one member of the agreement on sockets, disk and clock."""
+
+import os
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import gevent
+import logbook
+from gevent.event import AsyncResult, Event
+
+from jig.settings import Settings
+from vise import events
+from vise.agreement import Member
+from vise.interface import CALL_S, Answered, Called, Effect, Gone, Keep, Kept, Leave, Read, Reply, Send, State
+from vise.interface import Submit, Tell, Tick, Vote
+from vise.orders import decide
+from vise.ranges import Chest
+from vise.shelf import Shelf
+from workbench.bench import Callers, serve
+from workbench.events import BROKEN, tell
+from workbench.faults import INVALID, REFUSED, UNANSWERED, UNREACHED, UNREADY, Fault
+
+STEP_S = 0.15  # longest sleep between two looks at the clock
+SEEK_S = 0.9  # how long an order or a read waits for a leader
+ORDER_S = 5.0  # how long an order may be under way
+READ_S = 2.0
+PAUSE_S = 0.05
+WATCH_MOST_S = 30.0
+FLUSH_S = 0.05  # for the last answers to leave before the process ends
+
+
+class Disk:
+    """A member's durable state on two shelves."""
+
+    def __init__(self, folder: str) -> None:
+        self._votes, self._maps = Shelf(folder, "vote"), Shelf(folder, "map")
+
+    def read(self) -> tuple[Vote | Fault | None, State | Fault | None]:
+        vote, state = self._votes.read(), self._maps.read()
+        try:
+            if isinstance(vote, dict):
+                vote = Vote(*cbor2.loads(vote["vote"]))
+        except (cbor2.CBORDecodeError, LookupError, TypeError) as error:
+            vote = Fault(INVALID, str(error))
+        try:
+            if isinstance(state, dict):
+                term, index = cbor2.loads(state.pop("stamp"))
+                state = State((term, index), Chest().replaced({int(name): data for name, data in state.items()}))
+        except (cbor2.CBORDecodeError, LookupError, TypeError, ValueError) as error:
+            state = Fault(INVALID, str(error))
+        return vote, state
+
+    def keep(self, keep: Keep) -> Fault | None:
+        if keep.state is not None:
+            chest = keep.state.chest
+            records = {f"{number:02}": chest.packed(number) for number in chest.filled()}
+            fault = self._maps.write({**records, "stamp": cbor2.dumps([*keep.state.stamp])})
+            if fault is not None:
+                return fault
+        return None if keep.vote is None else self._votes.write({"vote": cbor2.dumps([*keep.vote])})
+
+
+class Daemon:
+    """Serves `submit`, `read`, `watch` to pegboards and `ballot`, `append`, `join`, `succeed` to members."""
+
+    def __init__(self, settings: Settings, folder: str, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock, self.port = clock, settings.internal_ports[0]
+        self.disk = Disk(folder)
+        vote, state = self.disk.read()
+        for name, held in (("vote", vote), ("map", state)):
+            if isinstance(held, Fault):
+                tell(events.UNREADABLE, level=logbook.WARNING, shelf=name, fault=held)
+        seeds = sorted({host for host, _ in settings.seeds})
+        chance = random.Random(os.urandom(16))
+        self.member = Member(settings.ip, seeds, settings.bootstrap, vote, state, decide, chance)
+        self.callers = Callers()
+        self.ended = Event()
+        self._news = Event()
+        self._leads = Event()
+        self._seen = 0
+        methods = ("ballot", "append", "join", "succeed")
+        handlers: dict[str, Callable[[Any], Any]] = {method: self._handler(method) for method in methods}
+        handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch}
+        self._todo: deque[Effect] = deque()
+        self._doing = False
+        self._do(self.member.begin(self.clock()))
+        self.server = serve((settings.ip, self.port), handlers)
+
+    def run(self) -> None:
+        """Until it has handed over."""
+        while not self.ended.is_set():
+            now = self.clock()
+            if now >= self.member.due():
+                self.feed(Tick())
+            self.ended.wait(min(STEP_S, max(0.01, self.member.due() - self.clock())))
+        gevent.sleep(FLUSH_S)
+
+    def leave(self) -> None:
+        self.feed(Leave())
+
+    # ---- the member's events and effects
+    def feed(self, event: Any) -> None:
+        self._do(self.member.handle(self.clock(), event))
+
+    def _do(self, effects: list[Effect]) -> None:
+        """Do effects in order. Nothing here gives way to other greenlets, so one write is done before all else."""
+        self._todo.extend(effects)
+        if self._doing:
+            return
+        self._doing = True
+        try:
+            while self._todo:
+                self._effect(self._todo.popleft())
+        finally:
+            self._doing = False
+        self._wake()
+
+    def _effect(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                gevent.spawn(self._call, effect, self.clock())
+            case Reply():
+                effect.ref.set(effect.body)
+            case Keep():
+                fault = self.disk.keep(effect)
+                if fault is not None:
+                    tell(events.DISK_FAULT, level=logbook.WARNING, fault=fault)
+                self._todo.extend(self.member.handle(self.clock(), Kept(fault is None)))
+            case Tell():
+                tell(effect.event, **effect.fields)
+            case Gone():
+                self.ended.set()
+
+    def _wake(self) -> None:
+        index = self.member.news.index
+        if index != self._seen:
+            self._seen = index
+            self._news.set()
+            self._news = Event()
+        if self.member.leader is not None:
+            self._leads.set()
+            self._leads = Event()
+
+    def _call(self, send: Send, sent_at: float) -> None:
+        body = self.callers.to((send.peer, self.port)).call(send.method, send.body, CALL_S)
+        self.feed(Answered(send.peer, send.method, sent_at, send.context, body))
+
+    def _handler(self, method: str) -> Callable[[Any], Any]:
+        def handler(body: Any) -> Any:
+            return self._ask(lambda ref: Called(ref, method, body), CALL_S)
+
+        return handler
+
+    def _ask(self, event: Callable[[Any], Any], timeout: float) -> Any:
+        ref: Any = AsyncResult()
+        self.feed(event(ref))
+        try:
+            return ref.get(timeout=timeout)
+        except gevent.Timeout:
+            return Fault(UNANSWERED, f"{timeout:g} s")
+
+    # ---- calls of pegboards
+    def submit(self, body: Any) -> Any:
+        """`{kind, if_match, body}` -> `{status, reason?, index}`; a Fault: no clear answer."""
+        if not isinstance(body, dict):
+            return Fault(INVALID, "submit")
+        return self._led("submit", body, lambda ref: Submit(ref, body), ORDER_S)
+
+    def read(self, body: Any) -> Any:
+        """-> `{version, objects}`: the committed map, seen after the call came."""
+        body = body if isinstance(body, dict) else {}
+        found = self._led("read", body, Read, READ_S)
+        if not isinstance(found, State):
+            return found
+        map = dict(found.chest.map)
+        return {"version": map.get("Version"), "objects": map}
+
+    def _led(self, method: str, body: dict[str, Any], event: Callable[[Any], Any], timeout: float) -> Any:
+        """Have the leader do it: this process, or the one it knows. Tried again only while nothing was begun."""
+        until = self.clock() + SEEK_S
+        found: Any = Fault(UNREADY, "no leader")
+        while True:
+            leader = self.member.leader
+            if self.member.lead is not None:
+                found = self._ask(event, timeout)
+            elif leader is not None and not body.get("passed"):
+                caller = self.callers.to((leader, self.port))
+                found = caller.call(method, {**body, "passed": True}, timeout)
+            if not isinstance(found, Fault) or found.reason not in (UNREADY, UNREACHED):
+                return found
+            if self.clock() >= until or body.get("passed"):
+                return found
+            self._leads.wait(PAUSE_S)
+
+    def watch(self, body: Any) -> Any:
+        """`{have, wait}` -> `{index, set, gone, full, age, term, leader}`, once there is more than `have`."""
+        try:
+            have, wait = int(body["have"]), min(float(body["wait"]), WATCH_MOST_S)
+        except (LookupError, TypeError, ValueError):
+            return Fault(INVALID, "watch")
+        until = self.clock() + wait
+        while self.member.news.index <= have and self.clock() < until:
+            self._news.wait(max(0.0, until - self.clock()))
+        news = self.member.news
+        age = self.clock() - news.proof
+        told = {"age": age if age < 1e6 else None, "term": self.member.vote.term, "leader": self.member.leader}
+        return {**news.since(have), **told}
+
+
+def stop_on_broken(hub: Any) -> None:
+    """An error that nobody handles in a greenlet is a broken invariant: the process ends, the bench starts it again."""
+
+    def broken(context: Any, kind: Any, value: Any, trace: Any) -> None:
+        if kind is not None and issubclass(kind, (KeyboardInterrupt, SystemExit, gevent.GreenletExit)):
+            return
+        tell(BROKEN, level=logbook.CRITICAL, error=repr(value))
+        hub.print_exception(context, kind, value, trace)
+        os._exit(70)
+
+    hub.handle_error = broken
+
+
+__all__ = ["REFUSED", "Daemon", "stop_on_broken"]
--- /dev/null
+++ b/vise/events.py
@@ -0,0 +1,17 @@
+"""Numbered events of the store (2xx). The catalogue is docs/events.md."""
+
+from typing import Final
+
+LEADS: Final = (201, "leads")
+FOLLOWS: Final = (202, "follows")
+STEPPED_DOWN: Final = (203, "leads no longer")
+COMMITTED: Final = (204, "change committed")
+BLANK: Final = (205, "has nothing that counts: waits to be restored")
+WHOLE: Final = (206, "restored: a member again")
+BEGUN: Final = (207, "first membership written")
+RESTORING: Final = (208, "a blank process is restored")
+JOINED: Final = (209, "a member joins")
+HANDED_ON: Final = (210, "names its successor")
+DISK_FAULT: Final = (211, "the disk refused")
+UNREADABLE: Final = (212, "a shelf cannot be read whole")
+MENDED: Final = (213, "mended by ranges")
--- /dev/null
+++ b/vise/interface.py
@@ -0,0 +1,149 @@
+"""What goes into a member of the store and what comes out. Times are seconds of the steady clock."""
+
+from typing import Any, Final, NamedTuple
+
+from attrs import frozen
+
+from vise.ranges import Chest
+
+Stamp = tuple[int, int]  # (term, index): which accepted map is newer
+Event = Any  # one of the events below
+Effect = Any  # one of the effects below
+
+CALL_S: Final = 0.8  # an answer to `ballot` or `append` counts only within this time of its sending
+MUTE_S: Final = 2 * CALL_S  # a blank member says nothing for so long: no yes of its former life counts by then
+HEARTBEAT_S: Final = 0.15
+ELECTION_S: Final = (0.6, 1.2)  # by chance between these, without word from a leader
+UNHEARD_S: Final = 1.2  # a leader that has not heard a majority for so long leads no longer
+HANDING_S: Final = 0.4  # at most this long to hand over after SIGTERM
+CHUNK: Final = 32 << 10  # bytes of a call's payload, about: it must pass a narrow link within CALL_S
+WAITING_MOST: Final = 64  # proposals waiting at the leader
+
+# Answers to `append`: `[term, code, token, *more]`.
+YES: Final = 1  # holds the named stamp, durably
+BEHIND: Final = 2  # follows, but does not hold it; more: digests if asked for, else null
+OLD: Final = 3  # is at a higher term
+NOTHING: Final = 4  # blank; more: incarnation, whether it holds the named map, digests or null
+# Payloads of `append` (cbor2, compressed): `[DELTA, prev term, prev index, set, gone, digest]`,
+# `[DRAWERS, {number: packed}, digest]`, `[MADE_WHOLE, incarnation]`.
+DELTA: Final = 1
+DRAWERS: Final = 2
+MADE_WHOLE: Final = 3
+
+
+class Vote(NamedTuple):
+    """What must never be forgotten besides the map: `whole` is False while nothing of this member counts."""
+
+    term: int
+    voted_for: str | None
+    whole: bool
+
+
+class State(NamedTuple):
+    """An accepted map under its stamp."""
+
+    stamp: Stamp
+    chest: Chest
+
+
+class Work(NamedTuple):
+    """What an order changes, and its answer once that is committed."""
+
+    set: dict[str, Any]
+    gone: list[str]
+    answer: Any
+
+
+class Settled(NamedTuple):
+    """An order that changes nothing; its answer stands once the leader is seen to lead still."""
+
+    answer: Any
+
+
+# ---- events
+@frozen
+class Tick:
+    pass
+
+
+@frozen
+class Called:
+    """Another member calls; answered by a Reply with the same `ref`."""
+
+    ref: Any
+    method: str  # ballot, append, join, succeed
+    body: Any
+
+
+@frozen
+class Answered:
+    """The outcome of a Send: a body or a Fault."""
+
+    peer: str
+    method: str
+    sent_at: float
+    context: Any
+    body: Any
+
+
+@frozen
+class Kept:
+    """The Keep before this is durable, or (`ok` False) may or may not be."""
+
+    ok: bool
+
+
+@frozen
+class Submit:
+    """An order; answered by a Reply: its answer, or a Fault: UNREADY not begun, UNANSWERED in doubt."""
+
+    ref: Any
+    order: Any
+
+
+@frozen
+class Read:
+    """Answered by a Reply with the committed State, or a Fault."""
+
+    ref: Any
+
+
+@frozen
+class Leave:
+    """SIGTERM has come."""
+
+
+# ---- effects
+@frozen
+class Send:
+    """Call `method` at the member `peer`, with the time-out CALL_S; Answered brings `context` back."""
+
+    peer: str
+    method: str
+    body: Any
+    context: Any
+
+
+@frozen
+class Reply:
+    ref: Any
+    body: Any
+
+
+@frozen
+class Keep:
+    """Make these durable, the state first, then feed Kept. Always the last of a member's effects."""
+
+    vote: Vote | None
+    state: State | None
+
+
+@frozen
+class Tell:
+    event: tuple[int, str]
+    fields: dict[str, Any]
+
+
+@frozen
+class Gone:
+    """Handed over: the process may end."""
--- /dev/null
+++ b/vise/seat.py
@@ -0,0 +1,107 @@
+"""What a member has in every role: its durable state, its effects, the committed map."""
+
+import random
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from vise.interface import Effect, Keep, Reply, Send, Stamp, State, Tell, Vote
+from vise.news import News
+
+MEMBERS = "Members/"
+
+
+class Broken(Exception):
+    """An invariant of the agreement does not hold: the process must stop."""
+
+
+def pack(payload: list[Any]) -> bytes:
+    return zlib.compress(cbor2.dumps(payload), 1)
+
+
+def unpack(payload: bytes) -> list[Any]:
+    """Raises ValueError."""
+    try:
+        value = cbor2.loads(zlib.decompress(payload))
+    except (zlib.error, cbor2.CBORDecodeError) as error:
+        raise ValueError(str(error)) from None
+    if not isinstance(value, list):
+        raise ValueError("no payload")
+    return value
+
+
+def quorum(members: int) -> int:
+    return members // 2 + 1
+
+
+class Seat:
+    """Durable state changes only through `keep`; nothing that depends on it is said before it is kept."""
+
+    def __init__(self, me: str, chance: random.Random, vote: Vote, state: State) -> None:
+        self.me, self.chance = me, chance
+        self.vote, self.state = vote, state
+        self.now = 0.0
+        self.news = News()
+        self.effects: list[Effect] = []
+        self.then: Callable[[bool], None] | None = None
+        self._keeping: tuple[Vote | None, State | None] = (None, None)
+
+    # ---- effects
+    def keep(self, vote: Vote | None, state: State | None, then: Callable[[bool], None]) -> None:
+        """Make these durable and go on with `then(ok)`. Last thing a handler does."""
+        if self.then is not None:
+            raise Broken("two writes at a time")
+        if vote is not None and vote.term < self.vote.term:
+            raise Broken(f"term {vote.term} after {self.vote.term}")
+        if vote is not None and vote.term == self.vote.term and self.vote.voted_for not in (None, vote.voted_for):
+            raise Broken(f"a second vote in term {vote.term}")
+        if state is not None and self.vote.whole and state.stamp <= self.state.stamp:
+            raise Broken(f"stamp {state.stamp} after {self.state.stamp}")
+        self._keeping, self.then = (vote, state), then
+        self.effects.append(Keep(vote, state))
+
+    def kept(self, ok: bool) -> None:
+        vote, state = self._keeping
+        then, self.then = self.then, None
+        if then is None:
+            raise Broken("kept what was not to be kept")
+        if ok:
+            self.vote = vote or self.vote
+            self.state = state or self.state
+        then(ok)
+
+    def send(self, peer: str, method: str, body: Any, context: Any) -> None:
+        self.effects.append(Send(peer, method, body, context))
+
+    def reply(self, ref: Any, body: Any) -> None:
+        if ref is not None:
+            self.effects.append(Reply(ref, body))
+
+    def tell(self, event: tuple[int, str], **fields: Any) -> None:
+        self.effects.append(Tell(event, fields))
+
+    # ---- state
+    @property
+    def stamp(self) -> Stamp:
+        return self.state.stamp
+
+    def members(self, state: State | None = None) -> list[str]:
+        """The members of the newest accepted map, in order."""
+        map = (state or self.state).chest.map
+        return sorted(key.removeprefix(MEMBERS) for key in map if key.startswith(MEMBERS))
+
+    def committed(self, state: State) -> None:
+        self.news.advance(state)
+
+    def proven(self, at: float) -> None:
+        """The committed map was the newest of all at the steady time `at`."""
+        self.news.proof = max(self.news.proof, at)
+
+    # ---- the member's part
+    def step_down(self, why: str) -> None:
+        raise NotImplementedError
+
+    def higher(self, term: int) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/vise/shelf.py
@@ -0,0 +1,122 @@
+"""A shelf: records that last through kills and losses of power, on two generations of `dbm.dumb`.
+
+`dbm.dumb` writes in place, never syncs and cannot open a torn index. So a write goes to the generation that is not the
+newest, only what differs there, and counts once data, index and folder are synced. Each generation holds all
+records, its number and a digest over both. Opened is the newest one that reads whole; the other may be in any state.
+"""
+
+import contextlib
+import dbm.dumb
+import hashlib
+import os
+from collections.abc import Mapping
+from typing import Any, Final
+
+import cbor2
+
+from workbench.faults import INVALID, REFUSED, Fault
+
+_HEAD: Final = "head"  # the record with `[number, digest]`
+_NAMES: Final = ("a", "b")
+SPARE: Final = 64 << 10  # bytes a generation may waste, beyond twice its records, before it is written anew
+
+
+def _sync(path: str) -> None:
+    fd = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def _digest(number: int, records: Mapping[str, bytes]) -> bytes:
+    made = hashlib.blake2b(str(number).encode(), digest_size=16)
+    for name in sorted(records):
+        made.update(f"{name} {len(records[name])} ".encode())
+        made.update(records[name])
+    return made.digest()
+
+
+def _read_whole(path: str) -> tuple[int, dict[str, bytes]] | None:
+    """A generation's number and records, or None where it is absent, torn or mixed."""
+    base = None
+    try:
+        base = dbm.dumb.open(path, "r")
+        found = {name.decode(): base[name] for name in base.keys()}  # noqa: SIM118
+        number, digest = cbor2.loads(found.pop(_HEAD))
+        return (number, found) if digest == _digest(number, found) else None
+    except Exception:  # a torn index can hold anything: whatever it raises, it does not read whole
+        return None
+    finally:
+        if base is not None:
+            base.close()
+
+
+class Shelf:
+    """Records `name -> bytes` under `folder/name`. Not for two processes at a time."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        self._folder, self._path = folder, os.path.join(folder, name)
+        self._number = 0
+        self._bases: list[Any] = [None, None]
+        self._held: list[dict[str, bytes] | None] = [None, None]  # what each generation is known to hold
+
+    def read(self) -> dict[str, bytes] | Fault | None:
+        """The newest records, None if nothing was ever written here, or a Fault if nothing reads whole."""
+        try:
+            os.makedirs(self._folder, exist_ok=True)
+            there = os.listdir(self._folder)
+        except OSError as error:
+            return Fault(REFUSED, str(error))
+        found = [_read_whole(f"{self._path}-{name}") for name in _NAMES]
+        whole = [one for one in found if one is not None]
+        if not whole:
+            mine = os.path.basename(self._path) + "-"
+            return Fault(INVALID, self._path) if any(file.startswith(mine) for file in there) else None
+        self._number, records = max(whole, key=lambda one: one[0])
+        try:  # a killed process may have left it whole but not durable, and the next write goes over the other one
+            self._settle(f"{self._path}-{_NAMES[self._number % 2]}")
+        except OSError as error:
+            return Fault(REFUSED, str(error))
+        return records
+
+    def write(self, records: Mapping[str, bytes]) -> Fault | None:
+        """Keep exactly `records`, durably once this returns None. A Fault: the old or the new ones are kept."""
+        number = self._number + 1
+        which = number % 2
+        path = f"{self._path}-{_NAMES[which]}"
+        held, self._held[which] = self._held[which], None
+        try:
+            base = self._open(which, path, held, records)
+            known = held if held is not None and base is self._bases[which] else {}
+            for name in [name for name in known if name not in records]:
+                del base[name]
+            for name, data in records.items():
+                if known.get(name) != data:
+                    base[name] = data
+            base[_HEAD] = cbor2.dumps([number, _digest(number, records)])
+            base.sync()
+            self._settle(path)
+        except OSError as error:
+            return Fault(REFUSED, str(error))
+        self._bases[which], self._held[which], self._number = base, dict(records), number
+        return None
+
+    def _settle(self, path: str) -> None:
+        _sync(path + ".dat")
+        _sync(path + ".dir")
+        _sync(self._folder)
+
+    def _open(self, which: int, path: str, held: dict[str, bytes] | None, records: Mapping[str, bytes]) -> Any:
+        """The generation to write into: as it stands if it is known and not wasteful, else a new one."""
+        base = self._bases[which]
+        if base is not None and held is not None:
+            if os.path.getsize(path + ".dat") < 2 * sum(map(len, records.values())) + SPARE:
+                return base
+        if base is not None:
+            with contextlib.suppress(OSError):
+                base.close()
+            self._bases[which] = None
+        os.makedirs(self._folder, exist_ok=True)
+        _sync(os.path.dirname(os.path.abspath(self._folder)))
+        return dbm.dumb.open(path, "n")
