Play scenes on the registry: moved beats, leases, silent sources, sums, the word's index

A registry that dropped a silent source told its askers once that it was empty; the source came back under the same version, and they never heard of its workers again (found by the silence scene). Now a source is named as alive only while it was heard within a second, and askers drop it themselves.

--- a/pegboard/loops.py
+++ b/pegboard/loops.py
@@ -69,10 +69,10 @@
             have = body["have"]
             until = began + min(WAIT_S, max(LEAST_S, body["wait"]))
             while not registry.lacks(have) and bell.wait(until):
-                if registry.lacks(have):
-                    gevent.sleep(GATHER_S)
-            now = time.monotonic()
-            return registry.answer(have, body["zone"], body["region"], now - began, now)
+                pass
+            if have and registry.lacks(have) and not bell.leaving:
+                gevent.sleep(GATHER_S)
+            return registry.answer(body, began, time.monotonic())
         finally:
             bell.held -= 1
             registry.pulled(body["node"])
@@ -85,8 +85,7 @@
         bell.held += 1
         try:
             while not registry.lacking(*asked) and bell.wait(began + WAIT_S):
-                if registry.lacking(*asked):
-                    gevent.sleep(GATHER_S)
+                pass
             return registry.told(*asked, time.monotonic())
         finally:
             bell.held -= 1
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -4,10 +4,12 @@
 other than a sum has changed: whoever holds a call open looks again.
 """
 
+import zlib
 from collections.abc import Mapping
 from typing import Any, Final
 
 import attrs
+import cbor2
 
 from pegboard.lookup import addresses
 from pegboard.records import GONE, GONE_SEQ, Session, Worker, worker
@@ -19,9 +21,10 @@
 SESSION_S: Final = 2.0  # a gatekeeper's lease from its last pull
 SILENT_S: Final = 5.0  # a source that is silent for so long is dropped
 GRAVE_S: Final = 30.0  # a DELETE is remembered for so long
-FORGET_S: Final = 1.0  # askers are told for so long that a source is dropped
+NAMED_S: Final = 1.0  # a source heard within this is named as alive: askers count its silence from then on
 PROOF_S: Final = 10.0  # an older proof says nothing
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
+PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
 STILL_S: Final = 1.0  # no tick for so long: this process stood still, the others did not fall silent
 Json = dict[str, Any]
 
@@ -88,7 +91,7 @@
         self._beats: dict[str, Beats] = {}
         self._graves: dict[str, float] = {}
         self._pulls: dict[str, Pulls] = {}
-        self._dropped: dict[str, float] = {}
+        self._pack: tuple[tuple[int | None, int], bytes | None] = (None, -1), None
 
     # ---- workers
 
@@ -150,7 +153,7 @@
     def pull(self, body: Json, now: float) -> Fault | None:
         """A gatekeeper's call has come: its session is renewed, its adds are counted."""
         try:
-            node, adds = body["node"], body.get("adds") or {}
+            node, adds, _ = body["node"], body.get("adds") or {}, dict(body["have"])
             ready = bool(body["ready"]) and not body.get("leaving")
             said = Session(body["front"], body["zone"], body["region"], ready, now)
             number, counts = adds.get("number", 0), dict(adds.get("counts") or {})
@@ -180,28 +183,35 @@
             return True
         return any(source.news(have.get(name)) for name, source in self._named())
 
-    def answer(self, have: Mapping[str, int], zone: str, region: str, held: float, now: float) -> Json:
-        """What a gatekeeper with this vector is told."""
-        found = {}
+    def answer(self, body: Json, began: float, now: float) -> Json:
+        """What a gatekeeper is told whose call came at `began`."""
+        have, found = body["have"], {}
         for name, source in self._named():
             difference = source.since(have.get(name))
             if difference:
                 found[name] = self._wire(difference, now)
         if self.word.version and (difference := self.word.since(have.get(WORD))):
-            found[WORD] = self._wire(difference, now)
-        for name in self._dropped:
-            if name in have:
-                found[name] = {"version": have[name], "full": True, "set": {}, "gone": []}
+            told = self._wire(difference, now)
+            found[WORD] = self._packed(have.get(WORD), told) if body.get("packs") else told
         age = self.age(now)
+        alive = [name for name, one in self.copies.items() if not self._late(one.heard, NAMED_S, now)]
         return {
             "sources": found,
-            "alive": [name for name, _ in self._named()] + [WORD],
+            "alive": [self.me.source, *alive, WORD],
             "age": None if age is None else round(age, 4),
-            "held": round(held, 4),
-            "controls": self.controls(zone, region, now),
+            "held": round(now - began, 4),
+            "controls": self.controls(body["zone"], body["region"], now),
             "members": len({key for source in self._sources() for key in source.values if key[0] == "g"}),
         }
 
+    def _packed(self, have: int | None, told: Json) -> Json:
+        """The same, `set` and `gone` compressed where they are large: many lack the same at once."""
+        if (have, told["version"]) != self._pack[0]:
+            data = cbor2.dumps([told["set"], told["gone"]])
+            self._pack = (have, told["version"]), zlib.compress(data, 6) if len(data) > PACK_LEAST else None
+        pack = self._pack[1]
+        return {"version": told["version"], "full": told["full"], "pack": pack} if pack else told
+
     def sessions(self, now: float) -> dict[str, Session]:
         """Gatekeepers whose leases stand, each as it was last heard."""
         found: dict[str, Session] = {}
@@ -309,7 +319,6 @@
         if copy is None or version < copy.source.version:
             return None
         self._names[ip], self.copies[name] = name, copy
-        self._dropped.pop(name, None)
         copy.heard = max(copy.heard, sent)
         solid = copy.source.solid
         if whole:
@@ -375,9 +384,7 @@
             copy = self.copies.pop(name)
             if self._names.get(copy.ip) == name:
                 del self._names[copy.ip]
-            self._dropped[name] = now
             self.news += 1
-        self._dropped = {name: at for name, at in self._dropped.items() if now - at <= FORGET_S}
         self._callers = {ip: at for ip, at in self._callers.items() if now - at <= SILENT_S}
         return [""] * still + silent
 
--- /dev/null
+++ b/trials/test_pegboard_parts.py
@@ -0,0 +1,217 @@
+"""Sources by difference, beats and calls as bytes, and what the operator's calls get. No sockets."""
+
+import json
+import random
+from typing import Any, cast
+
+from ward import each, test
+
+from jig.settings import Settings
+from pegboard.door import Answer, Request, _Reading
+from pegboard.records import Worker, read_beat
+from pegboard.registry import Registry, Self
+from pegboard.resources import Config, Evacuation, Instances
+from pegboard.source import TOMBS, Source
+from pegboard.store import Store
+from workbench.bench import Callers
+from workbench.faults import UNANSWERED, UNREACHED, UNREADY, Fault
+
+
+def take(asker: tuple[int, dict[str, Any]], source: Source) -> tuple[int, dict[str, Any]]:
+    version, records = asker
+    news = source.since(version or None)
+    if news is None:
+        return asker
+    kept = {} if news.full else {key: one for key, one in records.items() if key not in news.gone}
+    return news.version, {**kept, **news.set}
+
+
+@test("an asker that goes between a source and its copies ends with what the source holds ({seed})")
+def _(seed: int = each(*range(30))) -> None:
+    rng, origin, copies = random.Random(seed), Source(), [Source(), Source()]
+    askers: list[tuple[int, dict[str, Any]]] = [(0, {}), (0, {}), (0, {})]
+    for step in range(400):
+        key = rng.choice("wgc") + "/" + str(rng.randrange(12))
+        (origin.drop if rng.random() < 0.4 else lambda key, step=step: origin.put(key, step))(key)
+        copy = rng.choice(copies)
+        if rng.random() < 0.2:
+            if rng.random() < 0.6:
+                copy.replace(origin.version, dict(origin.values))
+            elif news := origin.since(copy.version or None):
+                whole = copy.replace if news.full else None
+                whole(news.version, news.set) if whole else copy.merge(news.version, news.set, news.gone)
+        which = rng.randrange(12)
+        if which < len(askers):
+            askers[which] = take(askers[which], rng.choice([origin, *copies]))
+    for copy in copies:
+        copy.replace(origin.version, dict(origin.values))
+    for asker in askers:
+        assert take(asker, rng.choice([origin, *copies])) == (origin.version, origin.values)
+
+
+@test("keys gone longest are forgotten, and who has not heard of them is told everything")
+def _() -> None:
+    source = Source()
+    for number in range(TOMBS + 2):
+        source.put(f"w/{number}", 1)
+    before = source.version
+    for number in range(TOMBS + 2):
+        source.drop(f"w/{number}")
+    old, new = source.since(before), source.since(before + 2)
+    assert old and old.full and not old.set
+    assert new and not new.full and len(new.gone) == TOMBS
+
+
+@test("sums are told, and wake nobody")
+def _() -> None:
+    source = Source()
+    source.put("w/1", 1)
+    source.put("c/t", [1, 0])
+    assert not source.news(1) and source.since(1) and source.news(None)
+    source.drop("w/1")
+    assert source.news(2)
+
+
+BEAT = (
+    b'{"Address":"10.128.0.9:8080","NodeInfo":{"Service":"s","ConfigVersion":"v1","Zone":"z","Capacity":2},'
+    b'"Status":{"State":"ready","CallSeq":4,"WarmupLeft":"1500ms"}}'
+)
+
+
+@test("a beat is read whole, or refused with what is wrong: {wrong}")
+def _(
+    old: str = each("", "8080", '"z"', "4,", "ready", "1500ms", '"NodeInfo"', "}}", '"s"', ":2}"),
+    new: str = each("", "0", "5", "-4,", "idle", "soon", '"Node"', "}", "NaN", ":true}"),
+    wrong: str = each("", "no port", "texts", "whole numbers", "no State", "no time", "NodeInfo is missing",
+                      "is no JSON", "NaN is no JSON", "whole numbers"),
+) -> None:  # fmt: skip
+    found = read_beat(BEAT.decode().replace(old, new, 1).encode() if old else BEAT, 10.0)
+    if wrong:
+        assert isinstance(found, Fault) and wrong in found.detail, found
+    else:
+        assert found == Worker("s", "10.128.0.9:8080", "z", 2, "ready", 4, 11.5, "v1")
+
+
+def read(data: bytes, size: int) -> _Reading:
+    reading = _Reading(lambda path: 8 if path == "/small" else 100)
+    for start in range(0, len(data), size):
+        reading.feed(data[start : start + size])
+        if reading.wrong:
+            break
+    return reading
+
+
+@test("calls are cut out of bytes, however they come ({size})")
+def _(size: int = each(1, 7, 1000)) -> None:
+    reading = read(
+        b"PUT /a?Zone=x&Name=y HTTP/1.1\r\nIf-Match: 5\r\nContent-Length: 2\r\n\r\n{}"
+        b"POST /small HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        b"GET /c/d HTTP/1.1\r\nConnection: close\r\n\r\n",
+        size,
+    )
+    first, second, third = (request for request, _ in reading.done)
+    assert first == Request("PUT", "/a", {"Zone": "x", "Name": "y"}, first.headers, b"{}")
+    assert first.headers["if-match"] == "5" and second.body == b"abcde" and third.segments == ["d"]
+    assert [keep for _, keep in reading.done] == [True, True, False] and not reading.wrong
+
+
+@test("a call that is too large or no HTTP gets its status and reaches nobody: {status}")
+def _(
+    data: bytes = each(
+        b"PUT /small HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789",
+        b"PUT /small HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n0\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nX: " + b"y" * 40000 + b"\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ),
+    status: int = each(413, 413, 431, 400),
+) -> None:
+    for size in (5, 50000):
+        reading = read(data, size)
+        assert reading.wrong and reading.wrong.status == status
+
+
+class Stores(Callers):
+    """Answers of the stores in turn, by IP; `asked` tells who was."""
+
+    def __init__(self, answers: dict[str, Any]) -> None:
+        super().__init__()
+        self.answers, self.asked = answers, list[tuple[str, Any]]()
+
+    def to(self, address: tuple[str, int]) -> Any:
+        stores = self
+
+        class One:
+            def call(self, method: str, body: Any, timeout: float) -> Any:
+                stores.asked.append((address[0], body))
+                return stores.answers[address[0]]
+
+            def close(self) -> None:
+                pass
+
+        return One()
+
+
+def store(**answers: Any) -> tuple[Store, Stores]:
+    stores = Stores(answers)
+    return Store("own", 7600, lambda: list(answers), stores), stores
+
+
+def call(method: str, path: str, body: bytes = b"", **headers: str) -> Request:
+    return Request(method, path, {}, headers, body)
+
+
+@test("an order is answered as a store says, once one does")
+def _() -> None:
+    done, away = {"status": 200, "index": 9}, Fault(UNREACHED)
+    for own, other, status, asked in (
+        (done, done, 200, ["own"]),
+        (away, done, 200, ["own", "other"]),
+        (Fault(UNREADY), {"status": 412, "reason": "stale"}, 412, ["own", "other"]),
+        (Fault(UNANSWERED), done, 503, ["own"]),  # it may have been done: the operator asks again, unchanged
+        (away, away, 503, ["own", "other"]),
+    ):
+        way, stores = store(own=own, other=other)
+        request = call("PUT", "/config", b'{"ConfigVersion":"00000001"}', **{"if-match": ' "5" '})
+        answer = Config(way).take(request)
+        assert (answer.status, [ip for ip, _ in stores.asked]) == (status, asked)
+        assert stores.asked[0][1] == {"kind": "put", "if_match": "5", "body": {"ConfigVersion": "00000001"}}
+        assert (answer.retry_after is not None) == (status == 503)
+        json.loads(answer.wire(False).partition(b"\r\n\r\n")[2])
+
+
+NO_ORDERS = [
+    (call("PUT", "/config", b'{"ConfigVersion":'), 400),
+    (call("PATCH", "/config", b"[]"), 400),
+    (call("PUT", "/config", b"[" * 100000), 400),
+    (call("POST", "/evacuation/nowhere"), 404),
+    (call("PUT", "/evacuation/za"), 405),
+]
+
+
+@test("what cannot be an order does not reach a store: {request.method} {request.path}")
+def _(
+    request: Request = each(*(one for one, _ in NO_ORDERS)),  # noqa: B008
+    status: int = each(*(one for _, one in NO_ORDERS)),
+) -> None:
+    way, stores = store(own=Fault(UNREACHED))
+    settings = Settings(node_name="n", ip="own", internal_ports=(1, 2), seeds=(), zones={"za": "ra"})
+    resource = Config(way) if request.path == "/config" else Evacuation(way, lambda: settings)
+    assert resource.take(request).status == status and not stores.asked
+    Evacuation(way, lambda: settings).take(call("DELETE", "/evacuation/za"))
+    assert stores.asked == [("own", {"kind": "restore", "if_match": None, "body": "za"})]
+
+
+@test("beats are answered at once, late ones too, and name the registry to go to")
+def _() -> None:
+    registry = Registry(Self("a", "1", "10.0.0.1", "za", "ra", 8200, 1.5), [], {}, 0.0)
+    rings: list[int] = []
+    instances = Instances(registry, lambda: rings.append(1))
+    for body, status in ((BEAT, 200), (BEAT.replace(b"4,", b"3,"), 200), (b"{}", 400)):
+        answer = instances.take(call("PUT", "/instances/i-1", body))
+        assert answer.status == status and len(answer.wire(False)) < 4096
+    assert answer == Answer(400, {"error": "NodeInfo is missing"})
+    assert cast(Worker, registry.own.values["w/i-1"]).seq == 4 and rings
+    answer = instances.take(call("PUT", "/instances/i-2", BEAT))
+    assert answer.body == {"HeartbeatTarget": "10.0.0.1:8200"}
+    assert instances.take(call("DELETE", "/instances/i-2")).status == 200
+    assert list(registry.workers()) == ["i-1"]
--- /dev/null
+++ b/trials/test_pegboard_scenes.py
@@ -0,0 +1,168 @@
+"""Plays scenes/pegboard_*.txt: registries swap on simulated time, gatekeepers pull with the proxy's ledger.
+
+  start NAME ZONE REGION     a registry (again: a new incarnation); all are members, at the IPs of their names
+  stop NAME | cut A B | join A B | sleep NAME | wake NAME
+  edge NAME ZONE REGION AT [unready]    a gatekeeper that pulls from the registry AT; `quit NAME` ends it
+  count EDGE TENANT TOTAL DECLINED | again EDGE     counts for its next pull | the last pull comes once more
+  beat AT ID seq=N [state=draining] [warm=S]        `late` after it: it must not be taken
+  delete AT ID
+  run S                      s go by: steps of 10 ms, pulls and swaps every 50 ms, ticks every 250 ms
+  check EDGE worker ID ready|draining|gone|none     what a gatekeeper believes
+  check EDGE sum TENANT TOTAL DECLINED
+  check AT lookup ZONE REGION FRONT... | unready
+  check AT answers EDGE full|difference|nothing      what the registry would tell a gatekeeper of `vise`
+  word AT INDEX AGE KEY=VALUE...                     a store's answer to watch; KEY= takes the key out
+  check AT age S|none
+"""
+
+from pathlib import Path
+from typing import Any
+
+from ward import each, test
+
+from lathe.ledger import Ledger
+from pegboard.records import GONE, Worker
+from pegboard.registry import Registry, Self
+from workbench.faults import Fault
+
+SCENES = sorted((Path(__file__).parent / "scenes").glob("pegboard_*.txt"))
+STEP = 0.01
+
+
+class Edge:
+    def __init__(self, name: str, zone: str, region: str) -> None:
+        self.name = name
+        self.body: dict[str, Any] = {
+            "node": name, "incarnation": "x", "zone": zone, "region": region, "front": name,
+        }  # fmt: skip
+        self.ledger, self.at, self.number, self.counts = Ledger(), "", 0, dict[str, list[int]]()
+
+
+class Play:
+    def __init__(self) -> None:
+        self.now, self.steps, self.starts = 100.0, 0, 0
+        self.all: dict[str, Registry] = {}
+        self.asleep: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.edges: dict[str, Edge] = {}
+
+    def start(self, name: str, zone: str, region: str) -> None:
+        self.starts += 1
+        me = Self(name, f"{self.starts:08x}", name, zone, region, 8200, 1.5)
+        self.all[name] = Registry(me, ["a", "b"], {}, self.now)
+
+    def stop(self, name: str) -> None:
+        del self.all[name]
+
+    def cut(self, one: str, other: str) -> None:
+        self.cuts.add(frozenset((one, other)))
+
+    def join(self, one: str, other: str) -> None:
+        self.cuts.remove(frozenset((one, other)))
+
+    def sleep(self, name: str) -> None:
+        self.asleep.add(name)
+
+    def wake(self, name: str) -> None:
+        self.asleep.remove(name)
+
+    def edge(self, name: str, zone: str, region: str, at: str, ready: str = "ready") -> None:
+        edge = self.edges.setdefault(name, Edge(name, zone, region))
+        edge.at, edge.body["ready"] = at, ready == "ready"
+
+    def quit(self, name: str) -> None:
+        del self.edges[name]
+
+    def count(self, name: str, tenant: str, *counts: str) -> None:
+        self.edges[name].counts[tenant] = [int(one) for one in counts]
+
+    def again(self, name: str) -> None:
+        self._pull(self.edges[name], self.edges[name].body)
+
+    def beat(self, at: str, key: str, *words: str) -> None:
+        told = {"state": "ready", "warm": "0", **dict(word.split("=") for word in words if "=" in word)}
+        until = self.now + float(told["warm"])
+        said = Worker("s", "10.0.0.9:80", "z", 2, told["state"], int(told["seq"]), until, "v")
+        assert self.all[at].beat(key, said, self.now) == ("late" not in words)
+
+    def delete(self, at: str, key: str) -> None:
+        self.all[at].leave(key, self.now)
+
+    def word(self, at: str, index: str, age: str, *pairs: str) -> None:
+        told = dict(pair.split("=") for pair in pairs)
+        values, gone = {key: one for key, one in told.items() if one}, [key for key in told if not told[key]]
+        answer = {"index": int(index), "age": float(age), "set": values, "gone": gone, "term": 1}
+        answer["full"] = not self.all[at].word.version
+        self.all[at].watched(answer, self.now, self.now)
+
+    def run(self, seconds: str) -> None:
+        for _ in range(round(float(seconds) / STEP)):
+            self.now += STEP
+            self.steps += 1
+            awake = [name for name in self.all if name not in self.asleep]
+            if self.steps % 5 == 0:
+                for name in awake:
+                    self._swaps(name, awake)
+                for edge in self.edges.values():
+                    if edge.at in awake:
+                        edge.number += 1
+                        edge.body["adds"] = {"number": edge.number, "counts": edge.counts}
+                        edge.counts = {}
+                        self._pull(edge, edge.body)
+            if self.steps % 25 == 0:
+                for name in awake:
+                    self.all[name].tick(self.now)
+
+    def _swaps(self, name: str, awake: list[str]) -> None:
+        mine = self.all[name]
+        for ip in mine.peers(self.now):
+            if ip in awake and frozenset((name, ip)) not in self.cuts:
+                asked = self.all[ip].asked(mine.ask(ip, False, self.now), self.now)
+                assert not isinstance(asked, Fault)
+                told = self.all[ip].told(*asked, self.now)
+                assert mine.heard(ip, told, self.now, self.now) is None
+
+    def _pull(self, edge: Edge, body: dict[str, Any]) -> None:
+        registry, body = self.all[edge.at], body | {"have": edge.ledger.have()}
+        assert registry.pull(body, self.now) is None
+        edge.ledger.take(self.now, self.now, registry.answer(body, self.now, self.now))
+        registry.pulled(edge.name)
+        assert not registry.lacks(edge.ledger.have())
+
+    def check(self, at: str, what: str, *words: str) -> None:
+        getattr(self, f"_check_{what}")(at, *words)
+
+    def _check_worker(self, at: str, key: str, wanted: str) -> None:
+        workers = self.edges[at].ledger.workers
+        found = "none" if key not in workers else "ready" if workers[key].ready else "draining"
+        if found == "draining" and key not in self.all[self.edges[at].at].workers():
+            found = GONE
+        assert found == wanted, found
+
+    def _check_sum(self, at: str, tenant: str, *counts: str) -> None:
+        found = [one[tenant] for one in self.edges[at].ledger.sums().values() if tenant in one]
+        assert [sum(column) for column in zip(*found, strict=True)] == [int(one) for one in counts], found
+
+    def _check_lookup(self, at: str, zone: str, region: str, *fronts: str) -> None:
+        found = self.all[at].lookup(zone, region, self.now)
+        assert (["unready"] if isinstance(found, Fault) else sorted(found)) == sorted(fronts), found
+
+    def _check_answers(self, at: str, edge: str, wanted: str) -> None:
+        told = self.all[at].word.since(self.edges[edge].ledger.have().get("vise"))
+        assert ("nothing" if told is None else "full" if told.full else "difference") == wanted, told
+
+    def _check_age(self, at: str, wanted: str) -> None:
+        age = self.all[at].age(self.now)
+        assert (wanted == "none") if age is None else abs(age - float(wanted)) < 0.001, age
+
+
+@test("registries: {path.stem}")
+def _(path: Path = each(*SCENES)) -> None:  # noqa: B008
+    play = Play()
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        words = line.partition("#")[0].split()
+        try:
+            if words:
+                getattr(play, words[0])(*words[1:])
+        except AssertionError as wrong:
+            raise AssertionError(f"{path.name}:{number}: {line}: {wrong}") from wrong
