End the registry when one of its loops ends by an error

A loop that has died leaves leases and copies standing unseen; the process now ends with status 70 and is started again. Calls' own errors still end only the call.

--- a/pegboard/__main__.py
+++ b/pegboard/__main__.py
@@ -63,7 +63,8 @@
         known = self._registry.members()
         return [ip for ip in self._registry.controls(me.zone, me.region, time.monotonic()) if ip in known]
 
-    def run(self) -> None:
+    def run(self) -> int:
+        """Until the end is asked for; the process's exit status."""
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._ended.set)
         gevent.signal_handler(signal.SIGHUP, self._read)
@@ -71,6 +72,7 @@
         for door in self._doors:
             door.start()
         self._loops.start()
+        self._loops.broken.rawlink(lambda _: self._ended.set())
         tell(STARTED, source=self._registry.me.source, seeds=",".join(self._registry.seeds))
         while not self._ended.wait(LOOK_S):
             if self._look() != self._stamp:
@@ -85,6 +87,7 @@
             gevent.sleep(0.01)
         gevent.sleep(0.02)  # answers given in the last moment are written by greenlets of their own
         self._loops.stop()
+        return 70 if self._loops.broken.is_set() else 0
 
     def _look(self) -> int:
         """A number that changes with the settings file."""
@@ -116,8 +119,7 @@
     if settings.bindings.control is None and settings.bindings.directory is None:
         tell(SETTINGS_BAD, level=logbook.ERROR, fault="neither Bindings.Control nor Bindings.Directory")
         return 2
-    Program(path, settings).run()
-    return 0
+    return Program(path, settings).run()
 
 
 if __name__ == "__main__":
--- a/pegboard/loops.py
+++ b/pegboard/loops.py
@@ -4,16 +4,18 @@
 """
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 import gevent
+import logbook
 from gevent.event import Event
 
 from pegboard import events
 from pegboard.registry import Registry
 from pegboard.store import Store
 from workbench.bench import Callers
-from workbench.events import tell
+from workbench.events import BROKEN, tell
 from workbench.faults import UNANSWERED, Fault
 
 WAIT_S = 0.25  # a call is held open for so long at most
@@ -95,14 +97,25 @@
     """Pulls from the other registries and from the store, and lets go what has lapsed."""
 
     def __init__(self, registry: Registry, store: Store, bell: Bell, callers: Callers, port: int) -> None:
+        """`port`: of the frames, alike on all machines. `broken` is set once a loop has ended by an error."""
         self._registry, self._store, self._bell, self._callers = registry, store, bell, callers
         self._port = port
         self._swaps: dict[str, gevent.Greenlet[..., None]] = {}
         self._others: list[gevent.Greenlet[..., None]] = []
+        self.broken = Event()
 
     def start(self) -> None:
-        self._keep()
-        self._others = [gevent.spawn(self._watch), gevent.spawn(self._tick)]
+        self._others = [self._spawn(self._watch), self._spawn(self._tick)]
+
+    def _spawn(self, run: Callable[..., None], *args: str) -> "gevent.Greenlet[..., None]":
+        greenlet = gevent.spawn(run, *args)
+        greenlet.link_exception(self._broken)
+        return greenlet
+
+    def _broken(self, greenlet: "gevent.Greenlet[..., None]") -> None:
+        """A loop has ended by an error: what it keeps up would go stale unseen, so the process ends."""
+        tell(BROKEN, level=logbook.CRITICAL, error=repr(greenlet.exception))
+        self.broken.set()
 
     def stop(self) -> None:
         gevent.killall([*self._swaps.values(), *self._others], block=False)
@@ -110,7 +123,7 @@
     def _keep(self) -> None:
         wanted = self._registry.peers(time.monotonic())
         for ip in wanted - set(self._swaps):
-            self._swaps[ip] = gevent.spawn(self._swap, ip)
+            self._swaps[ip] = self._spawn(self._swap, ip)
         for ip in set(self._swaps) - wanted:
             self._swaps.pop(ip).kill(block=False)
             self._callers.to((ip, self._port)).close()
