Send workers and clients on from a registry that has lost sight of most others

Cut off with a minority, a registry took beats that the gatekeepers on the other side never heard of, and gave clients only its own few gatekeepers. It now answers 503 to both (a beat is kept all the same) once it has heard no more than half of the members for 1.5 s. Watches of the store have a connection of their own: closing one that said nothing broke orders under way (seen once on a crowded machine as 503 for an evacuation).

--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -25,6 +25,7 @@
 PROOF_S: Final = 10.0  # an older proof says nothing
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
 PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
+ALONE_S: Final = 1.5  # others unheard for so long are out of reach
 STILL_S: Final = 1.0  # no tick for so long: this process stood still, the others did not fall silent
 Json = dict[str, Any]
 
@@ -228,8 +229,8 @@
     def lookup(self, zone: str, region: str, now: float) -> list[str] | Fault:
         """Fronts for a client, near ones first; Fault(UNREADY): this registry cannot tell yet."""
         found = addresses(self.sessions(now).values(), zone, region)
-        if not found or not self._settled(now):
-            return Fault(UNREADY, "the gatekeepers are not known yet")
+        if not found or self.alone(now) or not self._settled(now):
+            return Fault(UNREADY, "the gatekeepers are not known for sure")
         return found
 
     def _settled(self, now: float) -> bool:
@@ -253,6 +254,13 @@
         late = {ip for ip, at in self._callers.items() if now - at <= SILENT_S}
         return (set(self.members()) | late | {copy.ip for copy in self.copies.values()}) - {self.me.ip}
 
+    def alone(self, now: float) -> bool:
+        """Whether this registry, counting itself, has long heard no more than half of the members: the others
+        go on without it, and who can reach them had better go there."""
+        members = set(self.members()) | {self.me.ip}
+        heard = {copy.ip for copy in self.copies.values() if not self._late(copy.heard, ALONE_S, now)}
+        return now - self._awake > ALONE_S and 2 * len(members & (heard | {self.me.ip})) <= len(members)
+
     def controls(self, zone: str, region: str, now: float) -> list[str]:
         """IPs of the registries for a gatekeeper: those that stand first, near ones first."""
         places = {self.me.ip: (self.me.zone, self.me.region)}
--- a/pegboard/resources.py
+++ b/pegboard/resources.py
@@ -35,6 +35,8 @@
             return refusal(400, said.detail)
         self._registry.beat(key, said, now)
         self._ring()
+        if self._registry.alone(now):
+            return refusal(503, "out of reach of the other registries", AGAIN_S)  # taken all the same
         return Answer(200, {"HeartbeatTarget": self._registry.target(said.zone, now)})
 
     def delete(self, request: Request) -> Answer:
--- a/pegboard/store.py
+++ b/pegboard/store.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from workbench.bench import Address, Callers
+from workbench.bench import Callers
 from workbench.faults import UNANSWERED, UNKNOWN, UNREACHED, UNREADY, Fault
 
 ANSWER_S = 0.9  # callers move on after a second
 BYTE_S = 1e-5  # s more for each byte of a body: callers wait longer for large ones
+LATE_S = 0.6  # s for a watch's answer beyond its wait
 HOP_S = 0.25  # s kept for a further store
 ELSEWHERE = frozenset((UNREACHED, UNREADY, UNKNOWN))  # not done, and another store may do it
 
@@ -17,6 +18,7 @@
     def __init__(self, own: str, port: int, members: Callable[[], list[str]], callers: Callers) -> None:
         """`own`: IP; `members`: IPs of all stores, near ones first."""
         self._own, self._port, self._members, self._callers = own, port, members, callers
+        self._watchers = Callers()  # apart: closed when it says nothing, and orders must not go with it
         self._turn = 0
 
     def submit(self, kind: str, if_match: str | None, body: Any, size: int = 0) -> Any:
@@ -37,7 +39,11 @@
                 return Fault(UNREACHED, "there is no other store")
             self._turn += 1
             address = others[self._turn % len(others)], self._port
-        return self._to(address, "watch", {"have": have, "wait": wait}, wait + 0.6)
+        caller = self._watchers.to(address)
+        answer = caller.call("watch", {"have": have, "wait": wait}, wait + LATE_S)
+        if isinstance(answer, Fault) and answer.reason == UNANSWERED:
+            caller.close()
+        return answer
 
     def _call(self, method: str, body: Any, within: float) -> Any:
         until = time.monotonic() + within
@@ -47,14 +53,7 @@
             left = until - time.monotonic()
             if left < HOP_S:
                 break
-            answer = self._to((ip, self._port), method, body, left)
+            answer = self._callers.to((ip, self._port)).call(method, body, left)
             if not isinstance(answer, Fault) or answer.reason not in ELSEWHERE:
                 break
         return answer
-
-    def _to(self, address: Address, method: str, body: Any, timeout: float) -> Any:
-        caller = self._callers.to(address)
-        answer = caller.call(method, body, timeout)
-        if isinstance(answer, Fault) and answer.reason == UNANSWERED:
-            caller.close()  # a connection that says nothing is not waited for again
-        return answer
--- a/trials/test_pegboard_parts.py
+++ b/trials/test_pegboard_parts.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 from typing import Any, cast
 
 from ward import each, test
@@ -203,7 +204,8 @@
 
 @test("beats are answered at once, late ones too, and name the registry to go to")
 def _() -> None:
-    registry = Registry(Self("a", "1", "10.0.0.1", "za", "ra", 8200, 1.5), [], {}, 0.0)
+    now = time.monotonic()
+    registry = Registry(Self("a", "1", "10.0.0.1", "za", "ra", 8200, 1.5), [], {}, now)
     rings: list[int] = []
     instances = Instances(registry, lambda: rings.append(1))
     for body, status in ((BEAT, 200), (BEAT.replace(b"4,", b"3,"), 200), (b"{}", 400)):
@@ -215,3 +217,6 @@
     assert answer.body == {"HeartbeatTarget": "10.0.0.1:8200"}
     assert instances.take(call("DELETE", "/instances/i-2")).status == 200
     assert list(registry.workers()) == ["i-1"]
+    cut_off = Registry(registry.me, ["10.0.0.1", "10.0.0.2"], {}, now - 5)
+    assert Instances(cut_off, lambda: None).take(call("PUT", "/instances/i-1", BEAT)).status == 503
+    assert list(cut_off.workers()) == ["i-1"]  # known here, and the worker goes on to another registry
--- a/trials/test_pegboard_scenes.py
+++ b/trials/test_pegboard_scenes.py
@@ -13,6 +13,7 @@
   check AT answers EDGE full|difference|nothing      what the registry would tell a gatekeeper of `vise`
   word AT INDEX AGE KEY=VALUE...                     a store's answer to watch; KEY= takes the key out
   check AT age S|none
+  check AT alone yes|no                              whether it has lost sight of most others
 """
 
 from pathlib import Path
@@ -151,6 +152,9 @@
         told = self.all[at].word.since(self.edges[edge].ledger.have().get("vise"))
         assert ("nothing" if told is None else "full" if told.full else "difference") == wanted, told
 
+    def _check_alone(self, at: str, wanted: str) -> None:
+        assert self.all[at].alone(self.now) == (wanted == "yes")
+
     def _check_age(self, at: str, wanted: str) -> None:
         age = self.all[at].age(self.now)
         assert (wanted == "none") if age is None else abs(age - float(wanted)) < 0.001, age
