Keep a fault in the checks from taking the store down; types and lines of vise

An exception in working out an order ended the leader, and the resend the next one: now it is event 214 and a 503. A member whose disk refuses its own vote waits a whole time-out before it tries again.

--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -1,7 +1,8 @@
 """One member of the store: events in, effects out. Invariants and their tests: docs/design/store.md.
 
-A member is blank (nothing of it counts), or follows, tries to be elected, or leads (`vise.leading`). Its durable state is
-`vote` and `state`; `Seat.keep` makes a change durable and only then goes on. While a Keep is out, events wait.
+A member is blank (nothing of it counts), or follows, tries to be elected, or leads (`vise.leading`). Its
+durable state is `vote` and `state`; `Seat.keep` makes a change durable and only then goes on. While a Keep is
+out, events wait.
 """
 
 import random
@@ -12,7 +13,7 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, DELTA, DRAWERS, ELECTION_S, HANDING_S, HEARTBEAT_S, MADE_WHOLE, MUTE_S, NOTHING, OLD,
+    BEHIND, CALL_S, DELTA, DRAWERS, ELECTION_S, HANDING_S, MADE_WHOLE, MUTE_S, NOTHING, OLD,
     UNHEARD_S, YES, Answered, Called, Effect, Event, Gone, Keep, Kept, Leave, Read, State, Submit, Tick, Vote,
 )  # fmt: skip
 from vise.leading import Decide, Lead
@@ -41,8 +42,8 @@
     """`vote` and `state`: what the disk holds, None: nothing was ever there, Fault: it cannot be read."""
 
     def __init__(
-        self, me: str, seeds: list[str], bootstrap: bool, vote: Vote | Fault | None, state: State | Fault | None,
-        decide: Decide, chance: random.Random,
+        self, me: str, seeds: list[str], bootstrap: bool, vote: Vote | Fault | None,
+        state: State | Fault | None, decide: Decide, chance: random.Random,
     ) -> None:  # fmt: skip
         held_vote = vote if isinstance(vote, Vote) else Vote(0, None, False)
         held = state if isinstance(state, State) else State((0, 0), Chest())
@@ -71,7 +72,7 @@
         self._put_off()
         self.heard_at = now - UNHEARD_S
         if self._first:
-            members = {MEMBERS + ip: {} for ip in self.seeds}
+            members: dict[str, Any] = {MEMBERS + ip: {} for ip in self.seeds}
             state = State((0, 0), Chest(members))
             self.tell(events.BEGUN, members=len(members))
             self.keep(Vote(0, None, True), state, self._begun)
@@ -123,8 +124,8 @@
                 self.lead.answered(event.peer, event.sent_at, event.context, event.body)
             case Answered(method="ballot"):
                 self._voted(event)
-            case Answered(method="join") if isinstance(event.body, list) and event.body[0] not in (None, event.peer):
-                self.send(event.body[0], "join", [self.me, self.incarnation], None)
+            case Answered(method="join", body=[str(leader)]) if leader != event.peer:
+                self.send(leader, "join", [self.me, self.incarnation], None)
             case Submit():
                 if self.lead:
                     self.lead.submit(event.ref, event.order)
@@ -148,7 +149,7 @@
         if not self._stands():
             if self.now >= max(self.join_at, self.mute_until) and self.now - self.heard_at >= UNHEARD_S:
                 self.join_at = self.now + JOIN_S
-                for ip in {*self.seeds, *self.members()} - {self.me}:
+                for ip in sorted({*self.seeds, *self.members()} - {self.me}):
                     self.send(ip, "join", [self.me, self.incarnation], None)
         elif self.now >= self.deadline and self.leaving is None:
             self._try()
@@ -200,6 +201,8 @@
         if ok:
             self.attempt = Attempt(term, False, self.members(), self.now, {self.me})
             self._ask()
+        else:
+            self._put_off()
 
     def _ask(self) -> None:
         attempt = self.attempt
@@ -363,8 +366,8 @@
             self.committed(self.state)
 
     def _proof(self, round_: int, echo: int, commit: int, proved: int) -> None:
-        """`echo` was this member's time before round `round_` began, when `commit` was the newest; rounds up to
-        `proved` were answered by a majority: so there was no newer leader at that time."""
+        """`echo` was this member's time before round `round_` began, when `commit` was the newest; rounds up
+        to `proved` were answered by a majority: so there was no newer leader at that time."""
         self._echoes = [*self._echoes[-ECHOES:], (round_, echo, commit)]
         stamp = self.news.stamp
         for round_, echo, commit in self._echoes:
@@ -373,5 +376,3 @@
                 self.proven(self._tokens[echo])
         self._echoes = [one for one in self._echoes if one[0] > proved]
 
-
-__all__ = ["HEARTBEAT_S", "Member"]
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import cbor2
@@ -15,17 +15,19 @@
 from jig.settings import Settings
 from vise import events
 from vise.agreement import Member
-from vise.interface import CALL_S, Answered, Called, Effect, Gone, Keep, Kept, Leave, Read, Reply, Send, State
-from vise.interface import Submit, Tell, Tick, Vote
+from vise.interface import (
+    CALL_S, Answered, Called, Effect, Gone, Keep, Kept, Leave, Read, Reply, Send, Settled, State, Submit,
+    Tell, Tick, Vote, Work,
+)  # fmt: skip
 from vise.orders import decide
 from vise.ranges import Chest
 from vise.shelf import Shelf
 from workbench.bench import Callers, serve
 from workbench.events import BROKEN, tell
-from workbench.faults import INVALID, REFUSED, UNANSWERED, UNREACHED, UNREADY, Fault
+from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
 
 STEP_S = 0.15  # longest sleep between two looks at the clock
-SEEK_S = 0.9  # how long an order or a read waits for a leader
+SEEK_S = 0.5  # how long an order or a read waits for a leader
 ORDER_S = 5.0  # how long an order may be under way
 READ_S = 2.0
 PAUSE_S = 0.05
@@ -40,19 +42,25 @@
         self._votes, self._maps = Shelf(folder, "vote"), Shelf(folder, "map")
 
     def read(self) -> tuple[Vote | Fault | None, State | Fault | None]:
-        vote, state = self._votes.read(), self._maps.read()
+        return self._vote(self._votes.read()), self._state(self._maps.read())
+
+    def _vote(self, found: dict[str, bytes] | Fault | None) -> Vote | Fault | None:
+        if not isinstance(found, dict):
+            return found
         try:
-            if isinstance(vote, dict):
-                vote = Vote(*cbor2.loads(vote["vote"]))
+            return Vote(*cbor2.loads(found["vote"]))
         except (cbor2.CBORDecodeError, LookupError, TypeError) as error:
-            vote = Fault(INVALID, str(error))
+            return Fault(INVALID, str(error))
+
+    def _state(self, found: dict[str, bytes] | Fault | None) -> State | Fault | None:
+        if not isinstance(found, dict):
+            return found
         try:
-            if isinstance(state, dict):
-                term, index = cbor2.loads(state.pop("stamp"))
-                state = State((term, index), Chest().replaced({int(name): data for name, data in state.items()}))
+            term, index = cbor2.loads(found.pop("stamp"))
+            drawers = {int(name): data for name, data in found.items()}
+            return State((term, index), Chest().replaced(drawers))
         except (cbor2.CBORDecodeError, LookupError, TypeError, ValueError) as error:
-            state = Fault(INVALID, str(error))
-        return vote, state
+            return Fault(INVALID, str(error))
 
     def keep(self, keep: Keep) -> Fault | None:
         if keep.state is not None:
@@ -64,6 +72,15 @@
         return None if keep.vote is None else self._votes.write({"vote": cbor2.dumps([*keep.vote])})
 
 
+def decide_safely(current: Mapping[str, Any], order: Any) -> Work | Settled:
+    """A fault in the checks must not take the store down, one leader after the other."""
+    try:
+        return decide(current, order)
+    except Exception as error:
+        tell(events.UNDECIDED, level=logbook.ERROR, error=repr(error))
+        return Settled({"status": 503, "reason": "the order could not be worked out"})
+
+
 class Daemon:
     """Serves `submit`, `read`, `watch` to pegboards and `ballot`, `append`, `join`, `succeed` to members."""
 
@@ -76,11 +93,10 @@
                 tell(events.UNREADABLE, level=logbook.WARNING, shelf=name, fault=held)
         seeds = sorted({host for host, _ in settings.seeds})
         chance = random.Random(os.urandom(16))
-        self.member = Member(settings.ip, seeds, settings.bootstrap, vote, state, decide, chance)
+        self.member = Member(settings.ip, seeds, settings.bootstrap, vote, state, decide_safely, chance)
         self.callers = Callers()
         self.ended = Event()
         self._news = Event()
-        self._leads = Event()
         self._seen = 0
         methods = ("ballot", "append", "join", "succeed")
         handlers: dict[str, Callable[[Any], Any]] = {method: self._handler(method) for method in methods}
@@ -107,7 +123,7 @@
         self._do(self.member.handle(self.clock(), event))
 
     def _do(self, effects: list[Effect]) -> None:
-        """Do effects in order. Nothing here gives way to other greenlets, so one write is done before all else."""
+        """Do effects in order. Nothing here gives way to other greenlets: a write is done before all else."""
         self._todo.extend(effects)
         if self._doing:
             return
@@ -141,9 +157,6 @@
             self._seen = index
             self._news.set()
             self._news = Event()
-        if self.member.leader is not None:
-            self._leads.set()
-            self._leads = Event()
 
     def _call(self, send: Send, sent_at: float) -> None:
         body = self.callers.to((send.peer, self.port)).call(send.method, send.body, CALL_S)
@@ -180,7 +193,7 @@
         return {"version": map.get("Version"), "objects": map}
 
     def _led(self, method: str, body: dict[str, Any], event: Callable[[Any], Any], timeout: float) -> Any:
-        """Have the leader do it: this process, or the one it knows. Tried again only while nothing was begun."""
+        """Have the leader do it: this process, or the one it knows. Tried again while nothing was begun."""
         until = self.clock() + SEEK_S
         found: Any = Fault(UNREADY, "no leader")
         while True:
@@ -194,7 +207,7 @@
                 return found
             if self.clock() >= until or body.get("passed"):
                 return found
-            self._leads.wait(PAUSE_S)
+            gevent.sleep(PAUSE_S)
 
     def watch(self, body: Any) -> Any:
         """`{have, wait}` -> `{index, set, gone, full, age, term, leader}`, once there is more than `have`."""
@@ -207,12 +220,12 @@
             self._news.wait(max(0.0, until - self.clock()))
         news = self.member.news
         age = self.clock() - news.proof
-        told = {"age": age if age < 1e6 else None, "term": self.member.vote.term, "leader": self.member.leader}
-        return {**news.since(have), **told}
+        known = age if age != float("inf") else None
+        return {**news.since(have), "age": known, "term": self.member.vote.term, "leader": self.member.leader}
 
 
 def stop_on_broken(hub: Any) -> None:
-    """An error that nobody handles in a greenlet is a broken invariant: the process ends, the bench starts it again."""
+    """An error that nobody handles in a greenlet is a broken invariant: the process ends."""
 
     def broken(context: Any, kind: Any, value: Any, trace: Any) -> None:
         if kind is not None and issubclass(kind, (KeyboardInterrupt, SystemExit, gevent.GreenletExit)):
@@ -222,6 +235,3 @@
         os._exit(70)
 
     hub.handle_error = broken
-
-
-__all__ = ["REFUSED", "Daemon", "stop_on_broken"]
--- a/vise/interface.py
+++ b/vise/interface.py
@@ -11,7 +11,7 @@
 Effect = Any  # one of the effects below
 
 CALL_S: Final = 0.8  # an answer to `ballot` or `append` counts only within this time of its sending
-MUTE_S: Final = 2 * CALL_S  # a blank member says nothing for so long: no yes of its former life counts by then
+MUTE_S: Final = 2 * CALL_S  # a blank member says nothing that long: then no yes of its former life counts
 HEARTBEAT_S: Final = 0.15
 ELECTION_S: Final = (0.6, 1.2)  # by chance between these, without word from a leader
 UNHEARD_S: Final = 1.2  # a leader that has not heard a majority for so long leads no longer
--- a/vise/leading.py
+++ b/vise/leading.py
@@ -42,8 +42,8 @@
         self.peers: dict[str, Peer] = {}
         self.round = self.confirmed = 0
         self.round_at: dict[int, float] = {}
-        self.next_beat = self.next_due = seat.now
-        self.under_way: tuple[Any, Any] | None = None  # (ref, answer) of the proposal that is not yet committed
+        self.next_beat = seat.now
+        self.under_way: tuple[Any, Any] | None = None  # (ref, answer) of the one proposal
         self.queue: deque[tuple[Any, Any]] = deque()
         self.waiting: list[tuple[int, Any, Any]] = []  # (round to be confirmed, ref, answer; None: the map)
         self.leave_by: float | None = None
@@ -186,7 +186,8 @@
         if ready:
             self.waiting = [one for one in self.waiting if one[0] > self.confirmed]
             for _, ref, answer in ready:
-                self.seat.reply(ref, self.seat.news.state if answer is None else {**answer, "index": self.commit})
+                done = self.seat.news.state if answer is None else {**answer, "index": self.commit}
+                self.seat.reply(ref, done)
 
     def _heard_at(self, ip: str) -> float:
         if ip == self.seat.me:
@@ -202,7 +203,7 @@
 
     # ---- proposals
     def _advance(self) -> None:
-        """Begin what waits, as far as that can be: one proposal at a time, none before this term's first is done."""
+        """Begin what waits: one proposal at a time, none before this term's first is committed."""
         ask = False
         while not self.under_way and self.commit and not self.handed:
             joining = self._joining()
--- a/vise/orders.py
+++ b/vise/orders.py
@@ -39,7 +39,8 @@
             return Settled({"status": 200})
     change = configuration.apply(current, kind, if_match, body)
     if isinstance(change, Fault):
-        return Settled({"status": 412 if change.reason == configuration.STALE else 400, "reason": change.detail})
+        status = 412 if change.reason == configuration.STALE else 400
+        return Settled({"status": status, "reason": change.detail})
     # Versions only rise, so the least are the oldest.
     old = sorted(key for key in current if key.startswith(TAKEN))[: -(TAKEN_MOST - 1)]
     return Work({**change.set, TAKEN + change.version: change.digest}, [*change.gone, *old], {"status": 200})
--- a/vise/ranges.py
+++ b/vise/ranges.py
@@ -17,7 +17,7 @@
 
 
 class Chest:
-    """A map `key -> value` that is never changed: a change gives a new chest that shares the untouched drawers."""
+    """A map `key -> value` that is never changed: a change gives a new chest, sharing untouched drawers."""
 
     __slots__ = ("_digests", "_drawers", "_packed", "map")
 
@@ -68,7 +68,8 @@
         other = self._copy(map)
         for number, drawer in fresh.items():
             map.update(drawer)
-            other._drawers[number], other._packed[number], other._digests[number] = drawer, drawers[number], None
+            other._drawers[number], other._packed[number] = drawer, drawers[number]
+            other._digests[number] = None
         return other
 
     def packed(self, number: int) -> bytes:
--- a/vise/seat.py
+++ b/vise/seat.py
@@ -13,7 +13,7 @@
 MEMBERS = "Members/"
 
 
-class Broken(Exception):
+class Broken(Exception):  # noqa: N818  (it is no error to be handled)
     """An invariant of the agreement does not hold: the process must stop."""
 
 
@@ -53,10 +53,11 @@
         """Make these durable and go on with `then(ok)`. Last thing a handler does."""
         if self.then is not None:
             raise Broken("two writes at a time")
-        if vote is not None and vote.term < self.vote.term:
-            raise Broken(f"term {vote.term} after {self.vote.term}")
-        if vote is not None and vote.term == self.vote.term and self.vote.voted_for not in (None, vote.voted_for):
-            raise Broken(f"a second vote in term {vote.term}")
+        if vote is not None:
+            if vote.term < self.vote.term:
+                raise Broken(f"term {vote.term} after {self.vote.term}")
+            if vote.term == self.vote.term and self.vote.voted_for not in (None, vote.voted_for):
+                raise Broken(f"a second vote in term {vote.term}")
         if state is not None and self.vote.whole and state.stamp <= self.state.stamp:
             raise Broken(f"stamp {state.stamp} after {self.state.stamp}")
         self._keeping, self.then = (vote, state), then
--- a/vise/shelf.py
+++ b/vise/shelf.py
@@ -1,8 +1,9 @@
 """A shelf: records that last through kills and losses of power, on two generations of `dbm.dumb`.
 
-`dbm.dumb` writes in place, never syncs and cannot open a torn index. So a write goes to the generation that is not the
-newest, only what differs there, and counts once data, index and folder are synced. Each generation holds all
-records, its number and a digest over both. Opened is the newest one that reads whole; the other may be in any state.
+`dbm.dumb` writes in place, never syncs and cannot open a torn index. So a write goes to the generation that
+is not the newest, only what differs there, and counts once data, index and folder are synced. Each generation
+holds all records, its number and a digest over both. Opened is the newest one that reads whole; the other
+may be in any state, so no pointer to one of them is needed.
 """
 
 import contextlib
@@ -10,7 +11,7 @@
 import hashlib
 import os
 from collections.abc import Mapping
-from typing import Any, Final
+from typing import Any, Final, cast
 
 import cbor2
 
@@ -41,8 +42,8 @@
     """A generation's number and records, or None where it is absent, torn or mixed."""
     base = None
     try:
-        base = dbm.dumb.open(path, "r")
-        found = {name.decode(): base[name] for name in base.keys()}  # noqa: SIM118
+        base = dbm.dumb.open(path, "r")  # noqa: SIM115  (its index alone may fail)
+        found = {str(name, "utf-8"): base[name] for name in cast("list[bytes]", list(base))}
         number, digest = cbor2.loads(found.pop(_HEAD))
         return (number, found) if digest == _digest(number, found) else None
     except Exception:  # a torn index can hold anything: whatever it raises, it does not read whole
@@ -74,14 +75,14 @@
             mine = os.path.basename(self._path) + "-"
             return Fault(INVALID, self._path) if any(file.startswith(mine) for file in there) else None
         self._number, records = max(whole, key=lambda one: one[0])
-        try:  # a killed process may have left it whole but not durable, and the next write goes over the other one
+        try:  # a killed process may have left it whole, not durable; the next write goes over the other one
             self._settle(f"{self._path}-{_NAMES[self._number % 2]}")
         except OSError as error:
             return Fault(REFUSED, str(error))
         return records
 
     def write(self, records: Mapping[str, bytes]) -> Fault | None:
-        """Keep exactly `records`, durably once this returns None. A Fault: the old or the new ones are kept."""
+        """Keep exactly `records`, durably once this returns None; a Fault: the old or the new ones."""
         number = self._number + 1
         which = number % 2
         path = f"{self._path}-{_NAMES[which]}"
@@ -107,12 +108,14 @@
         _sync(path + ".dir")
         _sync(self._folder)
 
-    def _open(self, which: int, path: str, held: dict[str, bytes] | None, records: Mapping[str, bytes]) -> Any:
+    def _open(
+        self, which: int, path: str, held: dict[str, bytes] | None, records: Mapping[str, bytes]
+    ) -> Any:
         """The generation to write into: as it stands if it is known and not wasteful, else a new one."""
         base = self._bases[which]
-        if base is not None and held is not None:
-            if os.path.getsize(path + ".dat") < 2 * sum(map(len, records.values())) + SPARE:
-                return base
+        most = 2 * sum(map(len, records.values())) + SPARE
+        if base is not None and held is not None and os.path.getsize(path + ".dat") < most:
+            return base
         if base is not None:
             with contextlib.suppress(OSError):
                 base.close()
