--- a/trials/test_pegboard_scenes.py
+++ b/trials/test_pegboard_scenes.py
@@ -130,7 +130,7 @@
         answer = registry.answer(body, self.now, self.now)
         edge.ledger.take(self.now, self.now, answer)
         registry.pulled(edge.name)
-        silent = {name: one.source.version for name, one in registry.copies.items() if name not in answer["alive"]}
+        silent = {name: registry.copies[name].source.version for name in registry.copies.keys() - answer["alive"]}
         assert not registry.lacks(silent | edge.ledger.have()), "would be answered at once, on and on"
 
     def check(self, at: str, what: str, *words: str) -> None:
@@ -145,7 +145,8 @@
 
     def _check_sum(self, at: str, tenant: str, *counts: str) -> None:
         found = [one[tenant] for one in self.edges[at].ledger.sums().values() if tenant in one]
-        assert [sum(column) for column in zip(*found, strict=True)] == [int(one) for one in counts], str(found)
+        sums = [sum(column) for column in zip(*found, strict=True)]
+        assert sums == [int(one) for one in counts], str(found)
 
     def _check_lookup(self, at: str, zone: str, region: str, *fronts: str) -> None:
         found = self.all[at].lookup(zone, region, self.now)
