--- a/trials/test_pegboard_scenes.py
+++ b/trials/test_pegboard_scenes.py
@@ -130,7 +130,8 @@
         answer = registry.answer(body, self.now, self.now)
         edge.ledger.take(self.now, self.now, answer)
         registry.pulled(edge.name)
-        silent = {name: registry.copies[name].source.version for name in registry.copies.keys() - answer["alive"]}
+        copies = registry.copies
+        silent = {name: copies[name].source.version for name in copies.keys() - set(answer["alive"])}
         assert not registry.lacks(silent | edge.ledger.have()), "would be answered at once, on and on"
 
     def check(self, at: str, what: str, *words: str) -> None:
