Sharpen the limiter: no refusals inside the quota, and a guard that knows who is unheard

Now others' jumps count only for a tenant asked for well beyond its limit; the guard goes up to the quota itself and leaves the rule's overrun for what is unheard; shares of lost members and silent sources are held back (gauge/unheard.py); what passed while blind is told by and by.

--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -11,8 +11,9 @@
 import math
 import random
 from collections.abc import Container, Mapping
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
+from gauge.unheard import MOST, Source, Span, Unheard
 from mintfront import window
 from mintfront.state import Bucket
 
@@ -22,14 +23,16 @@
 CACHED = 0.1  # s that a suppression factor stands
 NEWS_LAG = 0.4  # s, mean age of what is told: adds, swaps and pulls each take up to 0.25 s
 BLIND_AFTER = 1.0  # s without sums
-LOST_FOR = 4.0  # s that a gatekeeper gone from the members is taken to pass unheard: its fences end that
-LOST_SINCE = 1.0  # s before it is missed that it may have passed unheard
 DOUBT = 3.0  # requests: added to both sides of a jump, as few requests speak for few others
 JUMP_MOST = 10.0  # x, the largest jump taken for one
+HOT = 1.5  # x the limit asked, from which a tenant is surely beyond it
+HOT_SHARE = 0.7  # x our share of the bound for such a one while blind
+AMPLE = 2.0  # x what the others are taken to have passed unheard
 EVEN = 0.5  # of what is left is dealt evenly, the rest by use: a tenant's traffic need not be even
-SAFETY = 0.93  # x bound that the guard goes up to
+SPENT = 0.0  # of what the rule gives beyond the quota: the rest is for what nobody heard of in time
 ROUND_FOR = 1.0  # s that a draw for rounding a part stands
 PENDING_FOR = 2.0  # s after which adds of ours that no source has shown are lost
+LATE_CALLS = 8  # calls, a quarter of a second each, to tell of what passed unheard
 ADVICE_LEAST, ADVICE_MOST = 0.3, 3.0  # s, Retry-After
 
 
@@ -51,29 +54,35 @@
         self.rate, self.burst, self.length, self.bound = 0.0, 0.0, 1.0, math.inf
         self.buckets: dict[int, Bucket] = {}
         self.total = self.declined = 0  # fresh
+        self.late = self.late_calls = 0  # passed while blind and not yet told, and calls left to tell it
         self.pending: list[list[float]] = []  # [until, total, accepted] confirmed, not yet shown
         self.since = math.inf  # when news first told of it, or could have
         self.factor, self.factor_until = 0.0, -math.inf
         self.rounding, self.rounding_until = 0.0, -math.inf
 
 
-class _Source:
-    """The sums of one source as last told, and when (s)."""
+class _Seen(NamedTuple):
+    """What the regimes go by: requests, and the limit that they are held against."""
 
-    def __init__(self, now: float, sums: Mapping[str, tuple[int, int]]) -> None:
-        self.at, self.sums = now, dict(sums)
+    total: float
+    accepted: float
+    last: float  # in the last second
+    soft: float
+    rate: float  # a second
+    length: float  # s, the window's
 
 
 class Limiter:
-    """All tenants' limits at one gatekeeper. Its state begins blind: with a share of each limit."""
+    """All tenants' limits at one gatekeeper. It begins blind: with a share of each limit."""
 
     def __init__(self, rng: random.Random, bounds: Bounds) -> None:
         self._random, self._bounds = rng, bounds
         self._tenants: dict[str, _Tenant] = {}
-        self._sources: dict[str, _Source] = {}
+        self._sources: dict[str, Source] = {}
         self._heard_at = -math.inf
-        self._members, self._lost = 1, 0
-        self._lost_at = -math.inf
+        self._now = -math.inf  # latest time told
+        self._unheard = Unheard()
+        self._spans: list[Span] = []
 
     # ---- what is in force
 
@@ -86,8 +95,9 @@
         burst = burst if burst > 0 else rate
         bounds = self._bounds
         entry.rate, entry.burst, entry.length = rate, burst, burst / rate
-        most = (rate * bounds.quota_window + burst) * (1 + bounds.quota_overrun) + bounds.quota_slack
-        entry.bound = SAFETY * most
+        most = rate * bounds.quota_window + burst
+        most *= 1 + SPENT * bounds.quota_overrun
+        entry.bound = most + SPENT * bounds.quota_slack
         entry.factor_until = -math.inf
 
     def forget(self, tenant: str) -> None:
@@ -96,13 +106,8 @@
 
     def set_members(self, now: float, count: int) -> None:
         """Take how many gatekeepers may pass requests now. Those gone may be cut off, and pass on."""
-        if count < self._members:
-            if now >= self._lost_at + LOST_FOR:
-                self._lost, self._lost_at = 0, now
-            self._lost += self._members - count
-        elif count > self._members:
-            self._lost = max(0, self._lost - (count - self._members))
-        self._members = max(1, count)
+        self._unheard.set_members(now, count)
+        self._spans = self._unheard.spans(now, self._sources)
 
     # ---- requests
 
@@ -111,23 +116,23 @@
         entry = self._tenants.get(tenant)
         if entry is None:
             return None
+        self._now = now
         blind = self.blind(now) or entry.since > now
-        total, accepted, last = self._estimate(now, entry, blind)
-        share = 1 / self._members if blind else 1.0
-        soft = entry.burst * share
-        passes = accepted < soft
-        if not passes and total < HARD_FACTOR * soft:
+        seen = self._alone(now, entry) if blind else self._together(now, entry)
+        passes = seen.accepted < seen.soft
+        if not passes and seen.total < HARD_FACTOR * seen.soft:
             if now >= entry.factor_until:
-                entry.factor = window.suppression(entry.rate * share, entry.length * 1000, total, last)
+                entry.factor = window.suppression(seen.rate, seen.length * 1000, seen.total, seen.last)
                 entry.factor_until = now + CACHED
             passes = self._random.random() >= entry.factor
-        passes = passes and self._room(now, entry, blind)
+        passes = passes and (self._share_left(now, entry) if blind else self._room(now, entry))
         window.record(entry.buckets, now * 1000, 1.0, float(passes))
-        entry.total += 1
-        entry.declined += not passes
+        if not blind or entry.since > now:  # else told of when it hears again
+            entry.total += 1
+            entry.declined += not passes
         if passes:
             return None
-        ahead = max(total - soft, 1.0) / (entry.rate * share)
+        ahead = max(seen.total - seen.soft, 1.0) / seen.rate
         return min(ADVICE_MOST, max(ADVICE_LEAST, ahead)) * (0.75 + 0.5 * self._random.random())
 
     def give_back(self, now: float, tenant: str) -> None:
@@ -140,9 +145,14 @@
     # ---- sums
 
     def fresh(self) -> Counts:
-        """What is to be added to the shared sums since the last call, by tenant: total, declined."""
+        """What is to be added to the shared sums since the last call, by tenant: total, declined. Nothing
+        while blind; what came then is told by and by, or to the others it would look like a spike."""
         counts: Counts = {}
-        for tenant, entry in self._tenants.items():
+        for tenant, entry in self._tenants.items() if not self.blind(self._now) else ():
+            if entry.late_calls:
+                told = entry.late // entry.late_calls
+                entry.total += told
+                entry.late, entry.late_calls = entry.late - told, entry.late_calls - 1
             if entry.total or entry.declined:
                 counts[tenant] = (entry.total, entry.declined)
                 entry.total = entry.declined = 0
@@ -166,27 +176,38 @@
     def heard(self, now: float, sums: Mapping[str, Mapping[str, tuple[int, int]]]) -> None:
         """Take cumulative sums by source and tenant; only what changed need be there. A new source tells
         nothing yet: it starts at what it says."""
-        if now - self._heard_at > self._bounds.quota_window:
-            for known in self._tenants.values():
-                known.since = math.inf
-        self._heard_at = now
-        for known in self._tenants.values():
-            known.since = min(known.since, now)
-            window.trim(known.buckets, now * 1000 - self._kept(known))
+        blind_since, self._now, self._heard_at = self._heard_at + BLIND_AFTER, now, now
         edge = (now - NEWS_LAG) * 1000
+        for entry in self._tenants.values():
+            window.trim(entry.buckets, now * 1000 - self._kept(entry))
+            entry.since = min(entry.since, now)
+            if now > blind_since > entry.since:
+                first = max(blind_since, now - self._bounds.quota_window)
+                entry.late = round(_between(entry.buckets, first * 1000, math.inf).accepted)
+                entry.late_calls = LATE_CALLS
         for name, told in sums.items():
             source = self._sources.get(name)
             if source is None:
-                self._sources[name] = _Source(now, told)
+                self._sources[name] = Source(now, dict(told))
+                for entry in self._tenants.values() if now > blind_since else ():
+                    entry.since = now  # what came to this source meanwhile is not known
                 continue
-            since, source.at = (source.at - NEWS_LAG) * 1000, now
-            for tenant, (total, declined) in told.items():
+            since, new = (source.at - NEWS_LAG) * 1000, 0
+            for tenant, counts in told.items():
                 old_total, old_declined = source.sums.get(tenant, (0, 0))
-                source.sums[tenant] = (total, declined)
-                if (entry := self._tenants.get(tenant)) is not None:
-                    asked = total - old_total
-                    news = _less_ours(now, entry, float(asked), float(asked - declined + old_declined))
+                if counts == (old_total, old_declined):
+                    continue
+                source.sums[tenant] = counts
+                asked = counts[0] - old_total
+                accepted = asked - counts[1] + old_declined
+                new += accepted
+                if tenant in self._tenants:
+                    entry = self._tenants[tenant]
+                    news = _less_ours(now, entry, float(asked), float(accepted))
                     window.spread(entry.buckets, since, edge, self._kept(entry), *news)
+            if new:
+                source.told(now, new)
+        self._spans = self._unheard.spans(now, self._sources)
 
     def keep_sources(self, alive: Container[str]) -> None:
         """Drop the sums of all sources but these: one that comes back starts anew."""
@@ -202,52 +223,79 @@
         """ms for which buckets are kept."""
         return 1000 * max(entry.length, self._bounds.quota_window, 1.0)
 
-    def _estimate(self, now: float, entry: _Tenant, blind: bool) -> tuple[float, float, float]:
-        """Requests in the window (total, accepted) and in the last second: ours alone where blind."""
-        at, length = now * 1000, entry.length * 1000
-        window.trim(entry.buckets, at - self._kept(entry))
-        if blind:
-            ours = _between(entry.buckets, at - length, math.inf)
-            last = ours.total if length == 1000 else _between(entry.buckets, at - 1000, math.inf).total
-            return ours.total, ours.accepted, last
-        total, accepted, last = window.seen(entry.buckets, at, length)
-        edge = (self._heard_at - NEWS_LAG) * 1000
-        unheard = _between(entry.buckets, edge, math.inf)
-        before = _between(entry.buckets, edge - 1000, edge)
-        span = (at - edge) / 1000
-        asked = before.far_total * _jump(unheard.total, before.total * span)
-        passed = before.far_accepted * _jump(unheard.accepted, before.accepted * span)
+    def _alone(self, now: float, entry: _Tenant) -> _Seen:
+        """What the regimes see where nothing is heard: our own requests, and our share of the limit. A new
+        tenant has that of its soft limit; one heard of, that of what the rule's window lets through."""
+        length = entry.length
+        soft = entry.burst
+        if entry.since <= now:
+            length = max(length, self._bounds.quota_window)
+            soft = entry.rate * length + entry.burst
+        window.trim(entry.buckets, now * 1000 - self._kept(entry))
+        ours = _between(entry.buckets, (now - length) * 1000, math.inf)
+        last = _between(entry.buckets, (now - 1) * 1000, math.inf).total
+        share = 1 / self._unheard.members
+        return _Seen(ours.total, ours.accepted, last, soft * share, entry.rate * share, length)
+
+    def _together(self, now: float, entry: _Tenant) -> _Seen:
+        """What the regimes see of all gatekeepers: as heard, and since then as it went on."""
+        total, accepted, last = window.seen(entry.buckets, now * 1000, entry.length * 1000)
+        edge = self._heard_at - NEWS_LAG
+        unheard = _between(entry.buckets, edge * 1000, math.inf)
+        before = _between(entry.buckets, (edge - 1) * 1000, edge * 1000)
+        asked, passed, span = before.far_total, before.far_accepted, now - edge
+        if before.total + asked > HOT * entry.rate:  # else what is uneven would look like a jump
+            ratio = before.far_total / max(1.0, before.total)
+            asked = max(asked, unheard.total * ratio / span)
+            passed = max(passed, unheard.accepted * ratio / span)
         total += asked * min(span, entry.length)
         accepted += passed * min(span, entry.length)
         last += asked * min(span, 1.0)
-        return total, accepted, last
+        return _Seen(total, accepted, last, entry.burst, entry.rate, entry.length)
 
-    def _room(self, now: float, entry: _Tenant, blind: bool) -> bool:
+    def _share_left(self, now: float, entry: _Tenant) -> bool:
+        """The guard where nothing is heard: whether our share of the bound holds one more request."""
+        ours = _between(entry.buckets, (now - self._bounds.quota_window) * 1000, math.inf)
+        share = entry.bound / self._unheard.members
+        if ours.total > HOT * share:  # those in touch do not know yet that nobody hears of us
+            share *= HOT_SHARE
+        return ours.accepted + 1 <= share + self._rounding(now, entry)
+
+    def _room(self, now: float, entry: _Tenant) -> bool:
         """The guard: whether our part of what is left of the bound holds one more request."""
-        at, span = now * 1000, self._bounds.quota_window * 1000
-        if now >= entry.rounding_until:
-            entry.rounding, entry.rounding_until = self._random.random(), now + ROUND_FOR
-        if blind:
-            ours = _between(entry.buckets, at - span, math.inf).accepted
-            return ours + 1 <= entry.bound / self._members + entry.rounding
-        edge = (self._heard_at - NEWS_LAG) * 1000
-        heard, unheard = _between(entry.buckets, at - span, edge), _between(entry.buckets, edge, math.inf)
+        edge, span = self._heard_at - NEWS_LAG, self._bounds.quota_window
+        heard = _between(entry.buckets, (now - span) * 1000, edge * 1000)
+        unheard = _between(entry.buckets, edge * 1000, math.inf)
         # What went on before the first news is not known: as much as the limit lets through.
-        unknown = max(0.0, self._bounds.quota_window - (now - entry.since)) * entry.rate
-        left = entry.bound - heard.accepted - heard.far_accepted - unknown - self._lost_use(now, entry)
+        unknown = max(0.0, span - (now - entry.since)) * entry.rate
+        left = entry.bound - heard.accepted - heard.far_accepted - unknown - self._hidden(now, entry)
+        # Where even twice what the others may have passed leaves room, nothing is dealt out: few are uneven.
+        before = _between(entry.buckets, (edge - 1) * 1000, edge * 1000)
+        others = before.far_total * (now - edge) * _jump(unheard.total, before.total * (now - edge))
+        if unheard.accepted + 1 + AMPLE * others <= left:
+            return True
         use = heard.accepted / max(1.0, heard.accepted + heard.far_accepted + unknown)
-        part = left * (EVEN / self._members + (1 - EVEN) * use)
-        return unheard.accepted + 1 <= part + entry.rounding
-
-    def _lost_use(self, now: float, entry: _Tenant) -> float:
-        """What gatekeepers that are missed may have passed unheard: as much as those in touch, each."""
-        if not self._lost or now >= self._lost_at + LOST_FOR:
-            return 0.0
-        since = self._lost_at - LOST_SINCE
-        known = _between(entry.buckets, since * 1000, math.inf)
-        each = (known.accepted + known.far_accepted) / self._members
-        most = entry.bound / (self._members + self._lost)
-        return self._lost * min(each, most * (now - since) / self._bounds.quota_window)
+        part = left * (EVEN / self._unheard.members + (1 - EVEN) * use)
+        return unheard.accepted + 1 <= part + self._rounding(now, entry)
+
+    def _rounding(self, now: float, entry: _Tenant) -> float:
+        """By chance up or down, or a share of less than one would be one everywhere, or none."""
+        if now >= entry.rounding_until:
+            entry.rounding, entry.rounding_until = self._random.random(), now + ROUND_FOR
+        return entry.rounding
+
+    def _hidden(self, now: float, entry: _Tenant) -> float:
+        """What others may have passed unheard in the rule's window: as much for their share as those that are
+        heard, and no more than their share of the bound."""
+        span, use, whole = self._bounds.quota_window, 0.0, sum(share for share, _, _ in self._spans)
+        for share, first, until in self._spans:
+            first, until = max(first, now - span), min(until, now)
+            if first < until:
+                earlier = _between(entry.buckets, (now - span) * 1000, first * 1000)
+                known = _between(entry.buckets, first * 1000, until * 1000)
+                like = (known.accepted + known.far_accepted) * share / max(1 - MOST, 1 - whole)
+                use += min(like, max(0.0, entry.bound - earlier.accepted - earlier.far_accepted) * share)
+        return use
 
 
 def _between(buckets: Mapping[int, Bucket], since: float, until: float) -> Bucket:
--- a/trials/gauge_play.py
+++ b/trials/gauge_play.py
@@ -3,6 +3,7 @@
 A scene is a text file, a line a word and its figures:
   gatekeepers N | pegboards N | rate R BURST | usual R | seconds S | skew A (0 even) | clump N (at once)
   wave SHARE PERIOD_S | hot AT FOR X | cut AT FOR COUNT | kill AT DOWN_S SHARE | quota AT R BURST
+  split AT FOR COUNT (so many pegboards are cut from the others)
 Figures of a play: the worst window over the bound, the share refused while calm, hot let in over rate.
 """
 
@@ -67,7 +68,7 @@
     def __init__(self, scene: list[tuple[str, list[float]]], seed: int) -> None:
         self.rng = random.Random(seed)
         self.steady = {word: figures for word, figures in scene}
-        self.events = [(word, f) for word, f in scene if word in ("hot", "cut", "kill", "quota")]
+        self.events = [(word, f) for word, f in scene if word in ("hot", "cut", "kill", "quota", "split")]
         get = self.steady.get
         self.rate, self.burst = self.steady["rate"]
         skew = get("skew", [0.0])[0]
@@ -79,6 +80,7 @@
         self.gates = [self._start(0.0, self.rng.gammavariate(1 / skew, skew) if skew else 1.0)
                       for _ in range(count)]  # fmt: skip
         self.passed: list[float] = []
+        self.worst = 0.0
         self.calm = [0, 0]
         self.hot = [0, 0.0]
 
@@ -95,16 +97,15 @@
                 if now >= self.swap_at[at]:
                     self.swap_at[at] = now + PULL + 0.04 * self.rng.random()
                     for other, board in enumerate(self.boards):
-                        self.boards[at][f"p{other}"] = dict(board[f"p{other}"])
+                        if not self._apart(now, at, other):
+                            self.boards[at][f"p{other}"] = dict(board[f"p{other}"])
             self._happen(now)
             for at, gate in enumerate(self.gates):
                 if now >= gate.down_until and now >= gate.cut_until and now >= gate.pull_at:
                     self._pull(now, at, gate)
             self._arrivals(now)
             now += TICK
-        bounds = Bounds()
-        most = (self.rate * 5 + self.burst) * (1 + bounds.quota_overrun) + bounds.quota_slack
-        return Figures(_worst(self.passed, 5.0) / most, self.calm[1] / max(1, self.calm[0]),
+        return Figures(max(self.worst, self._worst()), self.calm[1] / max(1, self.calm[0]),
                        self.hot[0] / max(1.0, self.hot[1] * self.rate))  # fmt: skip
 
     def _happen(self, now: float) -> None:
@@ -122,6 +123,7 @@
                     gate.down_until = now + figures[1] * (0.7 + 0.6 * self.rng.random())
                     gate.pull_at, gate.heard_at = gate.down_until + fresh.pull_at - now, -math.inf
             if word == "quota":
+                self.worst, self.passed = self._worst(), []
                 self.rate, self.burst = figures[1:]
                 for gate in self.gates:
                     gate.limiter.set_quota("t", self.rate, self.burst)
@@ -136,13 +138,32 @@
         gate.limiter.heard(now, changed)
         gate.told = {name: dict(sums) for name, sums in board.items()}
         gate.heard_at = gate.seen_at = now
-        gate.limiter.set_members(now, sum(now - other.seen_at <= LEASE for other in self.gates))
+        gate.limiter.set_members(now, max(1, sum(self._stands(now, at, i) for i in range(len(self.gates)))))
         gate.asked = gate.limiter.fresh()
         for tenant, (total, declined) in gate.asked.items():
             old = board[f"p{index}"].get(tenant, (0, 0))
             board[f"p{index}"][tenant] = (old[0] + total, old[1] + declined)
         gate.pull_at = now + PULL + 0.02 + 0.03 * self.rng.random()
 
+    def _stands(self, now: float, at: int, other: int) -> bool:
+        """Whether the gatekeeper `at` knows of the other's session."""
+        if self._apart(now - FENCE, at, other) and self._apart(now, at, other):
+            return False  # its source was dropped
+        return self._apart(now, at, other) or now - max(0.0, self.gates[other].seen_at) <= LEASE
+
+    def _apart(self, now: float, at: int, other: int) -> bool:
+        """Whether a cut of the core lies between the pegboards of two gatekeepers."""
+        boards = len(self.boards)
+        splits = [f for word, f in self.events if word == "split" and f[0] <= now < f[0] + f[1]]
+        return any((at % boards < f[2]) != (other % boards < f[2]) for f in splits)
+
+    def _fenced(self, now: float, at: int, gate: Gatekeeper) -> bool:
+        """Whether it has had no proof from more than half of the core for too long."""
+        minor = any(word == "split" and f[0] + FENCE <= now < f[0] + f[1]
+                    and (at % len(self.boards) < f[2]) == (f[2] * 2 < len(self.boards))
+                    for word, f in self.events)  # fmt: skip
+        return minor or now - gate.heard_at > FENCE and now >= 2
+
     def _arrivals(self, now: float) -> None:
         usual = self.steady["usual"][0]
         share, period = self.steady.get("wave", [0.0, 1.0])
@@ -154,7 +175,8 @@
                 usual, is_hot = usual * f[2], True
             if word in ("hot", "quota") and f[0] - 0.1 <= now < f[0] + (f[1] if word == "hot" else 99) + 3:
                 calm = False
-        live = [g for g in self.gates if now >= g.down_until and now - g.heard_at <= FENCE or now < 2]
+        live = [gate for at, gate in enumerate(self.gates)
+                if now >= gate.down_until and not self._fenced(now, at, gate)]  # fmt: skip
         weights = sum(gate.weight for gate in live)
         for gate in live:
             for _ in range(_poisson(self.rng, usual * TICK * gate.weight / weights / (1 + clump) * 2)):
@@ -167,11 +189,14 @@
                     self.hot[0] += is_hot and passes
         self.hot[1] += TICK * is_hot
 
-
-def _worst(times: list[float], span: float) -> int:
-    first = worst = 0
-    for at, time in enumerate(times):
-        while times[first] < time - span:
-            first += 1
-        worst = max(worst, at - first + 1)
-    return worst
+    def _worst(self) -> float:
+        """The fullest sliding window over the bound. After a new quota all counts anew."""
+        bounds = Bounds()
+        most = self.rate * bounds.quota_window + self.burst
+        most = most * (1 + bounds.quota_overrun) + bounds.quota_slack
+        first = worst = 0
+        for at, time in enumerate(self.passed):
+            while self.passed[first] < time - bounds.quota_window:
+                first += 1
+            worst = max(worst, at - first + 1)
+        return worst / most
