--- a/lathe/news.py
+++ b/lathe/news.py
@@ -27,6 +27,7 @@
         self._callers = Callers()
         self._avoid: dict[str, float] = {}  # until when, by IP
         self._at: str | None = None
+        self._controls: list[str] = []  # IPs, near ones first
         self._number = 0
         self._stopped = Event()
         self.seeds = [host for host, _ in settings.seeds]
@@ -35,16 +36,15 @@
         return ip, self._settings.internal_ports[0] + 1
 
     def _choose(self, now: float) -> str | None:
-        """The nearest pegboard that is not avoided; the one at hand as long as it is as near."""
+        """The nearest pegboard that is not avoided, by the order in which the last answer named them: members
+        that are not heard of by others come last there."""
         core = self._gate.ledger.core
         known = sorted(core) if core else list(dict.fromkeys(self.seeds))
         known += [ip for ip in self.seeds if ip not in core and self._avoid_all(known, now)]
+        near = {ip: place for place, ip in enumerate(self._controls)}
 
         def rank(ip: str) -> tuple[bool, int, bool, float]:
-            place = core.get(ip, {})
-            far = 0 if place.get("zone") == self._settings.zone else 1
-            far += place.get("region") != self._settings.region
-            return self._avoid.get(ip, 0.0) > now, far, ip != self._at, self._rng.random()
+            return self._avoid.get(ip, 0.0) > now, near.get(ip, len(near)), ip != self._at, self._rng.random()
 
         return min(known, key=rank, default=None)
 
@@ -84,7 +84,7 @@
             self._at = None
             return False
         gate.limiter.confirmed(counts)
-        self._at = ip
+        self._at, self._controls = ip, answer["controls"]
         change = gate.ledger.take(sent, now, answer)
         gate.news(now, change)
         gate.limiter.heard(now, gate.ledger.sums())
