Part the choice of a pegboard and the taking of its answer from their shell

The whole system on simulated time (dovetail) must drive what decides in lathe.news without sockets. No change of behaviour: the same lines in a pure class, begin and ended around the call.

--- /dev/null
+++ b/lathe/pulling.py
@@ -0,0 +1,88 @@
+"""Which pegboard a gatekeeper pulls from, what it says there, and what it makes of the answer. Pure."""
+
+import random
+from typing import Any
+
+from attrs import frozen
+
+from jig.settings import Settings
+from lathe.gate import Gate
+from workbench.faults import UNREACHED, Fault
+
+WAIT_S = 0.25
+ANSWER_S = 0.6  # beyond the wait: so late, another pegboard is asked
+STALE_S = 1.5  # a pegboard whose proof is older is left for another
+AVOID_S = 2.0
+Json = dict[str, Any]
+
+
+@frozen
+class Pull:
+    """One call: the pegboard's IP, when it was sent, and its body."""
+
+    ip: str
+    sent: float
+    body: Json
+
+
+class Pulling:
+    def __init__(self, settings: Settings, gate: Gate, incarnation: str, rng: random.Random) -> None:
+        self._settings, self._gate, self._incarnation, self._rng = settings, gate, incarnation, rng
+        self._avoid: dict[str, float] = {}  # until when, by IP
+        self._at: str | None = None
+        self._controls: list[str] = []  # IPs, near ones first
+        self._number = 0
+        self.seeds = [host for host, _ in settings.seeds]
+
+    def _choose(self, now: float) -> str | None:
+        """The nearest pegboard that is not avoided, by the order in which the last answer named them: members
+        that are not heard of by others come last there."""
+        core = self._gate.ledger.core
+        known = sorted(core) if core else list(dict.fromkeys(self.seeds))
+        known += [ip for ip in self.seeds if ip not in core and self._avoid_all(known, now)]
+        near = {ip: place for place, ip in enumerate(self._controls)}
+
+        def rank(ip: str) -> tuple[bool, int, bool, float]:
+            return self._avoid.get(ip, 0.0) > now, near.get(ip, len(near)), ip != self._at, self._rng.random()
+
+        return min(known, key=rank, default=None)
+
+    def _avoid_all(self, ips: list[str], now: float) -> bool:
+        return all(self._avoid.get(ip, 0.0) > now for ip in ips)
+
+    def begin(self, now: float) -> Pull | None:
+        """The next call, to be made at once; None: there is nobody to call."""
+        ip = self._choose(now)
+        if ip is None:
+            return None
+        gate, settings = self._gate, self._settings
+        front = settings.bindings.front
+        self._number += 1
+        body = {
+            "node": settings.node_name, "incarnation": self._incarnation, "zone": settings.zone,
+            "region": settings.region, "front": f"{front[0]}:{front[1]}" if front else "",
+            "ready": gate.ready(now),
+            "have": gate.ledger.have(), "wait": 0.0 if gate.ledger.table is None else WAIT_S,
+            "adds": {"number": self._number, "counts": gate.limiter.fresh()},
+        }  # fmt: skip
+        return Pull(ip, now, body)
+
+    def ended(self, pull: Pull, now: float, answer: Json | Fault) -> bool:
+        """Take the answer; False: there was none, and the next call is to wait a little."""
+        gate, counts = self._gate, pull.body["adds"]["counts"]
+        if isinstance(answer, Fault):
+            if answer.reason == UNREACHED:
+                gate.limiter.unsent(counts)
+            else:
+                gate.limiter.confirmed(counts)  # it may have been added, and must not be twice
+            self._avoid[pull.ip] = now + AVOID_S
+            self._at = None
+            return False
+        gate.limiter.confirmed(counts)
+        self._at, self._controls = pull.ip, answer["controls"]
+        change = gate.ledger.take(pull.sent, now, answer)
+        gate.news(now, change)
+        gate.limiter.heard(now, gate.ledger.sums())
+        if answer.get("age") is None or answer["age"] > STALE_S:
+            self._avoid[pull.ip] = now + AVOID_S
+        return True
