Elect sooner after a start, beat fast until proven, answer who waits for a proof

Pre-votes keep a lone restart from disturbing a leader, so a process that has just started may ask at once (0.05 to 0.3 s).

--- a/lathe/__main__.py
+++ b/lathe/__main__.py
@@ -31,7 +31,7 @@
     def __init__(self, path: str, settings: jig_settings.Settings) -> None:
         rng = random.Random(os.urandom(8))
         self.path, self.settings = path, settings
-        self.gate = Gate(settings, rng)
+        self.gate = Gate(settings, rng, time.monotonic())
         self.desk = Desk(self.gate)
         self.front = Front(self.desk, self._limits)
         self.news = News(settings, self.gate, os.urandom(4).hex(), rng, self._changed)
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -17,7 +17,8 @@
 
 KNOWN_S = 1.0  # 401, 403 and 404 need a proof that is younger than this
 FENCE_SPARE_S = 0.3  # of Revoke, for the way of the request to the worker
-UNREADY_AGAIN_S = 0.3
+UNREADY_AGAIN_S = 0.4
+START_S = 1.2  # so long after its start a gatekeeper usually has all it needs
 BUSY_AGAIN_S = 0.15
 DIAL_NEAR_S, DIAL_FAR_S = 0.25, 0.4
 COLD_OWNERS = 2
@@ -53,7 +54,7 @@
 
 
 class Gate:
-    def __init__(self, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
         self.settings, self.bounds, self._rng = settings, settings.bounds, rng
         self.ledger = Ledger()
         self.crew = Crew(settings.zone, settings.zones, rng)
@@ -61,6 +62,7 @@
         self.retries = RetryBudget(settings.bounds)
         self.pace = ColdPace()
         self.leaving = False
+        self._since = now
         self._quotas: dict[str, Tenant] = {}
 
     # ---- news
@@ -98,7 +100,7 @@
         table, known = self.ledger.table, self.ledger.age(now) <= KNOWN_S
         unready = Turn(503, "unready", UNREADY_AGAIN_S)
         if table is None:
-            return unready
+            return Turn(503, "unready", max(UNREADY_AGAIN_S, self._since + START_S - now))
         route = table.route(host, path)
         if route is None:
             return Turn(404, "route") if known else unready
--- a/pegboard/loops.py
+++ b/pegboard/loops.py
@@ -70,8 +70,10 @@
         try:
             have = body["have"]
             until = began + min(WAIT_S, max(LEAST_S, body["wait"]))
-            while not registry.lacks(have) and bell.wait(until):
-                pass
+            eager = bool(body.get("eager"))
+            while not (registry.lacks(have) or (eager and registry.proves(time.monotonic()))):
+                if not bell.wait(until):
+                    break
             if have and registry.lacks(have) and not bell.leaving:
                 gevent.sleep(GATHER_S)
             return registry.answer(body, began, time.monotonic())
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -22,6 +22,7 @@
 SILENT_S: Final = 5.0  # a source that is silent for so long is dropped
 GRAVE_S: Final = 30.0  # a DELETE is remembered for so long
 NAMED_S: Final = 1.0  # a source heard within this is named as alive: askers count its silence from then on
+EAGER_S: Final = 1.0  # a proof not older than this ends the wait of one that has none
 PROOF_S: Final = 10.0  # an older proof says nothing
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
 PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
@@ -184,6 +185,11 @@
             return True
         return any(source.news(have.get(name)) for name, source in self._named())
 
+    def proves(self, now: float) -> bool:
+        """Whether the word held is proven newest of late: what one that has no proof waits for."""
+        age = self.age(now)
+        return age is not None and age <= EAGER_S
+
     def answer(self, body: Json, began: float, now: float) -> Json:
         """What a gatekeeper is told whose call came at `began`."""
         have, found = body["have"], {}
@@ -359,6 +365,8 @@
         if answer.get("term", 0) >= self.term:
             self.term, self.leader = answer.get("term", 0), answer.get("leader")
         if age is not None and index >= self.word.version:
+            if self.age(sent) is None or sent - (self.proven or 0.0) > EAGER_S:
+                self.news += 1  # some wait for a proof
             proven = sent + answer.get("held", 0.0) - age
             self.proven = proven if self.proven is None else max(self.proven, proven)
         return age is not None and age <= STILL_S
--- a/trials/gate_scenes.py
+++ b/trials/gate_scenes.py
@@ -53,7 +53,7 @@
         settings = parse(SETTINGS, "scene")
         assert isinstance(settings, Settings), settings
         self.now, self.index = 100.0, 0
-        self.gate = Gate(settings, random.Random(7))
+        self.gate = Gate(settings, random.Random(7), self.now)
         self.lives: dict[str, Live] = {}
         self.views: dict[str, Any] = {}
 
--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -13,7 +13,7 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, DELTA, DRAWERS, ELECTION_S, HANDING_S, MADE_WHOLE, MUTE_S, NOTHING, OLD,
+    BEHIND, CALL_S, DELTA, DRAWERS, ELECTION_S, FIRST_S, HANDING_S, MADE_WHOLE, MUTE_S, NOTHING, OLD,
     UNHEARD_S, YES, Answered, Called, Effect, Event, Gone, Keep, Kept, Leave, Read, State, Submit, Tick, Vote,
 )  # fmt: skip
 from vise.leading import Decide, Lead
@@ -69,7 +69,7 @@
     # ---- running
     def begin(self, now: float) -> list[Effect]:
         self.now, self.effects = now, []
-        self._put_off()
+        self._put_off(FIRST_S)
         self.heard_at = now - UNHEARD_S
         if self._first:
             members: dict[str, Any] = {MEMBERS + ip: {} for ip in self.seeds}
--- a/vise/leading.py
+++ b/vise/leading.py
@@ -8,8 +8,8 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, CHUNK, DELTA, DRAWERS, HANDING_S, HEARTBEAT_S, MADE_WHOLE, NOTHING, OLD, UNHEARD_S,
-    WAITING_MOST, YES, Settled, State, Work,
+    BEHIND, CALL_S, CHUNK, DELTA, DRAWERS, EARLY_S, HANDING_S, HEARTBEAT_S, MADE_WHOLE, NOTHING, OLD,
+    UNHEARD_S, WAITING_MOST, YES, Settled, State, Work,
 )  # fmt: skip
 from vise.seat import MEMBERS, Seat, pack, quorum
 from workbench.faults import UNANSWERED, UNREADY, Fault
@@ -156,7 +156,8 @@
         now = self.seat.now
         self.round += 1
         self.round_at[self.round] = now
-        self.next_beat = now + HEARTBEAT_S
+        early, lasts = EARLY_S
+        self.next_beat = now + (early if now < self.since + lasts else HEARTBEAT_S)
         for ip in self._targets():
             peer = self._peer(ip)
             if peer.heavy:
