--- /dev/null
+++ b/dovetail/board.py
@@ -0,0 +1,171 @@
+"""The registry's process as `pegboard.loops`, `.store` and `.resources` run it: the real registry."""
+
+from collections.abc import Callable
+from typing import Any
+
+from dovetail import store
+from dovetail.engine import Loop, Machine, Net, Process, Signal, Steps
+from jig.configuration import whole
+from pegboard.loops import ANSWER_S, GATHER_S, LEAST_S, PAUSE_S, TICK_S, WAIT_S, WATCH_S
+from pegboard.records import Worker
+from pegboard.registry import Registry, Self
+from pegboard.store import ANSWER_S as STORE_S
+from pegboard.store import ELSEWHERE, HOP_S, LATE_S
+from workbench.faults import UNANSWERED, UNREACHED, Fault
+
+KIND = "pegboard"
+CONTROL = 8200
+
+
+class Board(Process):
+    def __init__(self, loop: Loop, net: Net, machine: Machine, seeds: Callable[[], list[str]],
+                 zones: dict[str, str], heartbeat: float) -> None:  # fmt: skip
+        super().__init__(loop, net, machine, KIND)
+        self.seeds, self.zones, self.heartbeat = seeds, zones, heartbeat
+        self.handlers = {
+            "pull": self._pull, "swap": self._swapped, "beat": self._beat, "delete": self._delete,
+            "lookup": self._lookup, "order": self._order, "config": self._config,
+        }  # fmt: skip
+
+    def begin(self) -> None:
+        machine = self.machine
+        incarnation = f"{self.loop.chance.getrandbits(32):08x}"
+        me = Self(machine.name, incarnation, machine.name, machine.zone, machine.region, CONTROL, self.heartbeat)
+        self.registry = Registry(me, self.seeds(), self.zones, self.clock())
+        self._bell, self._told = Signal(self), 0
+        self._swaps: set[str] = set()
+        self._turn = 0
+        self.spawn(self._watch())
+        self.spawn(self._tick())
+
+    def ring(self) -> None:
+        if self._told != self.registry.news:
+            self._told = self.registry.news
+            self._bell.ring()
+
+    # ---- calls by frames (pegboard.loops.Calls)
+    def _pull(self, body: Any) -> Steps:
+        began, registry = self.clock(), self.registry
+        fault = registry.pull(body, began)
+        if fault is not None:
+            return fault
+        self.ring()
+        have = body["have"]
+        until = began + min(WAIT_S, max(LEAST_S, body["wait"]))
+        while not registry.lacks(have) and self.clock() < until:
+            yield self._bell.wait(until - self.clock())
+        if have and registry.lacks(have):
+            yield GATHER_S
+        registry.pulled(body["node"])
+        return registry.answer(body, began, self.clock())
+
+    def _swapped(self, body: Any) -> Steps:
+        began, registry = self.clock(), self.registry
+        asked = registry.asked(body, began)
+        if isinstance(asked, Fault):
+            return asked
+        while not registry.lacking(*asked) and self.clock() < began + WAIT_S:
+            yield self._bell.wait(began + WAIT_S - self.clock())
+        return registry.told(*asked, self.clock())
+
+    # ---- loops (pegboard.loops.Loops)
+    def _tick(self) -> Steps:
+        while True:
+            self.registry.tick(self.clock())
+            self.ring()
+            wanted = self.registry.peers(self.clock())
+            for ip in sorted(wanted - self._swaps):
+                self._swaps.add(ip)
+                self.spawn(self._swap(ip))
+            for ip in self._swaps - wanted:
+                self.net.drop(self, ip, KIND)
+            self._swaps &= wanted
+            yield TICK_S
+
+    def _swap(self, ip: str) -> Steps:
+        greet, pause, registry = True, PAUSE_S[0], self.registry
+        while ip in self._swaps:
+            sent = self.clock()
+            answer = yield self.call(ip, KIND, "swap", registry.ask(ip, greet, sent), WAIT_S + ANSWER_S)
+            if ip not in self._swaps:
+                return
+            now = self.clock()
+            fault = answer if isinstance(answer, Fault) else registry.heard(ip, answer, sent, now)
+            if fault is not None:
+                if fault.reason == UNANSWERED:
+                    self.net.drop(self, ip, KIND)
+                greet = True
+                yield pause
+                pause = min(2 * pause, PAUSE_S[1])
+                continue
+            greet, pause = False, PAUSE_S[0]
+            self.ring()
+            yield GATHER_S
+
+    def _watch(self) -> Steps:
+        own, registry = True, self.registry
+        while True:
+            sent, have = self.clock(), registry.word.version
+            wait, ip = (WATCH_S, self.name) if own else (WAIT_S, self._other())
+            answer: Any = Fault(UNREACHED, "there is no other store")
+            if ip is not None:
+                answer = yield self.call(ip, store.KIND, "watch", {"have": have, "wait": wait}, wait + LATE_S)
+            now, fresh = self.clock(), False
+            if not isinstance(answer, Fault):
+                fresh = registry.watched(answer, sent, now)
+                self.ring()
+            own = fresh or not own
+            if not fresh:
+                yield max(0.0, sent + PAUSE_S[0] - now)
+
+    def _other(self) -> str | None:
+        others = [ip for ip in self._stores() if ip != self.name]
+        self._turn += 1
+        return others[self._turn % len(others)] if others else None
+
+    def _stores(self) -> list[str]:
+        me, known = self.registry.me, self.registry.members()
+        return [ip for ip in self.registry.controls(me.zone, me.region, self.clock()) if ip in known]
+
+    def _stored(self, method: str, body: Any) -> Steps:
+        """As `pegboard.store.Store` goes from one store to the next."""
+        until, answer = self.clock() + STORE_S, Fault(UNREACHED, "there is no store")
+        for ip in [self.name, *(ip for ip in self._stores() if ip != self.name)]:
+            left = until - self.clock()
+            if left < HOP_S:
+                break
+            answer = yield self.call(ip, store.KIND, method, body, left)
+            if not isinstance(answer, Fault) or answer.reason not in ELSEWHERE:
+                break
+        return answer
+
+    # ---- outside calls (pegboard.resources): a status and a value
+    def _beat(self, body: tuple[str, dict[str, Any]]) -> Any:
+        key, fields = body
+        now = self.clock()
+        said = Worker(until=now + fields["warm"], **{k: v for k, v in fields.items() if k != "warm"})
+        self.registry.beat(key, said, now)
+        self.ring()
+        if self.registry.alone(now):
+            return 503, None
+        return 200, self.registry.target(said.zone, now)
+
+    def _delete(self, body: str) -> Any:
+        self.registry.leave(body, self.clock())
+        self.ring()
+        return 200, None
+
+    def _lookup(self, body: tuple[str, str]) -> Any:
+        found = self.registry.lookup(*body, self.clock())
+        return (503, None) if isinstance(found, Fault) else (200, found)
+
+    def _order(self, body: dict[str, Any]) -> Steps:
+        answer = yield from self._stored("submit", body)
+        return (503, answer.reason) if isinstance(answer, Fault) else (answer["status"], answer.get("reason"))
+
+    def _config(self, _: Any) -> Steps:
+        answer = yield from self._stored("read", {})
+        if isinstance(answer, Fault):
+            return 503, answer.reason
+        map = answer["objects"]
+        return (200, (whole(map), map)) if map.get("Version") else (404, ({}, map))
--- /dev/null
+++ b/dovetail/history.py
@@ -0,0 +1,153 @@
+"""What clients, workers and operators have seen, and what befell the machines: all that the checkers judge.
+
+Times are the world's, s. A request is one try of a client, with its own id.
+"""
+
+import bisect
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define, field
+
+from jig.tables import Table
+
+HOST = "app.example"
+
+
+@define(eq=False, slots=True)
+class Arrival:
+    """A request at a worker; `ran`: False, it was turned away; `code`: what it was turned away with."""
+
+    at: float
+    worker: str
+    service: str
+    tenant: str
+    gate: str
+    ran: bool
+    code: int = 0
+
+
+@define(eq=False, slots=True)
+class Request:
+    id: int
+    path: str
+    repeatable: bool
+    key: str
+    zone: str
+    region: str
+    sent: float
+    gate: str = ""
+    life: int = 0
+    taken: float = math.inf  # when the gatekeeper had read it
+    status: int = 0  # 0: no answer
+    cause: str = ""  # of the gatekeeper's own answer
+    ended: float = math.inf
+    arrivals: list[Arrival] = field(factory=list)
+
+    def told(self) -> str:
+        return f"request {self.id} {self.path} ({self.key or 'no key'}) sent {self.sent:.3f} to {self.gate or '-'}"
+
+
+@define(eq=False, slots=True)
+class WorkerLife:
+    id: str
+    service: str
+    zone: str
+    region: str
+    address: str
+    born: float
+    ended: float = math.inf
+    cold: list[tuple[float, float]] = field(factory=list)  # from, until
+    left: float = math.inf  # when `draining` or its end was acknowledged
+    left_at: str = ""  # by this machine
+    deleted: float = math.inf  # when its DELETE was acknowledged
+
+    def is_cold(self, at: float) -> bool:
+        return any(since <= at < until for since, until in self.cold)
+
+
+@define(eq=False, slots=True)
+class Change:
+    """A configuration that an operator sent; `entries`: the map that it stands for, `table` made of it."""
+
+    version: int
+    base: int
+    who: str
+    sent: float
+    body: dict[str, Any]
+    entries: Mapping[str, Any]
+    table: Table
+    valid: bool = True
+    acked: float = math.inf
+    refused: int = 0
+    ended: float = math.inf
+
+    def told(self) -> str:
+        return f"version {self.version} of {self.who} on {self.base}"
+
+
+@define(eq=False, slots=True)
+class Reading:
+    """A GET /config that was answered."""
+
+    begun: float
+    ended: float
+    version: int
+    body: Mapping[str, Any]
+    entries: Mapping[str, Any]
+
+
+@define(eq=False, slots=True)
+class Order:
+    """An evacuation (`on`) or its end."""
+
+    zone: str
+    on: bool
+    sent: float
+    acked: float = math.inf
+
+
+class Spans:
+    """Times of trouble, from and until; open ones last."""
+
+    def __init__(self) -> None:
+        self._from: list[float] = []
+        self._until: list[float] = []  # the latest of all up to here
+
+    def add(self, since: float, until: float) -> None:
+        """`since` never goes back."""
+        self._from.append(since)
+        self._until.append(max(until, self._until[-1] if self._until else until))
+
+    def meets(self, since: float, until: float) -> bool:
+        """Whether any of them lies in this span, in part."""
+        at = bisect.bisect_right(self._from, until)
+        return at > 0 and self._until[at - 1] >= since
+
+
+class History:
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.workers: dict[str, WorkerLife] = {}
+        self.changes: list[Change] = []
+        self.readings: list[Reading] = []
+        self.orders: list[Order] = []
+        self.troubles: dict[str, list[list[float]]] = {}  # machine -> [from, until]
+        self.unsettled: list[list[float]] = []  # of the core
+        self.closing = math.inf  # when the closing fault came
+        self.end = 0.0
+
+    def request(self, path: str, repeatable: bool, key: str, zone: str, region: str, sent: float) -> Request:
+        made = Request(len(self.requests) + 1, path, repeatable, key, zone, region, sent)
+        self.requests.append(made)
+        return made
+
+    def trouble(self, machine: str, now: float) -> None:
+        """Something begins to befall the machine."""
+        self.troubles.setdefault(machine, []).append([now, math.inf])
+
+    def over(self, machine: str, now: float) -> None:
+        """All that befell the machine is over."""
+        for span in self.troubles.get(machine, ()):
+            span[1] = min(span[1], now)
--- /dev/null
+++ b/dovetail/keeper.py
@@ -0,0 +1,239 @@
+"""The proxy's process as `lathe.news` and `lathe.desk` run it: the real gate, ledger, limiter, crew."""
+
+import functools
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from dovetail import board
+from dovetail.engine import Loop, Machine, Net, Process, Steps
+from dovetail.history import HOST, Request
+from jig.settings import Settings
+from lathe.answering import WorkerReply
+from lathe.crew import View
+from lathe.gate import Gate, Live, Turn
+from lathe.links import IDLE_EACH, IDLE_S, Ended, Outcome
+from lathe.news import PAUSE_S
+from lathe.pulling import ANSWER_S, WAIT_S, Pulling
+
+KIND = "lathe"
+LEAVE_SHARE, END_SHARE = 0.55, 0.93  # of Grace, as `lathe.__main__` has them
+
+
+@functools.cache
+def reply(status: int) -> WorkerReply:
+    """A worker's answer, as far as the gate looks at it."""
+    made = WorkerReply()
+    made.status, made.done = status, True
+    return made
+
+
+class Way(Protocol):
+    """How tries come to workers."""
+
+    def carry(self, one: "Try", kept: bool, dial: float) -> None:
+        """`kept`: on a connection that was used before; `dial`: s for a new one."""
+
+    def hung_up(self, one: "Try") -> None:
+        """The gatekeeper has closed the try's connection."""
+
+
+class Try:
+    """One try under way at a worker. Times are the world's."""
+
+    __slots__ = ("begun", "cancelled", "case", "ended", "left", "life", "sent", "view")
+
+    def __init__(self, case: "Case", view: View, left: float) -> None:
+        self.case, self.view, self.left = case, view, left
+        self.life, self.begun = case.keeper.life, 0.0
+        self.cancelled = self.sent = self.ended = False
+
+    @property
+    def gone(self) -> bool:
+        """Whether its connection is closed at our end."""
+        return self.cancelled or self.ended or self.case.keeper.life != self.life
+
+    def end(self, outcome: Outcome, keep: bool = False) -> None:
+        """In the gatekeeper: the outcome has come."""
+        if not self.ended and self.case.keeper.life == self.life:
+            self.ended = True
+            self.case.keeper.release(self.view.worker.id, keep and not self.cancelled)
+            self.case.back(self, outcome)
+
+
+class Case:
+    """One request at the gatekeeper: what `lathe.desk` does with it."""
+
+    def __init__(self, keeper: "Keeper", request: Request, answered: Callable[[int, float | None], None]) -> None:
+        self.keeper, self.request, self.answered = keeper, request, answered
+        self.live: Live | None = None
+        self.out: dict[Try, View] = {}
+        self.ended: list[tuple[Try, View, Outcome]] = []
+        self.failure = 0  # a worker's own word, kept while there is hope of a better one
+        self.closed = False
+        self._wake = 0
+
+    def begin(self, remaining: float) -> None:
+        keeper, now = self.keeper, self.keeper.clock()
+        self.request.taken = keeper.loop.now
+        live = keeper.gate.arrive(now, HOST, self.request.path, self.request.key, remaining)
+        if isinstance(live, Turn):
+            return self._answer(live.status, live.cause, live.again)
+        self.live = live
+        self._go(keeper.gate.pick(now, live, False))
+
+    def hang_up(self) -> None:
+        """The client has gone."""
+        if not self.closed:
+            self._answer(0, "gone", None)
+
+    def back(self, one: Try, outcome: Outcome) -> None:
+        assert self.live is not None
+        view = self.out.pop(one)
+        if self.closed:
+            self.keeper.gate.ended(self.keeper.clock(), self.live, view, outcome, True)
+        else:
+            self.ended.append((one, view, outcome))
+            self._look()
+
+    def _timer(self, wake: int) -> None:
+        if not self.closed and wake == self._wake:
+            self._look()
+
+    def _go(self, view: View | Turn) -> None:
+        gate, live = self.keeper.gate, self.live
+        assert live is not None
+        if isinstance(view, View):
+            self._start(view)
+        elif not self.out:
+            if self.failure:
+                return self._answer(self.failure, "", None)
+            return self._answer(view.status, view.cause, view.again)
+        if self.closed or self.ended:
+            return
+        now = self.keeper.clock()
+        at = gate.hedge(live) if len(self.out) == 1 else None
+        until = min(live.deadline, live.deadline if at is None else at)
+        self._wake += 1
+        self.keeper.later(max(0.0, until - now) + 1e-6, self._timer, self._wake)
+
+    def _look(self) -> None:
+        gate, live, now = self.keeper.gate, self.live, self.keeper.clock()
+        assert live is not None
+        while self.ended:
+            one, view, outcome = self.ended.pop()
+            final = gate.ended(now, live, view, outcome, one.cancelled)
+            if outcome.ended is Ended.ANSWERED and outcome.reply is not None:
+                self.failure = outcome.reply.status
+                if final:
+                    return self._answer(self.failure, "", None)
+        if now >= live.deadline:
+            return self._answer(self.failure or 504, "" if self.failure else "late", None)
+        self._go(gate.pick(now, live, True) if not self.out or gate.hedges(now, live) else gate.stay(live))
+
+    def _start(self, view: View) -> None:
+        assert self.live is not None
+        one = Try(self, view, self.live.deadline - self.keeper.clock())
+        self.out[one] = view
+        self.keeper.exchange(one)
+
+    def _answer(self, status: int, cause: str, again: float | None) -> None:
+        self.closed = True
+        keeper, live = self.keeper, self.live
+        keeper.cases.pop(self.request, None)
+        if live is not None:
+            now = keeper.clock()
+            for _, view, outcome in self.ended:
+                keeper.gate.ended(now, live, view, outcome, True)
+            for one in list(self.out):
+                one.cancelled = True
+                keeper.yard.hung_up(one)
+                # Its connection is closed: the outcome comes at once.
+                keeper.later(0.0, one.end, Outcome(Ended.LOST if one.sent else Ended.UNREACHED))
+            if not live.may_run and not live.out:
+                keeper.gate.never_ran(now, live)
+        word = cause or str(status)
+        keeper.told[word] = keeper.told.get(word, 0) + 1
+        self.request.cause = cause
+        self.answered(status, again)
+
+
+class Keeper(Process):
+    """A gatekeeper."""
+
+    def __init__(self, loop: Loop, net: Net, machine: Machine, settings: Callable[[], Settings],
+                 yard: "Way") -> None:  # fmt: skip
+        super().__init__(loop, net, machine, KIND)
+        self.settings, self.yard = settings, yard
+        self.told: dict[str, int] = {}  # answers by cause or status, over all lives
+        self.cases: dict[Request, Case] = {}
+
+    def begin(self) -> None:
+        settings, rng = self.settings(), random.Random(self.loop.chance.getrandbits(64))
+        self.gate = Gate(settings, rng, self.clock())
+        self.pulling = Pulling(settings, self.gate, f"{rng.getrandbits(32):08x}", rng)
+        self.cases = {}
+        self.idle: dict[str, list[float]] = {}  # by worker: until when each connection may be used
+        self.open: dict[str, int] = {}
+        self.spawn(self._news())
+
+    def ended(self, silently: bool) -> None:
+        cases, self.cases = self.cases, {}
+        for case in cases.values() if not silently else ():
+            case.closed = True
+            case.answered(0, None)  # the client sees the connection reset
+
+    def _news(self) -> Steps:
+        while True:
+            pull = self.pulling.begin(self.clock())
+            if pull is not None:
+                answer: Any = yield self.call(pull.ip, board.KIND, "pull", pull.body, WAIT_S + ANSWER_S)
+                if self.pulling.ended(pull, self.clock(), answer):
+                    continue
+            yield PAUSE_S
+
+    def leave(self) -> None:
+        """SIGTERM."""
+        self.gate.leaving = True
+        self.spawn(self._leave())
+
+    def _leave(self) -> Steps:
+        began, grace = self.clock(), self.gate.bounds.grace
+        yield LEAVE_SHARE * grace
+        while self.cases and self.clock() < began + END_SHARE * grace:
+            yield 0.02
+        self.kill()
+
+    def ready(self) -> bool:
+        return self.up and not self.frozen and self.gate.ready(self.clock())
+
+    def take(self, request: Request, remaining: float, answered: Callable[[int, float | None], None]) -> None:
+        """A request of a client has come whole."""
+        request.gate, request.life = self.name, self.life
+        case = self.cases[request] = Case(self, request, answered)
+        case.begin(remaining)
+
+    # ---- connections to workers (lathe.links)
+    def exchange(self, one: Try) -> None:
+        worker = one.view.worker
+        kept, now = self.idle.get(worker.id), self.clock()
+        self.later(max(0.0, one.left), self._late, one)
+        while kept:
+            if kept.pop() > now:
+                return self.yard.carry(one, True, 0.0)
+            self.open[worker.id] -= 1
+        if self.open.get(worker.id, 0) >= self.gate.connections(one.view):
+            self.open[worker.id] = self.open.get(worker.id, 0) + 1  # given back with its outcome
+            return self.later(0.0, one.end, Outcome(Ended.FULL))
+        self.open[worker.id] = self.open.get(worker.id, 0) + 1
+        self.yard.carry(one, False, min(self.gate.dial(one.view), one.left))
+
+    def _late(self, one: Try) -> None:
+        one.end(Outcome(Ended.LATE if one.sent else Ended.UNREACHED, None, one.left))
+
+    def release(self, worker: str, keep: bool) -> None:
+        idle = self.idle.setdefault(worker, [])
+        if keep and len(idle) < IDLE_EACH:
+            idle.append(self.clock() + IDLE_S)
+        else:
+            self.open[worker] -= 1
--- /dev/null
+++ b/dovetail/people.py
@@ -0,0 +1,284 @@
+"""Clients with keys, and operators: what the pages say that they do."""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from attrs import define
+
+from dovetail import board, keeper
+from dovetail.engine import Loop, Machine, Net, Process, Steps
+from dovetail.history import Change, History, Order, Reading, Request
+from dovetail.keeper import Keeper
+from jig import configuration
+from jig.tables import Table
+from workbench.faults import Fault
+
+TRIES = 3  # of a client, for one thing it wants
+CONNECT_S = 1.0
+LOOKUP_S = 1.0
+HOP_S = 0.001  # from a client to a gatekeeper of its zone, one way
+
+
+@define(slots=True)
+class Want:
+    """What is asked, how often, by whom. `rate`: a second, over all zones; `deadline`: s."""
+
+    path: str
+    repeatable: bool
+    key: str
+    rate: float
+    deadline: float = 3.0
+
+
+@define(eq=False, slots=True)
+class Errand:
+    """One thing that a client wants, over all its tries."""
+
+    want: Want
+    until: float
+    tries: int = 0
+    served: bool = False
+    over: bool = False
+
+
+class Crowd(Process):
+    """The clients of one zone: they hold one answer of /lookup together."""
+
+    def __init__(self, loop: Loop, net: Net, machine: Machine, history: History, boards: list[str],
+                 share: Callable[[], float]) -> None:  # fmt: skip
+        super().__init__(loop, net, machine, "crowd")
+        self.history, self.boards, self.share = history, boards, share
+        self.wants: list[Want] = []
+        self.addresses: list[str] = []
+        self.failed: dict[str, float] = {}  # until when an address is passed over
+        self.errands: list[Errand] = []
+
+    def begin(self) -> None:
+        self.spawn(self._lookups())
+
+    def _lookups(self) -> Steps:
+        machines = self.net.machines
+        near = sorted(self.boards, key=lambda name: (machines[name].zone != self.machine.zone,
+                                                     machines[name].region != self.machine.region))  # fmt: skip
+        yield self.loop.chance.random()
+        while True:
+            for at in near[:3]:
+                body = (self.machine.zone, self.machine.region)
+                answer = yield self.call(at, board.KIND, "lookup", body, LOOKUP_S)
+                if isinstance(answer, tuple) and answer[0] == 200:
+                    self.addresses = [front.partition(":")[0] for front in answer[1]]
+                    break
+            yield LOOKUP_S
+
+    def add(self, want: Want) -> None:
+        self.wants.append(want)
+        self._next(want)
+
+    def _next(self, want: Want) -> None:
+        rate = want.rate * self.share()
+        if rate > 0:
+            self.loop.later(self.loop.chance.expovariate(rate), self._ask, want)
+        else:
+            self.loop.later(0.2, self._next, want)
+
+    def _ask(self, want: Want) -> None:
+        if want not in self.wants:
+            return
+        errand = Errand(want, self.loop.now + want.deadline)
+        self.errands.append(errand)
+        self.attempt(errand)
+        self._next(want)
+
+    def attempt(self, errand: Errand, at: str | None = None) -> Request | None:
+        """One more try, at a gatekeeper by chance, or `at` this one."""
+        now, want, chance = self.loop.now, errand.want, self.loop.chance
+        if errand.tries >= TRIES or now >= errand.until:
+            errand.over = True
+            return None
+        errand.tries += 1
+        fit = [one for one in self.addresses if self.failed.get(one, 0.0) <= now] or self.addresses
+        if at is None and not fit:
+            self.loop.later(0.3, self.attempt, errand)
+            return None
+        at = at or chance.choice(fit)
+        request = self.history.request(
+            want.path, want.repeatable, want.key, self.machine.zone, self.machine.region, now
+        )
+        request.gate = at
+        machine = self.net.machines[at]
+        target = machine.processes[keeper.KIND]
+        assert isinstance(target, Keeper)
+        trip = HOP_S if machine.zone == self.machine.zone else HOP_S + self.net.delay(self.machine, machine)
+        if not machine.powered or not self.net.open(self.machine.link, machine.link):
+            self.loop.later(CONNECT_S, self._failed, errand, request, True)
+        elif not target.up:
+            self.loop.later(2 * trip, self._failed, errand, request, True)
+        else:
+            life = target.life
+            self.loop.later(trip, self._come, errand, request, target, life, trip)
+        return request
+
+    def _come(self, errand: Errand, request: Request, target: Keeper, life: int, trip: float) -> None:
+        if not target.up or target.life != life:
+            return self._failed(errand, request, True)
+
+        def answered(status: int, again: float | None) -> None:
+            if self.net.open(self.machine.link, target.machine.link):
+                self.loop.later(trip, self._answered, errand, request, status, again)
+
+        def over() -> None:
+            if not math.isinf(request.ended):
+                return
+            request.ended = self.loop.now
+            errand.over = True
+            case = target.cases.get(request)
+            if case is not None:
+                target.do(case.hang_up, ())
+
+        left = errand.until - self.loop.now
+        target.do(self._take, (target, request, left, answered))
+        self.loop.later(left, over)
+
+    @staticmethod
+    def _take(target: Keeper, request: Request, left: float, answered: Callable[[int, float | None], None]) -> None:
+        if math.isinf(request.ended):
+            target.take(request, left, answered)
+
+    def _failed(self, errand: Errand, request: Request, unread: bool) -> None:
+        request.ended = self.loop.now
+        self.failed[request.gate] = self.loop.now + 2.0
+        if unread or errand.want.repeatable:
+            self.attempt(errand)
+        else:
+            errand.over = True
+
+    def _answered(self, errand: Errand, request: Request, status: int, again: float | None) -> None:
+        if not math.isinf(request.ended):
+            return
+        now = self.loop.now
+        request.status, request.ended = status, now
+        if status == 0:
+            return self._failed(errand, request, False)
+        if 200 <= status < 300:
+            errand.served = errand.over = True
+        elif status in (429, 503):
+            self.loop.later(min(again or 0.0, (errand.until - now) / 3), self.attempt, errand)
+        elif status in (400, 401, 404, 413, 431) or not errand.want.repeatable:
+            errand.over = True
+        else:
+            self.attempt(errand)
+
+
+def edited(body: Mapping[str, Any], version: int, words: list[str]) -> dict[str, Any]:
+    """A whole configuration changed by words: `look=desk` (the route goes there), `r+NAME=SERVICE`, `r-NAME`,
+    `k+TENANT=KEY`, `k-KEY`, `q:TENANT=RATE` (and as much burst). ValueError: no such word."""
+    objects = {(one["ObjectType"], one["Metadata"].get("Name", "")): dict(one) for one in body["Objects"]}
+    for word in words:
+        left, _, right = word.partition("=")
+        kind, name = left[:2], left[2:]
+        if kind == "r+":
+            spec: dict[str, Any] = {"Host": "app.example", "PathPrefix": f"/{name}/", "RouteType": "idempotent",
+                                    "Timeout": "3000ms", "Service": right, "MaxAttempts": 2, "Anonymous": True}  # fmt: skip
+            objects["Routes", name] = {"ObjectType": "Routes", "Metadata": {"Name": name}, "Specification": spec}
+        elif kind == "r-":
+            del objects["Routes", name]
+        elif kind in ("k+", "k-", "q:"):
+            for key, one in list(objects.items()):
+                spec = one["Specification"]
+                keys = spec.get("ApiKeys", [])
+                if kind == "k-" and name in keys:
+                    change: dict[str, Any] = {"ApiKeys": [key for key in keys if key != name]}
+                elif kind == "k+" and key == ("Tenants", name):
+                    change = {"ApiKeys": [*keys, right]}
+                elif kind == "q:" and key == ("Tenants", name):
+                    change = {"RatePerS": float(right), "BurstSize": float(right)}
+                else:
+                    continue
+                objects[key] = {**one, "Specification": {**spec, **change}}
+        elif right and ("Routes", left) in objects:
+            one = objects["Routes", left]
+            objects["Routes", left] = {**one, "Specification": {**one["Specification"], "Service": right}}
+        else:
+            raise ValueError(word)
+    return {"ConfigVersion": f"{version:08x}", "Objects": list(objects.values())}
+
+
+class Operator(Process):
+    """Sends orders again, unchanged, to any core machine, until there is a clear answer."""
+
+    def __init__(self, loop: Loop, net: Net, machine: Machine, history: History, boards: list[str]) -> None:
+        super().__init__(loop, net, machine, "operator")
+        self.history, self.boards = history, boards
+
+    def begin(self) -> None:
+        pass
+
+    def order(self, body: dict[str, Any], first: str | None, told: Callable[[int], None]) -> None:
+        self.spawn(self._order(body, first, told))
+
+    def _places(self, first: str | None) -> list[str]:
+        others = self.loop.chance.sample(self.boards, len(self.boards))
+        return ([first] if first else []) + [name for name in others if name != first]
+
+    def _order(self, body: dict[str, Any], first: str | None, told: Callable[[int], None]) -> Steps:
+        pause, places = 0.1, self._places(first)
+        timeout = 1.0 + 0.003 * len(body["body"].get("Objects", ())) if isinstance(body["body"], dict) else 1.0
+        while True:
+            answer = yield self.call(places[0], board.KIND, "order", body, timeout)
+            if isinstance(answer, tuple) and answer[0] in (200, 400, 404, 412, 422):
+                return told(answer[0])
+            places = places[1:] or self._places(None)
+            yield pause
+            pause = min(1.0, 1.5 * pause)
+
+    def put(self, change: Change, first: str | None = None, kind: str = "put") -> None:
+        change.sent = self.loop.now
+        self.history.changes.append(change)
+
+        def told(status: int) -> None:
+            change.ended = self.loop.now
+            if status == 200:
+                change.acked = self.loop.now
+            else:
+                change.refused = status
+
+        self.order({"kind": kind, "if_match": f"{change.base:08x}", "body": change.body}, first, told)
+
+    def zone(self, zone: str, on: bool, first: str | None = None) -> None:
+        order = Order(zone, on, self.loop.now)
+        self.history.orders.append(order)
+
+        def told(status: int) -> None:
+            if status == 200:
+                order.acked = self.loop.now
+
+        self.order({"kind": "evacuate" if on else "restore", "if_match": None, "body": zone}, first, told)
+
+    def read(self, first: str | None = None, then: Callable[[Reading], None] | None = None) -> None:
+        self.spawn(self._read(first, then))
+
+    def _read(self, first: str | None, then: Callable[[Reading], None] | None) -> Steps:
+        places = self._places(first)
+        while True:
+            begun = self.loop.now
+            answer = yield self.call(places[0], board.KIND, "config", None, 1.0)
+            if isinstance(answer, tuple) and answer[0] in (200, 404):
+                body, entries = answer[1]
+                version = int(body.get("ConfigVersion", "0"), 16)
+                found = Reading(begun, self.loop.now, version, body, entries)
+                self.history.readings.append(found)
+                return then(found) if then else None
+            places = places[1:] or self._places(None)
+            yield 0.2
+
+
+def change(version: int, base: int, who: str, body: dict[str, Any], now: float) -> Change:
+    """A whole configuration as an operator means it."""
+    entries = configuration.laid_out(body)
+    if isinstance(entries, list):
+        return Change(version, base, who, now, body, {}, Table.build({}), False)
+    return Change(version, base, who, now, body, entries, Table.build(entries))
+
+
+__all__ = ["Crowd", "Errand", "Fault", "Operator", "Want", "change", "edited"]
--- /dev/null
+++ b/dovetail/store.py
@@ -0,0 +1,154 @@
+"""The store's process as `vise.daemon` runs it: the real member on a made disk."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from dovetail.engine import Future, Loop, Machine, Net, Process, Signal, Steps
+from vise.agreement import Member
+from vise.daemon import ORDER_S, PAUSE_S, READ_S, SEEK_S, STEP_S, WATCH_MOST_S
+from vise.interface import (
+    CALL_S, Answered, Called, Effect, Gone, Keep, Kept, Leave, Read, Reply, Send, State, Submit, Tick,
+)  # fmt: skip
+from vise.orders import decide
+from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
+
+KIND = "vise"
+SYNC_S = (0.002, 0.012)  # a durable write takes between these
+DISK_FAULTS = ("done", "undone", "half")  # what a write in the middle of which the process ends has come to
+
+
+class Store(Process):
+    """`machine.disk` holds `vote` and `state` as they are durable."""
+
+    def __init__(self, loop: Loop, net: Net, machine: Machine, seeds: Callable[[], list[str]]) -> None:
+        super().__init__(loop, net, machine, KIND)
+        self.seeds = seeds
+        self.bootstrap = True
+        self.member: Member | None = None
+        self.writing: Keep | None = None
+        self.refuses = False  # the disk does not take writes
+        self.handlers = {method: self._handler(method) for method in ("ballot", "append", "join", "succeed")}
+        self.handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch}
+
+    def begin(self) -> None:
+        disk = self.machine.disk
+        vote, state = disk.get("vote"), disk.get("state")
+        self.member = Member(self.name, sorted(self.seeds()), self.bootstrap, vote, state, decide, self.loop.chance)
+        self.bootstrap = False
+        self.writing, self._todo, self._doing = None, deque[Effect](), False
+        self._news, self._seen = Signal(self), 0
+        self._do(self.member.begin(self.clock()))
+        self._tick()
+
+    def ended(self, silently: bool) -> None:
+        """A write under way may be done, not done, or half done: the state without the vote."""
+        keep, self.writing, self.member = self.writing, None, None
+        if keep is not None:
+            came = self.loop.chance.choice(DISK_FAULTS)
+            if came != "undone" and keep.state is not None:
+                self.machine.disk["state"] = keep.state
+            if came == "done" and keep.vote is not None:
+                self.machine.disk["vote"] = keep.vote
+
+    def leave(self) -> None:
+        self._feed(Leave())
+
+    def _tick(self) -> None:
+        member = self.member
+        if member is None:
+            return
+        if self.clock() >= member.due():
+            self._feed(Tick())
+        self.later(min(STEP_S, max(0.01, member.due() - self.clock())), self._tick)
+
+    def _feed(self, event: Any) -> None:
+        if self.member is not None:
+            self._do(self.member.handle(self.clock(), event))
+
+    def _do(self, effects: list[Effect]) -> None:
+        self._todo.extend(effects)
+        if self._doing:
+            return
+        self._doing = True
+        while self._todo:
+            self._effect(self._todo.popleft())
+        self._doing = False
+        member = self.member
+        if member is not None and member.news.index != self._seen:
+            self._seen = member.news.index
+            self._news.ring()
+
+    def _effect(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self.spawn(self._send(effect))
+            case Reply():
+                effect.ref.set(effect.body)
+            case Keep():
+                self.writing = effect
+                self.later(self.loop.chance.uniform(*SYNC_S), self._kept)
+            case Gone():
+                self.kill()
+
+    def _kept(self) -> None:
+        keep, self.writing = self.writing, None
+        assert keep is not None
+        if not self.refuses:
+            if keep.state is not None:
+                self.machine.disk["state"] = keep.state
+            if keep.vote is not None:
+                self.machine.disk["vote"] = keep.vote
+        self._feed(Kept(not self.refuses))
+
+    def _send(self, send: Send) -> Steps:
+        sent_at = self.clock()
+        body = yield self.call(send.peer, KIND, send.method, send.body, CALL_S)
+        self._feed(Answered(send.peer, send.method, sent_at, send.context, body))
+
+    def _handler(self, method: str) -> Callable[[Any], Any]:
+        return lambda body: self._ask(lambda ref: Called(ref, method, body), CALL_S)
+
+    def _ask(self, event: Callable[[Any], Any], timeout: float) -> Steps:
+        ref = Future()
+        self.later(timeout, ref.set, Fault(UNANSWERED, f"{timeout:g} s"))
+        self._feed(event(ref))
+        return (yield ref)
+
+    # ---- calls of pegboards, as the daemon serves them
+    def submit(self, body: Any) -> Steps:
+        return self._led("submit", body, lambda ref: Submit(ref, body), ORDER_S)
+
+    def read(self, body: Any) -> Steps:
+        found = yield from self._led("read", body, Read, READ_S)
+        if not isinstance(found, State):
+            return found
+        map = dict(found.chest.map)
+        return {"version": map.get("Version"), "objects": map}
+
+    def _led(self, method: str, body: dict[str, Any], event: Callable[[Any], Any], timeout: float) -> Steps:
+        until = self.clock() + SEEK_S
+        found: Any = Fault(UNREADY, "no leader")
+        while self.member is not None:
+            leader = self.member.leader
+            if self.member.lead is not None:
+                found = yield from self._ask(event, timeout)
+            elif leader is not None and not body.get("passed"):
+                found = yield self.call(leader, KIND, method, {**body, "passed": True}, timeout)
+            if not isinstance(found, Fault) or found.reason not in (UNREADY, UNREACHED):
+                return found
+            if self.clock() >= until or body.get("passed"):
+                return found
+            yield PAUSE_S
+        return found
+
+    def watch(self, body: Any) -> Steps:
+        member = self.member
+        if member is None:
+            return Fault(INVALID, "watch")
+        have, until = body["have"], self.clock() + min(body["wait"], WATCH_MOST_S)
+        while member.news.index <= have and self.clock() < until:
+            yield self._news.wait(until - self.clock())
+        age = self.clock() - member.news.proof
+        known = age if age != float("inf") else None
+        return {**member.news.since(have), "age": known, "term": member.vote.term, "leader": member.leader}
--- /dev/null
+++ b/dovetail/world.py
@@ -0,0 +1,320 @@
+"""The made world: machines in zones, their programs, workers, clients, operators, and what befalls them."""
+
+import math
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import define, evolve, field
+
+from dovetail import board, keeper, store
+from dovetail.board import Board
+from dovetail.engine import Loop, Machine, Net, Process
+from dovetail.history import HOST, History
+from dovetail.keeper import Keeper
+from dovetail.people import Crowd, Operator, Want
+from dovetail.store import Store
+from dovetail.workers import Worker, Yard
+from jig.settings import Bindings, Bounds, Settings
+from workbench.faults import INVALID, Fault
+
+ZONES = {"z1": "r1", "z2": "r2", "z3": "r3", "z4": "r1", "z5": "r2", "z6": "r3"}
+BACK_S = 0.5  # a process that has ended is started again after so long
+BOOT_S = 0.2
+TRAFFIC_S = 5.0  # clients come so long after the machines
+CORE, EDGE = "core", "edge"
+KINDS = {"vise": [store.KIND], "pegboard": [board.KIND], "lathe": [keeper.KIND],
+         "core": [store.KIND, board.KIND], "all": [store.KIND, board.KIND, keeper.KIND]}  # fmt: skip
+# route -> service, repeatable
+ROUTES = {"look": ("fleet", True), "hold": ("desk", False), "bill": ("bill", False)}
+
+
+@define
+class Plan:
+    """What is built. `rate`: requests a second of all clients; `workers`: of each service."""
+
+    core: int = 5
+    edge: int = 11
+    seed: int = 1
+    rate: float = 60.0
+    workers: int = 6
+    capacity: int = 4
+    latency: float = 0.15
+    tenants: int = 4
+    quota: float = 200.0
+    warmup: float = 3.0
+    warmup_rate: float = 5.0
+    loss: float = 0.0
+    until: float = 20.0
+    homes: list[str] = field(factory=list)  # of the route `bill`
+
+
+def first_configuration(plan: Plan) -> dict[str, Any]:
+    objects: list[dict[str, Any]] = []
+    for name, (service, repeatable) in ROUTES.items():
+        spec = {
+            "Host": HOST, "PathPrefix": f"/{name}/", "RouteType": "idempotent" if repeatable else "non_idempotent",
+            "Timeout": "3000ms", "TargetLatency": "800ms", "Priority": 1, "Service": service, "MaxAttempts": 3,
+            "Anonymous": False, "HomeRegions": plan.homes if name == "bill" else [],
+        }  # fmt: skip
+        objects.append({"ObjectType": "Routes", "Metadata": {"Name": name}, "Specification": spec})
+    for service, _ in ROUTES.values():
+        spec = {"HealthCheck": "/health", "MaxConnections": 100, "Warmup": f"{plan.warmup}s",
+                "WarmupRateS": plan.warmup_rate}  # fmt: skip
+        objects.append({"ObjectType": "Services", "Metadata": {"Name": service}, "Specification": spec})
+    for number in range(1, plan.tenants + 1):
+        spec = {"ApiKeys": [f"t{number}-a", f"t{number}-b"], "RatePerS": plan.quota, "BurstSize": plan.quota}
+        objects.append({"ObjectType": "Tenants", "Metadata": {"Name": f"t{number}"}, "Specification": spec})
+    return {"ConfigVersion": "00000001", "Objects": objects}
+
+
+class World:
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.loop = Loop(plan.seed)
+        self.net = Net(self.loop)
+        self.net.loss = plan.loss
+        self.history = History()
+        self.bounds = Bounds(revocation_strict=True)
+        self.load = 1.0
+        self.zones = dict(ZONES)
+        self.core = [f"{CORE}-{number + 1}" for number in range(plan.core)]
+        self.edge = [f"{EDGE}-{number + 1}" for number in range(plan.edge)]
+        self.seeds = self.core[:3]
+        self.standing: set[str] = set()  # machines with a trouble that lasts
+        names = list(ZONES)
+        heartbeat = 1.5
+        self.yard = Yard(self.loop, self.net, self.history, self.core, heartbeat, self.bounds.drain)
+        chance = self.loop.chance
+        for number, name in enumerate(self.core):
+            machine = self._machine(name, names[number % len(names)])
+            Store(self.loop, self.net, machine, lambda: self.seeds)
+            Board(self.loop, self.net, machine, lambda: self.seeds, self.zones, heartbeat)
+        for number, name in enumerate(self.edge):
+            machine = self._machine(name, names[number % len(names)])
+            settings = Settings(
+                node_name=name, ip=name, internal_ports=(7600, 7615), zone=machine.zone, region=machine.region,
+                seeds=(), zones=self.zones, heartbeat=heartbeat, bounds=self.bounds,
+                bindings=Bindings(front=(name, 80), readiness=(name, 81)),
+            )  # fmt: skip
+            Keeper(self.loop, self.net, machine, lambda one=settings: self._settings(one), self.yard)  # type: ignore[misc]
+        self.operators: dict[str, Operator] = {}
+        self.crowds: list[Crowd] = []
+        for zone in names:
+            machine = Machine(f"clients-{zone}", zone, self.zones[zone], 0.0, "clients")
+            self.net.machines[machine.name] = machine
+            self.crowds.append(Crowd(self.loop, self.net, machine, self.history, self.core, self._share))
+        for name in [*self.core, *self.edge]:
+            for process in self.net.machines[name].processes.values():
+                self.loop.later(chance.uniform(0.0, BOOT_S), process.start)
+        for service, _ in ROUTES.values():
+            for number in range(plan.workers):
+                self.loop.later(chance.uniform(0.5, 1.5), self.worker, service, names[number % len(names)])
+        for crowd in self.crowds:
+            crowd.start()
+        self.loop.later(TRAFFIC_S, self._traffic)
+
+    def _machine(self, name: str, zone: str) -> Machine:
+        machine = Machine(name, zone, self.zones[zone], self.loop.chance.uniform(0.0, 1000.0))
+        self.net.machines[name] = machine
+        return machine
+
+    def _settings(self, settings: Settings) -> Settings:
+        return evolve(settings, seeds=tuple((seed, board.CONTROL) for seed in self.seeds))
+
+    def _share(self) -> float:
+        return self.load / len(self.crowds)
+
+    def _traffic(self) -> None:
+        rate = self.plan.rate / (len(ROUTES) * self.plan.tenants)
+        for crowd in self.crowds:
+            for name, (_, repeatable) in ROUTES.items():
+                for number in range(1, self.plan.tenants + 1):
+                    crowd.add(Want(f"/{name}/x", repeatable, f"t{number}-a", rate))
+
+    def worker(self, service: str, zone: str, cold: float = 0.0, address: str | None = None) -> Worker:
+        plan = self.plan
+        latency = plan.latency * self.loop.chance.uniform(0.8, 1.3)
+        return self.yard.add(service, zone, self.zones[zone], plan.capacity, latency, cold, address)
+
+    def operator(self, name: str) -> Operator:
+        if name not in self.operators:
+            machine = Machine(f"operator-{name}", "z1", "r1", 0.0, "operators")
+            self.net.machines[machine.name] = machine
+            self.operators[name] = Operator(self.loop, self.net, machine, self.history, self.core)
+            self.operators[name].start()
+        return self.operators[name]
+
+    # ---- looking
+    def process(self, machine: str, kind: str) -> Process:
+        return self.net.machines[machine].processes[kind]
+
+    def stores(self) -> list[Store]:
+        return [one for name in self.core if isinstance(one := self.process(name, store.KIND), Store)]
+
+    def boards(self) -> list[Board]:
+        return [one for name in self.core if isinstance(one := self.process(name, board.KIND), Board)]
+
+    def keepers(self) -> list[Keeper]:
+        return [one for name in self.edge if isinstance(one := self.process(name, keeper.KIND), Keeper)]
+
+    def leader(self) -> str | None:
+        """The machine of the newest of those who believe that they lead."""
+        leading = [(one.member.lead.term, one.name) for one in self.stores() if one.member and one.member.lead]
+        return max(leading)[1] if leading else None
+
+    # ---- what befalls machines
+    def _befalls(self, machine: str, lasting: bool = True) -> None:
+        now = self.loop.now
+        self.history.trouble(machine, now)
+        if not lasting:
+            self.history.over(machine, now)
+        if machine in self.core:
+            self._shaken()
+
+    def _passes(self, machine: str) -> None:
+        self.history.over(machine, self.loop.now)
+        if machine in self.core:
+            self._shaken()
+
+    def _shaken(self) -> None:
+        """The core has changed: unsettled now, and on while no majority of it runs and is connected."""
+        now, spans = self.loop.now, self.history.unsettled
+        if spans and math.isinf(spans[-1][1]):
+            spans[-1][1] = now
+        spans.append([now, now if self.majority() else math.inf])
+
+    def majority(self) -> set[str]:
+        """The core machines that run and reach more than half of the core, if there are such."""
+        well = [name for name in self.core if self._runs(name)]
+        for name in well:
+            group = {other for other in well if other == name or self.net.open(name, other)}
+            if 2 * len(group) > len(self.core):
+                return group
+        return set()
+
+    def _runs(self, name: str) -> bool:
+        machine = self.net.machines[name]
+        return machine.powered and all(one.up and not one.frozen for one in machine.processes.values())
+
+    def _each(self, kind: str, names: Iterable[str]) -> list[Process]:
+        machines = [self.net.machines[name] for name in names]
+        return [one for machine in machines for wanted in KINDS[kind] if (one := machine.processes.get(wanted))]
+
+    def kill(self, kind: str, names: list[str], seconds: float = BACK_S) -> None:
+        for process in self._each(kind, names):
+            if process.up:
+                self._befalls(process.name)
+                process.kill()
+                self.loop.later(seconds + BOOT_S, self._start, process)
+
+    def _start(self, process: Process) -> None:
+        if process.machine.powered and not process.up:
+            process.start()
+            self._passes(process.name)
+
+    def term(self, kind: str, names: list[str]) -> None:
+        """SIGTERM: it leaves in order, and is started again."""
+        for process in self._each(kind, names):
+            if process.up:
+                self._befalls(process.name)
+                if isinstance(process, Store | Keeper):
+                    process.leave()
+                else:
+                    process.kill()
+                self._again(process)
+
+    def _again(self, process: Process) -> None:
+        """Once it has ended, it is started again."""
+        if process.up:
+            self.loop.later(0.1, self._again, process)
+        else:
+            self.loop.later(BACK_S, self._start, process)
+
+    def power(self, names: list[str], seconds: float | None = None, wipe: bool = False) -> None:
+        """Without power, and back after some seconds, or when `start` says so."""
+        for name in names:
+            machine = self.net.machines[name]
+            self._befalls(name)
+            for process in machine.processes.values():
+                process.kill(silently=True)
+            machine.powered = False
+            if wipe:
+                machine.disk.clear()
+            if seconds is not None:
+                self.loop.later(seconds, self.start, [name])
+
+    def start(self, names: list[str]) -> None:
+        for name in names:
+            machine = self.net.machines[name]
+            if not machine.powered:
+                machine.powered = True
+                machine.offset = self.loop.chance.uniform(0.0, 1000.0)  # the steady clock begins anew
+            for process in machine.processes.values():
+                self.loop.later(self.loop.chance.uniform(0.05, BOOT_S), self._start, process)
+
+    def spoil(self, names: list[str]) -> None:
+        """The disk can be read no more after the next start."""
+        for name in names:
+            disk = self.net.machines[name].disk
+            disk.update(vote=Fault(INVALID, "torn"), state=Fault(INVALID, "torn"))
+
+    def freeze(self, kind: str, names: list[str], seconds: float) -> None:
+        for process in self._each(kind, names):
+            if process.up and not process.frozen:
+                process.freeze()
+                self._befalls(process.name)
+                self.loop.later(seconds, self._thaw, process, process.life)
+
+    def _thaw(self, process: Process, life: int) -> None:
+        if process.life == life:
+            process.thaw()
+            self._passes(process.name)
+
+    def cut(self, ones: list[str], others: list[str], both: bool = True) -> None:
+        for one in ones:
+            for other in others:
+                if one != other:
+                    self.net.cut(one, other)
+                    if both:
+                        self.net.cut(other, one)
+        self._links({*ones, *others})
+
+    def join(self, ones: list[str] | None = None, others: list[str] | None = None) -> None:
+        """These links, or all."""
+        pairs = {(a, b) for a in ones or () for b in others or ()}
+        gone = [pair for pair in sorted(self.net.cuts) if ones is None or pair in pairs or pair[::-1] in pairs]
+        for pair in gone:
+            self.net.join(*pair)
+        self._links({name for pair in gone for name in pair})
+
+    def _links(self, names: set[str]) -> None:
+        """Links of these have changed: who is out of touch, by the rule's third condition."""
+        if names & {*self.core}:
+            self._shaken()
+        most = self.majority()
+        for name in self.edge:
+            away = any(not self.net.open(name, other) for other in most)
+            if away and name not in self.standing:
+                self.standing.add(name)
+                self.history.trouble(name, self.loop.now)
+            elif not away and name in self.standing:
+                self.standing.discard(name)
+                self.history.over(name, self.loop.now)
+        for name in self.core:
+            if any(name in pair for pair in self.net.cuts) and name in names:
+                self.history.trouble(name, self.loop.now)
+            elif name in names and self._runs(name):
+                self.history.over(name, self.loop.now)
+
+    def lossy(self, share: float) -> None:
+        self.net.loss = share
+        for name in [*self.core, *self.edge]:
+            if share:
+                self.history.trouble(name, self.loop.now)
+            else:
+                self.history.over(name, self.loop.now)
+        self._shaken()
+
+    def run(self, until: float) -> None:
+        self.loop.run(until)
+        self.history.end = until
