--- a/trials/test_vise_agreement.py
+++ b/trials/test_vise_agreement.py
@@ -11,7 +11,8 @@
 from trials.vise_sim import World, decide, mixed
 from vise.agreement import Member
 from vise.interface import (
-    CALL_S, DELTA, MUTE_S, NOTHING, Answered, Called, Kept, Reply, Send, State, Tick, Vote,
+    BEHIND, CALL_S, DELTA, DRAWERS, MADE_WHOLE, MUTE_S, NOTHING, UNHEARD_S, Answered, Called, Kept, Read,
+    Reply, Send, State, Submit, Tick, Vote,
 )  # fmt: skip
 from vise.ranges import Chest
 from vise.seat import Broken, pack, unpack
@@ -190,6 +191,44 @@
     assert whole == [[3, 77]]
 
 
+@test("I6 I8: nothing is read by answers that are late, blank or to a round begun before the call")
+def _() -> None:
+    one = elected()
+    index = one.state.stamp[1]
+    for peer in "23":
+        feed(one, 2.0, Answered(peer, "append", 2.0, (2, 1, index, True), [2, 1, 5]))
+    asked = feed(one, 2.1, Read("read")) + feed(one, 2.1, Submit("stale", (9, "x")))
+    assert not replies(asked), "answered without a round"
+    for peer, at, body in (("2", 1.2, [2, 1, 6]), ("4", 2.1, [2, NOTHING, 6, 77, False, None])):
+        assert not replies(feed(one, 2.1, Answered(peer, "append", at, (2, 4, index, False), body)))
+    for peer, number in (("3", 4), ("5", 2)):
+        yes = Answered(peer, "append", 2.1, (2, number, index, False), [2, 1, 6])
+        assert not replies(feed(one, 2.1, yes))
+    done = replies(feed(one, 2.1, Answered("5", "append", 2.1, (2, 4, index, False), [2, 1, 6])))
+    assert done == [one.news.state, {"status": 412, "index": index}]
+    feed(one, 2.1 + UNHEARD_S + 0.1, Tick())
+    assert one.lead is None, "it leads on though it hears nobody"
+
+
+@test("I2 I4: a member says yes only to what it holds durably and whole, and is made whole only in this life")
+def _() -> None:
+    one = member(Vote(2, "2", True), held())
+    for prev, digest in ((2, held().chest.digest()), (3, b"no")):
+        body = [2, "2", 1, 4, 0, 0, 0, pack([DELTA, 1, prev, {}, [], digest])]
+        assert replies(feed(one, 5.0, Called("r", "append", body)))[0][1] == BEHIND
+    good = [2, "2", 1, 4, 0, 0, 0, pack([DELTA, 1, 3, {}, [], held().chest.digest()])]
+    assert not replies(one.handle(5.0, Called("r", "append", good))), "answered before the write"
+    assert isinstance(replies(one.handle(5.0, Kept(False)))[0], Fault) and one.stamp == (1, 3)
+    lost = member(None, held())
+    assert not lost.vote.whole, "a member without its vote counts"
+    drawers = pack([DRAWERS, {}, held().chest.digest()])
+    for payload in (pack([MADE_WHOLE, lost.incarnation]), drawers, pack([MADE_WHOLE, lost.incarnation + 1])):
+        feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, payload]))
+        assert not lost.vote.whole
+    feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, pack([MADE_WHOLE, lost.incarnation])]))
+    assert lost.vote == Vote(2, "2", True) and lost.stamp == (2, 4)
+
+
 @test("I7: an echoed time proves nothing before its round is confirmed, nor while its commit is not held")
 def _() -> None:
     one = member(Vote(1, None, True), held())
--- a/vise/shelf.py
+++ b/vise/shelf.py
@@ -11,7 +11,7 @@
 import hashlib
 import os
 from collections.abc import Mapping
-from typing import Any, Final, cast
+from typing import Final, cast
 
 import cbor2
 
@@ -59,7 +59,6 @@
     def __init__(self, folder: str, name: str) -> None:
         self._folder, self._path = folder, os.path.join(folder, name)
         self._number = 0
-        self._bases: list[Any] = [None, None]
         self._held: list[dict[str, bytes] | None] = [None, None]  # what each generation is known to hold
 
     def read(self) -> dict[str, bytes] | Fault | None:
@@ -88,19 +87,19 @@
         path = f"{self._path}-{_NAMES[which]}"
         held, self._held[which] = self._held[which], None
         try:
-            base = self._open(which, path, held, records)
-            known = held if held is not None and base is self._bases[which] else {}
-            for name in [name for name in known if name not in records]:
-                del base[name]
-            for name, data in records.items():
-                if known.get(name) != data:
-                    base[name] = data
-            base[_HEAD] = cbor2.dumps([number, _digest(number, records)])
-            base.sync()
+            known = self._usable(path, held, records)
+            # Closed at once: one left open would write its index again, unsynced, when the process ends.
+            with contextlib.closing(dbm.dumb.open(path, "n" if known is None else "w")) as base:
+                for name in [name for name in known or {} if name not in records]:
+                    del base[name]
+                for name, data in records.items():
+                    if known is None or known.get(name) != data:
+                        base[name] = data
+                base[_HEAD] = cbor2.dumps([number, _digest(number, records)])
             self._settle(path)
         except OSError as error:
             return Fault(REFUSED, str(error))
-        self._bases[which], self._held[which], self._number = base, dict(records), number
+        self._held[which], self._number = dict(records), number
         return None
 
     def _settle(self, path: str) -> None:
@@ -108,18 +107,13 @@
         _sync(path + ".dir")
         _sync(self._folder)
 
-    def _open(
-        self, which: int, path: str, held: dict[str, bytes] | None, records: Mapping[str, bytes]
-    ) -> Any:
-        """The generation to write into: as it stands if it is known and not wasteful, else a new one."""
-        base = self._bases[which]
-        most = 2 * sum(map(len, records.values())) + SPARE
-        if base is not None and held is not None and os.path.getsize(path + ".dat") < most:
-            return base
-        if base is not None:
-            with contextlib.suppress(OSError):
-                base.close()
-            self._bases[which] = None
+    def _usable(
+        self, path: str, held: dict[str, bytes] | None, records: Mapping[str, bytes]
+    ) -> dict[str, bytes] | None:
+        """What the generation holds, if that is known and not wasteful; else it is to be made anew."""
+        if held is not None:
+            most = 2 * sum(map(len, records.values())) + SPARE
+            return held if os.path.getsize(path + ".dat") < most else None
         os.makedirs(self._folder, exist_ok=True)
         _sync(os.path.dirname(os.path.abspath(self._folder)))
-        return dbm.dumb.open(path, "n")
+        return None
