Give dovetail its checkers, scenes, chance and command

Rules of RULES.md over the history of a simulated run; scene files; schedules drawn by a seed and shortened when they fail.

--- /dev/null
+++ b/dovetail/__main__.py
@@ -0,0 +1,51 @@
+"""`python -m dovetail SCENE... [--seeds N] [--first SEED] [--shrink]`: plays scene files with many seeds.
+
+`python -m dovetail --chance [--seeds N]`: runs by chance. Prints the first breach of each that fails, and the
+shortest schedule found that still fails; the exit status is 1 then.
+"""
+
+import argparse
+import sys
+import time
+
+from dovetail.chance import drawn, shrunk
+from dovetail.scene import Play, Scene, read_file
+
+
+def main(arguments: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m dovetail", description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("scenes", nargs="*", metavar="SCENE", help="files of scenes")
+    parser.add_argument("--chance", action="store_true", help="faults by chance instead of a file")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--first", type=int, default=None, help="the first seed")
+    parser.add_argument("--edge", type=int, default=11, help="gatekeepers of runs by chance")
+    parser.add_argument("--until", type=float, default=30.0, help="s of runs by chance")
+    parser.add_argument("--shrink", action="store_true", help="shorten what fails")
+    told = parser.parse_args(arguments)
+    failed = 0
+    if told.chance:
+        begin = told.first or 1
+        for seed in range(begin, begin + told.seeds):
+            failed += played(drawn(seed, told.edge, told.until), seed, told.shrink)
+    for path in told.scenes:
+        for scene in read_file(path):
+            begin = told.first if told.first is not None else scene.plan.seed
+            for seed in range(begin, begin + told.seeds):
+                failed += played(scene, seed, told.shrink)
+    return 1 if failed else 0
+
+
+def played(scene: Scene, seed: int, shrink: bool) -> bool:
+    """Play it and tell; whether it failed."""
+    began = time.perf_counter()
+    play = Play(scene, seed)
+    found = play.run()
+    took = time.perf_counter() - began
+    print(f"{scene.title}, seed {seed}: {found or 'well'} ({play.world.loop.now:g} s in {took:.2f} s)", flush=True)
+    if found is not None and shrink:
+        print(shrunk(scene, seed).text(), flush=True)
+    return found is not None
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dovetail/scene.py
@@ -0,0 +1,289 @@
+"""Scenes: small text files, one line an event.
+
+    # title                     one file may hold several scenes
+    core 5 | edge 11 | rate 60 | seed 1 | workers 6 | quota 200 | homes r1 ...      what is built (world.Plan)
+    until 20
+    at 3.0 cut core-1 | core-2 core-3 [for 2]     both ways; `oneway A | B`: nothing from A to B; `join`: all links
+    at 4 kill lathe * [for 1]        programs: vise, pegboard, lathe, core, all; WHO: names, `*`, `leader`, `others`
+    at 4 freeze all WHO for 2 | term lathe WHO
+    at 4 power WHO [for 2] | wipe WHO [for 2] | start WHO | spoil WHO      machines; spoil: the disk reads no more
+    at 4 closing                     what comes now is the closing fault
+    at 5 loss 0.05 | load 3 | hot t1 5      calls that get no answer; clients' rate, of all, and of one tenant
+    at 5 put 2 [on 1] [by B] [at core-2] look=desk k-t1-a ...        the operator (people.edited)
+    at 5 evacuate z1 [at core-2] | restore z1 | read
+    at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
+    at 5 seeds core-4 core-5
+    at 8 expect WHAT                 version N everywhere|at GATE | acked N | refused N | served S (share since the
+                                     last) | crew (all know the workers) | evacuated z1 | leader | runs N
+                                     | idle WORKER (nothing since the last) | busy WORKER
+"""
+
+import math
+from pathlib import Path
+
+from attrs import define, evolve, fields
+
+from dovetail.checks import Breach, judge
+from dovetail.people import Operator, Want, change, edited
+from dovetail.world import Plan, World, first_configuration
+
+FIRST_S = 0.5  # the operator sends the first configuration so long after the start
+
+
+@define(frozen=True)
+class Line:
+    at: float
+    words: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return f"at {self.at:g} {' '.join(self.words)}"
+
+
+@define(frozen=True)
+class Scene:
+    title: str
+    plan: Plan
+    lines: tuple[Line, ...]
+
+    def text(self) -> str:
+        """As a scene file has it."""
+        usual = Plan()
+        told = [f"# {self.title}"]
+        for one in fields(Plan):
+            value = getattr(self.plan, one.name)
+            if value != getattr(usual, one.name):
+                told.append(f"{one.name} {' '.join(value) if isinstance(value, list) else value}")
+        return "\n".join([*told, *map(str, self.lines)]) + "\n"
+
+
+def read(text: str) -> list[Scene]:
+    """Raises ValueError for a line that is none."""
+    found: list[tuple[str, Plan, list[Line]]] = []
+    kinds = {one.name: one.type for one in fields(Plan)}
+    for raw in text.splitlines():
+        if raw.startswith("# "):
+            found.append((raw[2:].strip(), Plan(), []))
+            continue
+        words = raw.partition("#")[0].split()
+        if not words:
+            continue
+        _, plan, lines = found[-1]
+        if words[0] == "at":
+            lines.append(Line(float(words[1]), tuple(words[2:])))
+        elif words[0] in kinds:
+            kind = kinds[words[0]]
+            setattr(plan, words[0], words[1:] if kind not in (int, float) else kind(words[1]))  # type: ignore[operator]
+        else:
+            raise ValueError(raw)
+    return [Scene(title, plan, tuple(sorted(lines, key=lambda line: line.at))) for title, plan, lines in found]
+
+
+def read_file(path: str | Path) -> list[Scene]:
+    return read(Path(path).read_text())
+
+
+@define(frozen=True)
+class Failed:
+    """An `expect` that did not hold."""
+
+    at: float
+    what: str
+
+    def __str__(self) -> str:
+        return f"expected at {self.at:g}: {self.what}"
+
+
+def options(words: list[str], *names: str) -> tuple[list[str], dict[str, str]]:
+    """Words, and those that follow one of the names taken out."""
+    rest, found = [], {}
+    at = 0
+    while at < len(words):
+        if words[at] in names and at + 1 < len(words):
+            found[words[at]] = words[at + 1]
+            at += 2
+        else:
+            rest.append(words[at])
+            at += 1
+    return rest, found
+
+
+class Play:
+    """One scene with one seed; `run` gives the first breach or failed expectation, or None."""
+
+    def __init__(self, scene: Scene, seed: int | None = None) -> None:
+        self.scene = scene
+        plan = scene.plan if seed is None else evolve(scene.plan, seed=seed)
+        self.world = World(plan)
+        self.bodies = {1: first_configuration(plan)}
+        self.failed: Failed | None = None
+        self._since = 0.0
+        self._put(self.world.operator("A"), 1, 0, None)
+
+    def run(self) -> Breach | Failed | None:
+        world = self.world
+        for line in self.scene.lines:
+            world.run(line.at)
+            self._do(list(line.words))
+            if self.failed:
+                break
+        else:
+            world.run(max(world.plan.until, world.loop.now))
+        return judge(world.history, world.bounds, world.zones) or self.failed
+
+    def _who(self, words: list[str], kind: str = "all") -> list[str]:
+        world, leader = self.world, self.world.leader()
+        fit = {"lathe": world.edge, "vise": world.core, "pegboard": world.core, "core": world.core}
+        everyone = fit.get(kind, [*world.core, *world.edge])
+        found: list[str] = []
+        for word in words:
+            match word:
+                case "*":
+                    found += everyone
+                case "leader":
+                    found += [leader] if leader else []
+                case "others":
+                    found += [name for name in world.core if name != leader]
+                case "edge" | "core":
+                    found += world.edge if word == "edge" else world.core
+                case _:
+                    found.append(word)
+        return found
+
+    def _put(self, operator: Operator, version: int, base: int, at: str | None) -> None:
+        made = change(version, base, operator.name.rpartition("-")[2], self.bodies[version], 0.0)
+        if version == 1:
+            self.world.loop.later(FIRST_S, operator.put, made, at)
+        else:
+            operator.put(made, at)
+
+    def _do(self, words: list[str]) -> None:
+        world = self.world
+        word, *rest = words
+        rest, told = options(rest, "for", "at", "by", "on", "cold", "as")
+        seconds = float(told["for"]) if "for" in told else None
+        operator = world.operator(told.get("by", "A"))
+        match word:
+            case "kill":
+                world.kill(rest[0], self._who(rest[1:], rest[0]), seconds or 0.5)
+            case "freeze":
+                world.freeze(rest[0], self._who(rest[1:], rest[0]), seconds or 1.0)
+            case "term":
+                world.term(rest[0], self._who(rest[1:], rest[0]))
+            case "power" | "wipe":
+                world.power(self._who(rest), seconds, word == "wipe")
+            case "start":
+                world.start(self._who(rest))
+            case "spoil":
+                world.spoil(self._who(rest))
+            case "cut" | "oneway":
+                at = rest.index("|")
+                ones, others = self._who(rest[:at]), self._who(rest[at + 1 :])
+                world.cut(ones, others, word == "cut")
+                if seconds is not None:
+                    world.loop.later(seconds, world.join, ones, others)
+            case "join":
+                world.join()
+            case "closing":
+                world.history.closing = world.loop.now
+            case "loss":
+                world.lossy(float(rest[0]))
+            case "load":
+                world.load = float(rest[0])
+            case "hot":
+                self._hot(rest[0], float(rest[1]))
+            case "put":
+                version = int(rest[0])
+                base = int(told.get("on", self._newest()))
+                self.bodies[version] = edited(self.bodies[base], version, rest[1:])
+                self._put(operator, version, base, told.get("at"))
+            case "evacuate" | "restore":
+                operator.zone(rest[0], word == "evacuate", told.get("at"))
+            case "read":
+                operator.read(told.get("at"))
+            case "seeds":
+                world.seeds = rest
+            case "add":
+                address = world.yard.workers[told["as"]].address if "as" in told else None
+                world.worker(rest[0], rest[1], float(told.get("cold", 0.0)), address)
+            case "crash" | "drain" | "chill" | "sick":
+                self._worker(word, rest)
+            case "expect":
+                what = self._expect(rest, told)
+                if what:
+                    self.failed = Failed(world.loop.now, f"{' '.join(words[1:])}: {what}")
+            case _:
+                raise ValueError(" ".join(words))
+
+    def _newest(self) -> int:
+        return max((one.version for one in self.world.history.changes if not one.refused), default=1)
+
+    def _hot(self, tenant: str, times: float) -> None:
+        for crowd in self.world.crowds:
+            for want in crowd.wants:
+                if want.key.startswith(f"{tenant}-"):
+                    want.rate *= times
+
+    def _worker(self, word: str, rest: list[str]) -> None:
+        worker = self.world.yard.workers[rest[0]]
+        match word:
+            case "crash":
+                worker.kill()
+            case "drain":
+                worker.drain()
+            case "chill":
+                worker.chill(float(rest[1]))
+            case "sick":
+                worker.lost = float(rest[1])
+
+    # ---- expectations: what is wrong, or ""
+    def _expect(self, rest: list[str], told: dict[str, str]) -> str:
+        world = self.world
+        history, since = world.history, self._since
+        match rest[0]:
+            case "version":
+                wanted = int(rest[1])
+                wrong = [
+                    f"{one.name} has {one.gate.ledger.table.version if one.gate.ledger.table else 0}"
+                    for one in world.keepers() if one.up and told.get("at", one.name) == one.name
+                    and (one.gate.ledger.table is None or one.gate.ledger.table.version != wanted)
+                ]  # fmt: skip
+                return ", ".join(wrong)
+            case "acked" | "refused":
+                found = [one for one in history.changes if one.version == int(rest[1])]
+                good = all(one.acked < math.inf if rest[0] == "acked" else one.refused for one in found)
+                return "" if found and good else ", ".join(f"{one.told()}: {one.refused or one.acked}" for one in found)
+            case "evacuated":
+                return "" if any(one.acked < math.inf for one in history.orders if one.zone == rest[1]) else "not yet"
+            case "served":
+                self._since = world.loop.now
+                errands = [one for crowd in world.crowds for one in crowd.errands if one.until - one.want.deadline > since]
+                over = [one for one in errands if one.over]
+                share = sum(one.served for one in over) / max(1, len(over))
+                return "" if over and share >= float(rest[1]) else f"{share:.3f} of {len(over)}"
+            case "crew":
+                return self._crew()
+            case "leader":
+                member = next((one.member for one in world.stores() if one.name == world.leader()), None)
+                return "" if member and member.lead and member.lead.commit else "nobody leads"
+            case "idle" | "busy":
+                self._since = world.loop.now
+                got = sum(one.at > since and one.worker == rest[1] for request in history.requests
+                          for one in request.arrivals)  # fmt: skip
+                return "" if bool(got) == (rest[0] == "busy") else f"{got} requests"
+        raise ValueError(" ".join(rest))
+
+    def _crew(self) -> str:
+        """Whether all gatekeepers know the workers that stand, and no others."""
+        world = self.world
+        standing = {name: one.state == "ready" for name, one in world.yard.workers.items() if one.up}
+        for one in world.keepers():
+            known = {name: worker.ready for name, worker in one.gate.ledger.workers.items()}
+            if one.up and known != standing:
+                lacks = sorted(name for name in standing if name not in known)
+                wrong = sorted(name for name in known if known[name] != standing.get(name))
+                return f"{one.name} lacks {lacks}, and wrongly has {wrong}"
+        return ""
+
+
+def want(path: str, key: str, rate: float) -> Want:
+    return Want(path, path.startswith("/look"), key, rate)
