--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -26,10 +26,13 @@
 DOUBT = 3.0  # requests: added to both sides of a jump, as few requests speak for few others
 JUMP_MOST = 10.0  # x, the largest jump taken for one
 HOT = 1.5  # x the limit asked, from which a tenant is surely beyond it
-HOT_SHARE = 0.7  # x our share of the bound for such a one while blind
+SPIKE = 2.5  # x our share asked in the last second, from which a blind gatekeeper holds to
+HOT_SHARE = 0.7  # x its share of the bound
+UNKNOWN = 1.2  # x what was heard since, for the time before the first news
+YOUNG_FOR = 1.2  # s after the first news in which the others' rate is not known well
 AMPLE = 2.0  # x what the others are taken to have passed unheard
 EVEN = 0.5  # of what is left is dealt evenly, the rest by use: a tenant's traffic need not be even
-SPENT = 0.0  # of what the rule gives beyond the quota: the rest is for what nobody heard of in time
+SAFETY = 0.88  # x the bound that the guard goes up to, about the quota: the rest is for what is unheard
 ROUND_FOR = 1.0  # s that a draw for rounding a part stands
 PENDING_FOR = 2.0  # s after which adds of ours that no source has shown are lost
 LATE_CALLS = 8  # calls, a quarter of a second each, to tell of what passed unheard
@@ -95,9 +98,8 @@
         burst = burst if burst > 0 else rate
         bounds = self._bounds
         entry.rate, entry.burst, entry.length = rate, burst, burst / rate
-        most = rate * bounds.quota_window + burst
-        most *= 1 + SPENT * bounds.quota_overrun
-        entry.bound = most + SPENT * bounds.quota_slack
+        quota = rate * bounds.quota_window + burst
+        entry.bound = SAFETY * (quota * (1 + bounds.quota_overrun) + bounds.quota_slack)
         entry.factor_until = -math.inf
 
     def forget(self, tenant: str) -> None:
@@ -255,9 +257,11 @@
 
     def _share_left(self, now: float, entry: _Tenant) -> bool:
         """The guard where nothing is heard: whether our share of the bound holds one more request."""
-        ours = _between(entry.buckets, (now - self._bounds.quota_window) * 1000, math.inf)
+        span = self._bounds.quota_window
+        ours = _between(entry.buckets, (now - span) * 1000, math.inf)
+        last = _between(entry.buckets, (now - 1) * 1000, math.inf).total
         share = entry.bound / self._unheard.members
-        if ours.total > HOT * share:  # those in touch do not know yet that nobody hears of us
+        if last * span > SPIKE * share:  # those in touch may not know yet that nobody hears of us
             share *= HOT_SHARE
         return ours.accepted + 1 <= share + self._rounding(now, entry)
 
@@ -266,13 +270,17 @@
         edge, span = self._heard_at - NEWS_LAG, self._bounds.quota_window
         heard = _between(entry.buckets, (now - span) * 1000, edge * 1000)
         unheard = _between(entry.buckets, edge * 1000, math.inf)
-        # What went on before the first news is not known: as much as the limit lets through.
-        unknown = max(0.0, span - (now - entry.since)) * entry.rate
+        # What went on before the first news is not known: as much as since, or as the limit lets through.
+        age, unknown = now - entry.since, 0.0
+        if age < span:
+            pace = UNKNOWN * (heard.accepted + heard.far_accepted) / age if age > YOUNG_FOR else math.inf
+            unknown = (span - age) * min(entry.rate, pace)
         left = entry.bound - heard.accepted - heard.far_accepted - unknown - self._hidden(now, entry)
         # Where even twice what the others may have passed leaves room, nothing is dealt out: few are uneven.
+        # But who has just begun to hear does not know them.
         before = _between(entry.buckets, (edge - 1) * 1000, edge * 1000)
         others = before.far_total * (now - edge) * _jump(unheard.total, before.total * (now - edge))
-        if unheard.accepted + 1 + AMPLE * others <= left:
+        if age > YOUNG_FOR and unheard.accepted + 1 + AMPLE * others <= left:
             return True
         use = heard.accepted / max(1.0, heard.accepted + heard.far_accepted + unknown)
         part = left * (EVEN / self._unheard.members + (1 - EVEN) * use)
