--- a/lathe/__main__.py
+++ b/lathe/__main__.py
@@ -8,7 +8,6 @@
 import time
 
 import gevent
-import logbook
 from gevent.event import Event
 
 from jig import settings as jig_settings
@@ -18,7 +17,7 @@
 from lathe.front import Front, serve_readiness
 from lathe.gate import Gate
 from lathe.news import News
-from workbench.events import SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
+from workbench.events import ERROR, SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
 
 PATH = "/etc/ashlift/settings.toml"
 LOOK_S = 1.0  # between looks at the settings file
@@ -52,7 +51,7 @@
     def run(self) -> int:
         front, readiness = self.settings.bindings.front, self.settings.bindings.readiness
         if front is None or readiness is None:
-            tell(SETTINGS_BAD, level=logbook.ERROR, key="Bindings", what="Front and Readiness are needed")
+            tell(SETTINGS_BAD, level=ERROR, key="Bindings", what="Front and Readiness are needed")
             return 2
         serve_readiness(readiness, lambda: self.gate.ready(time.monotonic()))
         self.front.listen(front)
@@ -92,7 +91,7 @@
                 read = jig_settings.read(self.path)
                 if isinstance(read, list):
                     for fault in read:
-                        tell(SETTINGS_BAD, level=logbook.ERROR, what=fault.detail)
+                        tell(SETTINGS_BAD, level=ERROR, what=fault.detail)
                 else:
                     self.news.seeds = [host for host, _ in read.seeds]
                     tell(SETTINGS_READ, seeds=",".join(self.news.seeds))
--- a/pegboard/__main__.py
+++ b/pegboard/__main__.py
@@ -8,7 +8,6 @@
 import zlib
 
 import gevent
-import logbook
 from gevent.event import Event
 
 from jig import settings as jig_settings
@@ -19,7 +18,7 @@
 from pegboard.resources import Config, Evacuation, Instances, Lookup, Status
 from pegboard.store import Store
 from workbench.bench import Address, Callers, serve
-from workbench.events import SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
+from workbench.events import ERROR, SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
 
 PATH = "/etc/ashlift/settings.toml"
 LOOK_S = 1.0  # the settings file is looked at so often
@@ -101,7 +100,7 @@
         self._stamp = self._look()
         found = jig_settings.read(self._path)
         if isinstance(found, list):
-            return tell(SETTINGS_BAD, level=logbook.ERROR, faults="; ".join(map(str, found)))
+            return tell(SETTINGS_BAD, level=ERROR, faults="; ".join(map(str, found)))
         self._settings = found
         self._registry.seeds, self._registry.zones = self._seeds(), found.zones
         tell(SETTINGS_READ, seeds=",".join(self._registry.seeds))
@@ -113,11 +112,11 @@
     if isinstance(settings, list):
         set_up("pegboard", "?")
         for fault in settings:
-            tell(SETTINGS_BAD, level=logbook.ERROR, fault=fault.detail)
+            tell(SETTINGS_BAD, level=ERROR, fault=fault.detail)
         return 2
     set_up("pegboard", settings.node_name)
     if settings.bindings.control is None and settings.bindings.directory is None:
-        tell(SETTINGS_BAD, level=logbook.ERROR, fault="neither Bindings.Control nor Bindings.Directory")
+        tell(SETTINGS_BAD, level=ERROR, fault="neither Bindings.Control nor Bindings.Directory")
         return 2
     return Program(path, settings).run()
 
--- a/pegboard/loops.py
+++ b/pegboard/loops.py
@@ -8,14 +8,13 @@
 from typing import Any
 
 import gevent
-import logbook
 from gevent.event import Event
 
 from pegboard import events
 from pegboard.registry import Registry
 from pegboard.store import Store
 from workbench.bench import Callers
-from workbench.events import BROKEN, tell
+from workbench.events import BROKEN, CRITICAL, tell
 from workbench.faults import UNANSWERED, Fault
 
 WAIT_S = 0.25  # a call is held open for so long at most
@@ -116,7 +115,7 @@
 
     def _broken(self, greenlet: "gevent.Greenlet[..., None]") -> None:
         """A loop has ended by an error: what it keeps up would go stale unseen, so the process ends."""
-        tell(BROKEN, level=logbook.CRITICAL, error=repr(greenlet.exception))
+        tell(BROKEN, level=CRITICAL, error=repr(greenlet.exception))
         self.broken.set()
 
     def stop(self) -> None:
--- /dev/null
+++ b/trials/test_workbench_events.py
@@ -0,0 +1,38 @@
+"""The log: what is held in the first seconds, and that nothing of it is lost or out of order. In processes of
+their own, as the log is one for a process."""
+
+import subprocess
+import sys
+
+import logbook
+from ward import each, test
+
+from workbench import events
+
+HEAD = "import sys; from workbench import events as e; e.set_up('p', 'n'); e.tell((900, 'first'), a='{}'); "
+LOADED = "print('logbook' in sys.modules); "
+
+
+def _run(code: str) -> tuple[list[str], list[str]]:
+    done = subprocess.run([sys.executable, "-c", HEAD + code], capture_output=True, text=True, timeout=60)
+    return done.stdout.split(), done.stderr.splitlines()
+
+
+@test("an early event waits for the end, an error, or many others, and then comes first ({code})")
+def _(
+    code: str = each(
+        LOADED + "e.tell((901, 'last'))",
+        LOADED + "e.tell((901, 'last'), level=e.ERROR); import os; os._exit(0)",
+        LOADED + "[e.tell((901, 'last')) for _ in range(e.HELD_MOST - 1)]; import os; os._exit(0)",
+    ),
+) -> None:
+    loaded, lines = _run(code)
+    assert loaded == ["False"]
+    assert lines[0].endswith("INFO p@n 900 first a={}"), lines
+    assert " p@n 901 last" in lines[-1] and lines == sorted(lines)
+
+
+@test("the levels are logbook's own")
+def _() -> None:
+    for name in ("INFO", "WARNING", "ERROR", "CRITICAL"):
+        assert getattr(events, name) == getattr(logbook, name)
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -9,7 +9,6 @@
 
 import cbor2
 import gevent
-import logbook
 from gevent.event import AsyncResult, Event
 
 from jig.settings import Settings
@@ -23,7 +22,7 @@
 from vise.ranges import Chest
 from vise.shelf import Shelf
 from workbench.bench import Callers, serve
-from workbench.events import BROKEN, tell
+from workbench.events import BROKEN, CRITICAL, ERROR, WARNING, tell
 from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
 
 STEP_S = 0.15  # longest sleep between two looks at the clock
@@ -77,7 +76,7 @@
     try:
         return decide(current, order)
     except Exception as error:
-        tell(events.UNDECIDED, level=logbook.ERROR, error=repr(error))
+        tell(events.UNDECIDED, level=ERROR, error=repr(error))
         return Settled({"status": 503, "reason": "the order could not be worked out"})
 
 
@@ -90,7 +89,7 @@
         vote, state = self.disk.read()
         for name, held in (("vote", vote), ("map", state)):
             if isinstance(held, Fault):
-                tell(events.UNREADABLE, level=logbook.WARNING, shelf=name, fault=held)
+                tell(events.UNREADABLE, level=WARNING, shelf=name, fault=held)
         seeds = sorted({host for host, _ in settings.seeds})
         chance = random.Random(os.urandom(16))
         self.member = Member(settings.ip, seeds, settings.bootstrap, vote, state, decide_safely, chance)
@@ -144,7 +143,7 @@
             case Keep():
                 fault = self.disk.keep(effect)
                 if fault is not None:
-                    tell(events.DISK_FAULT, level=logbook.WARNING, fault=fault)
+                    tell(events.DISK_FAULT, level=WARNING, fault=fault)
                 self._todo.extend(self.member.handle(self.clock(), Kept(fault is None)))
             case Tell():
                 tell(effect.event, **effect.fields)
@@ -230,7 +229,7 @@
     def broken(context: Any, kind: Any, value: Any, trace: Any) -> None:
         if kind is not None and issubclass(kind, (KeyboardInterrupt, SystemExit, gevent.GreenletExit)):
             return
-        tell(BROKEN, level=logbook.CRITICAL, error=repr(value))
+        tell(BROKEN, level=CRITICAL, error=repr(value))
         hub.print_exception(context, kind, value, trace)
         os._exit(70)
 
