--- a/jig/tables.py
+++ b/jig/tables.py
@@ -213,7 +213,6 @@
         found = self._hosts.get(host) or self._hosts.get(host_of(host))
         if found is None:
             return None
-        path = path.partition("?")[0]
         end = path.rfind("/", 0, found.longest)
         while end >= 0:
             route = found.by_prefix.get(path[: end + 1])
--- a/trials/test_jig_configuration.py
+++ b/trials/test_jig_configuration.py
@@ -113,6 +113,19 @@
     assert 0.05 < sum(verdicts) / len(verdicts) < 0.95, "neither all taken nor all refused"
 
 
+@test("configurations: a put changes only what differs, and a patch replaces all of an object")
+def _() -> None:
+    now = Play()
+    first = {**PUT, "Objects": [{**PUT["Objects"][0], "Owner": "me"}, *PUT["Objects"][1:]]}
+    assert now.call("put", "0", first)
+    fewer = {"ConfigVersion": "8", "Objects": [first["Objects"][0], *first["Objects"][2:]]}
+    change = now.call("put", "7", fewer)
+    assert isinstance(change, Change) and change.set == {"Version": "00000008"}
+    assert sorted(change.gone) == ["Place/Routes/q", "Routes/q"]
+    change = now.call("patch", "8", {**PATCH, "Upsert": {"Objects": PUT["Objects"][:1]}})
+    assert isinstance(change, Change) and "Rest/Routes/r" in change.gone
+
+
 @test("configurations: equal calls have equal digests, others do not")
 def _() -> None:
     again = json.loads(json.dumps(PUT, sort_keys=True))
