--- a/trials/test_cli_toolbox.py
+++ b/trials/test_cli_toolbox.py
@@ -134,6 +134,9 @@
 
 @test("calls: sent on twice at most, and what is no JSON is told")
 def _() -> None:
+    hops = {f"10.0.0.{n}:8200 /status": (307, f"http://10.0.0.{n + 1}:8200/status", b"") for n in (1, 2, 3)}
+    last = {"10.0.0.4:8200 /status": (200, "", b"{}")}
+    assert run("status 10.0.0.2:8200", hops | last)[0] == 0 and run(f"status {CORE}", hops | last)[0] == 2
     there = (307, "http://10.0.0.2:8200/status", b"")
     answers = {f"{CORE} /status": there, "10.0.0.2:8200 /status": (200, "", b'{"node": "core-b-1"}')}
     assert "core-b-1" in run(f"status {CORE}", answers)[1]
--- a/trials/test_jig_configuration.py
+++ b/trials/test_jig_configuration.py
@@ -11,6 +11,7 @@
 from ward import each, test
 
 from jig.configuration import Change, apply, digest, laid_out
+from jig.tables import Table
 from jig.times import parse_time, show_time
 from trials.jig_play import Play, play
 from workbench.faults import Fault
@@ -113,6 +114,14 @@
     assert 0.05 < sum(verdicts) / len(verdicts) < 0.95, "neither all taken nor all refused"
 
 
+@test("configurations: the table leaves out services of weight 0, and sends to one worker at least")
+def _() -> None:
+    split = [{"Service": "s", "Weight": 0}, {"Service": "t", "Weight": 3}]
+    route = {"Host": "h", "PathPrefix": "/", "TrafficSplit": split, "MaxAttempts": 0}
+    made = Table.build({"Routes/r": route}).route("h", "/")
+    assert made is not None and made.split == (("t", 3.0),) and made.attempts == 1
+
+
 @test("configurations: a put changes only what differs, and a patch replaces all of an object")
 def _() -> None:
     now = Play()
