--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -32,9 +32,10 @@
 YOUNG_FOR = 1.2  # s after the first news in which the others' rate is not known well
 AMPLE = 2.0  # x what the others are taken to have passed unheard
 EVEN = 0.5  # of what is left is dealt evenly, the rest by use: a tenant's traffic need not be even
-SAFETY = 0.88  # x the bound that the guard goes up to, about the quota: the rest is for what is unheard
+SAFETY = 0.84  # x the bound that the guard goes up to, about the quota: the rest is for what is unheard
 ROUND_FOR = 1.0  # s that a draw for rounding a part stands
 PENDING_FOR = 2.0  # s after which adds of ours that no source has shown are lost
+LATE_SPAN = 3.0  # s ago, at most, that a source which had been silent is taken to speak of
 LATE_CALLS = 8  # calls, a quarter of a second each, to tell of what passed unheard
 ADVICE_LEAST, ADVICE_MOST = 0.3, 3.0  # s, Retry-After
 
@@ -179,7 +180,6 @@
         """Take cumulative sums by source and tenant; only what changed need be there. A new source tells
         nothing yet: it starts at what it says."""
         blind_since, self._now, self._heard_at = self._heard_at + BLIND_AFTER, now, now
-        edge = (now - NEWS_LAG) * 1000
         for entry in self._tenants.values():
             window.trim(entry.buckets, now * 1000 - self._kept(entry))
             entry.since = min(entry.since, now)
@@ -194,7 +194,10 @@
                 for entry in self._tenants.values() if now > blind_since else ():
                     entry.since = now  # what came to this source meanwhile is not known
                 continue
-            since, new = (source.at - NEWS_LAG) * 1000, 0
+            since, until, new, part = source.at - NEWS_LAG, now - NEWS_LAG, 0, 1.0
+            if now - source.at > BLIND_AFTER:  # much at once, and perhaps of late, but no spike
+                part = min(1.0, self._bounds.quota_window / (now - source.at))
+                since, until = max(since, until - LATE_SPAN), until - 1
             for tenant, counts in told.items():
                 old_total, old_declined = source.sums.get(tenant, (0, 0))
                 if counts == (old_total, old_declined):
@@ -205,8 +208,8 @@
                 new += accepted
                 if tenant in self._tenants:
                     entry = self._tenants[tenant]
-                    news = _less_ours(now, entry, float(asked), float(accepted))
-                    window.spread(entry.buckets, since, edge, self._kept(entry), *news)
+                    news = _less_ours(now, entry, part * asked, part * accepted)
+                    window.spread(entry.buckets, since * 1000, until * 1000, self._kept(entry), *news)
             if new:
                 source.told(now, new)
         self._spans = self._unheard.spans(now, self._sources)
--- a/gauge/unheard.py
+++ b/gauge/unheard.py
@@ -13,6 +13,7 @@
 BACK_FOR = 3.0  # s in which those that are back tell of what they passed: they begin a second after
 SILENT_AFTER = 0.8  # s, and
 SILENT_COUNTS = 8.0  # requests that a source should have told of by now, without any change of it
+UNTOLD = 0.5  # s before its last change from which it has not told all
 SILENT_FOR = 5.5  # s that those behind it may go on
 MOST = 0.9  # share of all that is taken to be unheard, at most
 FLOW_FOR = 2.0  # s, time constant of a source's flow
@@ -84,5 +85,5 @@
                 continue
             missed = (now - source.at) * source.flow > SILENT_COUNTS
             if missed and source.at + SILENT_AFTER < now < source.at + 2 * SILENT_FOR:
-                self._silent.append(Span(source.share, source.at, source.at + SILENT_FOR))
+                self._silent.append(Span(source.share, source.at - UNTOLD, source.at + SILENT_FOR))
         return spans + self._silent
--- a/trials/gauge_play.py
+++ b/trials/gauge_play.py
@@ -140,7 +140,7 @@
         gate.heard_at = gate.seen_at = now
         gate.limiter.set_members(now, max(1, sum(self._stands(now, at, i) for i in range(len(self.gates)))))
         gate.asked = gate.limiter.fresh()
-        for tenant, (total, declined) in gate.asked.items():
+        for tenant, (total, declined) in {**gate.asked, "other": (self.rng.randint(2, 6), 0)}.items():
             old = board[f"p{index}"].get(tenant, (0, 0))
             board[f"p{index}"][tenant] = (old[0] + total, old[1] + declined)
         gate.pull_at = now + PULL + 0.02 + 0.03 * self.rng.random()
