--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -179,7 +179,8 @@
     def heard(self, now: float, sums: Mapping[str, Mapping[str, tuple[int, int]]]) -> None:
         """Take cumulative sums by source and tenant; only what changed need be there. A new source tells
         nothing yet: it starts at what it says."""
-        blind_since, self._now, self._heard_at = self._heard_at + BLIND_AFTER, now, now
+        before, blind_since = self._heard_at, self._heard_at + BLIND_AFTER
+        self._now = self._heard_at = now
         for entry in self._tenants.values():
             window.trim(entry.buckets, now * 1000 - self._kept(entry))
             entry.since = min(entry.since, now)
@@ -194,10 +195,10 @@
                 for entry in self._tenants.values() if now > blind_since else ():
                     entry.since = now  # what came to this source meanwhile is not known
                 continue
-            since, until, new, part = source.at - NEWS_LAG, now - NEWS_LAG, 0, 1.0
-            if now - source.at > BLIND_AFTER:  # much at once, and perhaps of late, but no spike
+            since, until, new, part = max(source.at, before) - NEWS_LAG, now - NEWS_LAG, 0, 1.0
+            if now > blind_since or source.missed(now):  # much at once, and perhaps of late, but no spike
                 part = min(1.0, self._bounds.quota_window / (now - source.at))
-                since, until = max(since, until - LATE_SPAN), until - 1
+                since, until = max(source.at - NEWS_LAG, until - LATE_SPAN), until - 1
             for tenant, counts in told.items():
                 old_total, old_declined = source.sums.get(tenant, (0, 0))
                 if counts == (old_total, old_declined):
--- a/gauge/places.py
+++ b/gauge/places.py
@@ -75,7 +75,7 @@
     """Two different ones by capacity, those penalised only where there are no others."""
     able = [one for one in ring if now >= one.penalised_until] or list(ring)
     if len(able) <= 2:
-        return able
+        return able if rng.random() < 0.5 else able[::-1]
     first = rng.choices(able, [one.capacity for one in able])[0]
     second = rng.choices(able, [one.capacity for one in able])[0]
     while second is first:
--- a/gauge/unheard.py
+++ b/gauge/unheard.py
@@ -33,6 +33,10 @@
     def __init__(self, now: float, sums: dict[str, tuple[int, int]]) -> None:
         self.at, self.sums, self.flow, self.share = now, sums, 0.0, 0.0
 
+    def missed(self, now: float) -> bool:
+        """Whether it should have told something by now, as busy as it was."""
+        return now > self.at + SILENT_AFTER and (now - self.at) * self.flow > SILENT_COUNTS
+
     def told(self, now: float, accepted: int) -> None:
         """Count what it told anew, at once for all tenants."""
         gain = 1 - math.exp(-(now - self.at) / FLOW_FOR)
@@ -83,7 +87,6 @@
             if now <= source.at + 1e-3:
                 source.share = source.flow / max(1.0, flow)  # what it had before it fell silent
                 continue
-            missed = (now - source.at) * source.flow > SILENT_COUNTS
-            if missed and source.at + SILENT_AFTER < now < source.at + 2 * SILENT_FOR:
+            if source.missed(now) and now < source.at + 2 * SILENT_FOR:
                 self._silent.append(Span(source.share, source.at - UNTOLD, source.at + SILENT_FOR))
         return spans + self._silent
--- /dev/null
+++ b/trials/test_gauge_limits.py
@@ -0,0 +1,70 @@
+"""The limiter: plays against the rule QUOTA (scenes/gauge_*.txt), and the counts it gives and takes."""
+
+import random
+from pathlib import Path
+
+from ward import each, test
+
+from gauge.limits import Limiter
+from trials.gauge_play import SCENES, Bounds, Play, read
+
+NAMES = sorted(path.name for path in Path(SCENES).glob("gauge_*.txt"))
+
+
+@test("limiter: {name} holds the quota over all gatekeepers, and lets in what is inside it")
+def _(name: str = each(*NAMES)) -> None:
+    scene = read(name)
+    figures = {word: values for word, values in scene}
+    seeds, (worst, refused) = int(figures["seeds"][0]), figures["expect"]
+    plays = [Play(scene, seed).run() for seed in range(seeds)]
+    assert max(play.worst for play in plays) <= worst
+    assert sum(play.refused for play in plays) / seeds <= refused
+    if "hot" in figures:  # what the quota gives is given
+        assert min(play.hot for play in plays) >= 0.9
+
+
+def _limiter(rate: float = 10.0, burst: float = 10.0, members: int = 1) -> Limiter:
+    limiter = Limiter(random.Random(5), Bounds())
+    limiter.set_quota("t", rate, burst)
+    limiter.set_members(0.0, members)
+    return limiter
+
+
+@test("limiter: a new tenant has its share of the soft limit until sums are heard")
+def _() -> None:
+    limiter = _limiter(rate=40.0, burst=40.0, members=4)
+    passed = [limiter.admit(0.01 * at, "t") is None for at in range(50)]
+    assert all(passed[:10]) and 10 <= sum(passed) <= 32
+
+
+@test("limiter: counts not sent come again, those given back are told as declined")
+def _() -> None:
+    limiter = _limiter()
+    limiter.heard(0.0, {"p#1": {}})
+    assert limiter.admit(0.1, "t") is None
+    counts = limiter.fresh()
+    limiter.unsent(counts)
+    limiter.give_back(0.2, "t")
+    assert counts == {"t": (1, 0)} and limiter.fresh() == {"t": (1, 1)} and limiter.fresh() == {}
+
+
+@test("limiter: the others' counts close the quota; our own confirmed adds are no news")
+def _() -> None:
+    for ours, closed in ((12, False), (0, True)):
+        limiter = _limiter(rate=10.0, burst=10.0, members=2)
+        for at in range(40):  # past the time in which it does not know the others
+            limiter.heard(0.25 * at, {"p#1": {"t": (100, 0)}})
+        limiter.confirmed({"t": (ours, 0)})
+        limiter.heard(10.2, {"p#1": {"t": (112, 0)}})
+        told = [limiter.admit(10.3, "t") for _ in range(8)]
+        assert any(again is not None for again in told) is closed
+        assert all(again is None or 0.2 < again < 4 for again in told)
+
+
+@test("limiter: no limit, no counts; a tenant taken away is forgotten")
+def _() -> None:
+    limiter = _limiter(rate=1.0, burst=1.0)
+    limiter.heard(0.0, {})
+    assert any(limiter.admit(0.1, "t") for _ in range(20))
+    limiter.set_quota("t", 0.0, 0.0)
+    assert not any(limiter.admit(0.2, "t") for _ in range(20)) and limiter.fresh() == {}
--- /dev/null
+++ b/trials/test_gauge_parts.py
@@ -0,0 +1,86 @@
+"""Retry budget, cold workers, choice of a worker."""
+
+import random
+from dataclasses import dataclass
+
+from ward import each, test
+
+from gauge.places import Candidate, Here, choose
+from gauge.retries import RetryBudget
+from gauge.warmth import ColdPace, owners
+
+
+@dataclass(frozen=True)
+class Bounds:
+    retry_budget_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_slack: float = 60.0
+
+
+@test("retries: {gates} gatekeepers that retry all they can stay in the budget in any window")
+def _(gates: int = each(1, 11, 84)) -> None:
+    rng, bounds = random.Random(gates), Bounds()
+    budgets = [RetryBudget(bounds) for _ in range(gates)]
+    requests: list[float] = []
+    tries: list[float] = []
+    for step in range(4000):
+        now = 0.01 * step
+        for _ in range(2 if step % 1500 < 500 else 1):  # load comes and goes
+            budget = rng.choice(budgets)
+            budget.request(now, "s")
+            requests.append(now)
+            if budget.may(now, "s", gates):
+                budget.spent(now, "s")
+                tries.append(now)
+    for end in range(10, 40):
+        within = [sum(end - 10 <= time < end for time in times) for times in (tries, requests)]
+        assert within[0] <= 0.2 * within[1] + 60
+    assert len(tries) >= 0.1 * len(requests)
+
+
+@test("cold: owners are the same for all, spread evenly, and move little")
+def _() -> None:
+    members = [f"edge-{at}" for at in range(11)]
+    workers = [f"i-{at:04x}" for at in range(600)]
+    before = {worker: owners(worker, members) for worker in workers}
+    assert before == {worker: owners(worker, members[::-1]) for worker in workers}
+    owned = [sum(member in pair for pair in before.values()) for member in members]
+    assert min(owned) > 70 and max(owned) < 150
+    after = {worker: owners(worker, members[1:]) for worker in workers}
+    assert all(before[w] == after[w] for w in workers if members[0] not in before[w])
+
+
+@test("cold: at most rate x share in any second that slides, and not far less (rate {rate})")
+def _(rate: float = each(5.3, 1.2, 30.0)) -> None:
+    pace, rng, sent, now = ColdPace(), random.Random(1), list[float](), 0.0
+    while now < 60:
+        now += rng.expovariate(40)
+        if pace.may(now, "w", rate, 0.5):
+            pace.sent(now, "w")
+            sent.append(now)
+    assert all(sum(at - 1 < time <= at for time in sent) <= max(1, rate / 2) for at in sent)
+    assert len(sent) >= 60 * min(int(rate / 2) or 1, rate / 2) * 0.8
+
+
+@test("places: near first, far when near is full, never one penalised while others stand")
+def _() -> None:
+    rng, here = random.Random(2), Here("z1", "r1")
+    crew = [Candidate(f"n{at}", "z1", "r1", 4) for at in range(3)]
+    crew += [Candidate(f"f{at}", "z9", "r9", 4) for at in range(3)]
+    crew[0].penalised_until = 10.0
+
+    def taken() -> set[str]:
+        return {one.id for _ in range(80) if (one := choose(rng, 5.0, crew, here, 100.0)) is not None}
+
+    assert taken() == {"n1", "n2"}
+    crew[1].out = crew[2].out = 4
+    assert taken() == {"f0", "f1", "f2"}
+    assert choose(rng, 5.0, crew[:1], here, 100.0) is crew[0]  # better than none
+    assert choose(rng, 5.0, crew[:1], here, 100.0, ["n0"]) is None
+
+
+@test("places: of two, the one that should answer first; the slow one rests")
+def _() -> None:
+    rng, here = random.Random(3), Here("z1", "r1")
+    crew = [Candidate("slow", "z1", "r1", 4, ratio=4.0), Candidate("well", "z1", "r1", 4)]
+    assert all(choose(rng, 0.0, crew, here, 100.0) is crew[1] for _ in range(20))
