Wait for votes as long as the disk takes, and give up a silent connection between members

With writes of 0.1 to 0.5 s, members that were all started at once deposed each other for up to 11 s (median 2.1 s): attempts were made anew before the votes of the last one were written. A connection that answered nothing for 0.8 s is closed: after a cut a new one comes up sooner than an old one sends again.

--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -160,7 +160,8 @@
         return self.vote.whole and MEMBERS + self.me in self.state.chest.map
 
     def _put_off(self, span: tuple[float, float] = ELECTION_S) -> None:
-        self.deadline = self.now + self.chance.uniform(*span)
+        slow = 2 * self.write_s if span is AGAIN_S else 0.0  # votes are written before they are given
+        self.deadline = self.now + self.chance.uniform(*span) + slow
 
     def _called(self, event: Called) -> None:
         if not self.vote.whole and self.now < self.mute_until:
@@ -200,6 +201,7 @@
 
     def _stood(self, ok: bool, term: int) -> None:
         if ok:
+            self._put_off(AGAIN_S)
             self.attempt = Attempt(term, False, self.members(), self.now, {self.me})
             self._ask()
         else:
@@ -243,7 +245,7 @@
         self.leader = None
         if fit:
             self._put_off()
-            self.calm_from = self.now + GRACE_S
+            self.calm_from = self.now + GRACE_S + 2 * self.write_s
         vote = Vote(term, candidate if fit else None, True)
         if vote == self.vote:
             return self.reply(ref, [term, False])
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -97,6 +97,7 @@
         self.ended = Event()
         self._news = Event()
         self._seen = 0
+        self._heard: dict[str, float] = {}  # when a member last answered, or its connection was given up
         methods = ("ballot", "append", "join", "succeed")
         handlers: dict[str, Callable[[Any], Any]] = {method: self._handler(method) for method in methods}
         handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch}
@@ -158,7 +159,13 @@
             self._news = Event()
 
     def _call(self, send: Send, sent_at: float) -> None:
-        body = self.callers.to((send.peer, self.port)).call(send.method, send.body, CALL_S)
+        caller = self.callers.to((send.peer, self.port))
+        body = caller.call(send.method, send.body, CALL_S)
+        if not isinstance(body, Fault):
+            self._heard[send.peer] = self.clock()
+        elif body.reason == UNANSWERED and self.clock() - self._heard.get(send.peer, 0.0) >= CALL_S:
+            self._heard[send.peer] = self.clock()
+            caller.close()  # a new connection comes up sooner than an old one sends again after a cut
         self.feed(Answered(send.peer, send.method, sent_at, send.context, body))
 
     def _handler(self, method: str) -> Callable[[Any], Any]:
--- a/vise/seat.py
+++ b/vise/seat.py
@@ -11,6 +11,7 @@
 from vise.news import News
 
 MEMBERS = "Members/"
+WRITE_MOST_S = 0.4  # a slower disk is not waited for by others
 
 
 class Broken(Exception):  # noqa: N818  (it is no error to be handled)
@@ -46,6 +47,8 @@
         self.news = News()
         self.effects: list[Effect] = []
         self.then: Callable[[bool], None] | None = None
+        self.write_s = 0.0  # what the last write took
+        self._kept_from = 0.0
         self._keeping: tuple[Vote | None, State | None] = (None, None)
 
     # ---- effects
@@ -60,12 +63,13 @@
                 raise Broken(f"a second vote in term {vote.term}")
         if state is not None and self.vote.whole and state.stamp <= self.state.stamp:
             raise Broken(f"stamp {state.stamp} after {self.state.stamp}")
-        self._keeping, self.then = (vote, state), then
+        self._keeping, self.then, self._kept_from = (vote, state), then, self.now
         self.effects.append(Keep(vote, state))
 
     def kept(self, ok: bool) -> None:
         vote, state = self._keeping
         then, self.then = self.then, None
+        self.write_s = min(self.now - self._kept_from, WRITE_MOST_S)
         if then is None:
             raise Broken("kept what was not to be kept")
         if ok:
