Plant a breach for every checker of dovetail; tell a gatekeeper that spins

21 planted breaches, each caught, and the same history without it passes. A try without a free connection now costs a turn of 1 ms in the simulation: before, a run never ended.

--- a/dovetail/checks.py
+++ b/dovetail/checks.py
@@ -14,6 +14,7 @@
 from jig.tables import Table
 
 DENIED_FREE, DENIED_SHARE = 5, 1 / 500
+SPUN = 50  # turns
 PROMISES = (429, 503, 408, 421)
 
 
@@ -94,6 +95,12 @@
             last = wrong[-1]
             yield Breach("DENIED", last.ended, f"{len(wrong)} proper requests, the last {last.told()}: {last.status}")
 
+    def spun(self) -> Iterator[Breach]:
+        """Fault: a program does not hand back the processor, trying again what cannot be, without a pause."""
+        for request in self.history.requests:
+            if request.full > SPUN:
+                yield Breach("Fault", request.taken, f"{request.told()}: {request.full} turns without a connection")
+
     def _ran(self) -> Iterator[tuple[Request, Arrival]]:
         for request in self.history.requests:
             for one in request.arrivals:
@@ -371,7 +378,7 @@
     "twice": Judge.twice, "refused": Judge.refused, "route": Judge.route, "denied": Judge.denied,
     "config": Judge.config, "revoked": Judge.revoked, "read back": Judge.read_back, "lost": Judge.lost,
     "drain": Judge.drain, "evacuated": Judge.evacuated, "budget": Judge.budget, "quota": Judge.quota,
-    "failback": Judge.failback, "home": Judge.home,
+    "failback": Judge.failback, "home": Judge.home, "spun": Judge.spun,
 }  # fmt: skip
 
 
--- a/dovetail/history.py
+++ b/dovetail/history.py
@@ -43,6 +43,7 @@
     status: int = 0  # 0: no answer
     cause: str = ""  # of the gatekeeper's own answer
     ended: float = math.inf
+    full: int = 0  # how often there was no connection to be had for a try of it
     arrivals: list[Arrival] = field(factory=list)
 
     def told(self) -> str:
--- a/dovetail/keeper.py
+++ b/dovetail/keeper.py
@@ -17,6 +17,7 @@
 from lathe.pulling import ANSWER_S, WAIT_S, Pulling
 
 KIND = "lathe"
+TURN_S = 0.001  # a turn of the processor: what is tried again without waiting takes at least this
 LEAVE_SHARE, END_SHARE = 0.55, 0.93  # of Grace, as `lathe.__main__` has them
 
 
@@ -217,15 +218,17 @@
     def exchange(self, one: Try) -> None:
         worker = one.view.worker
         kept, now = self.idle.get(worker.id), self.clock()
-        self.later(max(0.0, one.left), self._late, one)
         while kept:
             if kept.pop() > now:
+                self.later(max(0.0, one.left), self._late, one)
                 return self.yard.carry(one, True, 0.0)
             self.open[worker.id] -= 1
         if self.open.get(worker.id, 0) >= self.gate.connections(one.view):
             self.open[worker.id] = self.open.get(worker.id, 0) + 1  # given back with its outcome
-            return self.later(0.0, one.end, Outcome(Ended.FULL))
+            one.case.request.full += 1
+            return self.later(TURN_S, one.end, Outcome(Ended.FULL))
         self.open[worker.id] = self.open.get(worker.id, 0) + 1
+        self.later(max(0.0, one.left), self._late, one)
         self.yard.carry(one, False, min(self.gate.dial(one.view), one.left))
 
     def _late(self, one: Try) -> None:
--- /dev/null
+++ b/trials/test_system_checks.py
@@ -0,0 +1,180 @@
+"""Every checker of dovetail catches a planted breach of its rule, and lets the same history pass without it."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from ward import each, test
+
+from dovetail.checks import CHECKS, Judge
+from dovetail.history import Arrival, History, Order, Reading, Request, WorkerLife
+from dovetail.people import change, edited
+from dovetail.world import ZONES, Plan, first_configuration
+from jig.settings import Bounds
+
+BOUNDS = Bounds(revocation_strict=True)
+
+
+class Made:
+    """A history by hand: version 1 is in force from 1 s on, and all is calm."""
+
+    def __init__(self) -> None:
+        self.history = History()
+        self.body = first_configuration(Plan(homes=["r1"], quota=10.0))
+        for name, zone in (("fleet-1", "z1"), ("fleet-2", "z2"), ("desk-1", "z1"), ("bill-1", "z1"), ("bill-2", "z2")):
+            life = WorkerLife(name, name.partition("-")[0], zone, ZONES[zone], name, 0.0)
+            self.history.workers[name] = life
+        self.put(1, 0, [], 1.0)
+
+    def put(self, version: int, base: int, words: list[str], acked: float) -> Any:
+        made = change(version, base, "A", edited(self.body, version, words), acked - 0.5)
+        made.acked = made.ended = acked
+        self.history.changes.append(made)
+        return made
+
+    def ask(self, at: float, path: str, worker: str = "", status: int = 200, key: str = "t1-a", gate: str = "edge-1",
+            ran: bool = True, tenant: str = "t1", code: int = 0) -> Request:  # fmt: skip
+        one = self.history.request(path, path.startswith("/look"), key, "z1", "r1", at)
+        one.gate, one.taken, one.status, one.ended = gate, at, status, at + 0.2
+        if worker:
+            self.more(one, at + 0.1, worker, ran, tenant, code)
+        return one
+
+    def more(self, one: Request, at: float, worker: str, ran: bool = True, tenant: str = "t1", code: int = 0) -> None:
+        service = self.history.workers[worker].service
+        one.arrivals.append(Arrival(at, worker, service, tenant, one.gate, ran, code))
+
+    def read(self, at: float, version: int, body: Any = None, **entries: Any) -> None:
+        sent = next(one for one in self.history.changes if one.version == version)
+        self.history.readings.append(Reading(at, at + 0.1, version, body or sent.body, entries))
+
+
+def twice(made: Made, bad: bool) -> None:
+    made.more(made.ask(10, "/hold/x", "desk-1"), 10.2, "desk-1", ran=bad)
+
+
+def refused(made: Made, bad: bool) -> None:
+    made.ask(10, "/hold/x", "desk-1", 503, ran=bad, code=0 if bad else 503)
+
+
+def route(made: Made, bad: bool) -> None:
+    made.ask(10, "/hold/x", "fleet-1" if bad else "desk-1")
+
+
+def tenant(made: Made, bad: bool) -> None:
+    made.ask(10, "/hold/x", "desk-1", tenant="t2" if bad else "t1")
+
+
+def denied(made: Made, bad: bool) -> None:
+    for _ in range(8):
+        made.ask(10, "/look/x", status=401, key="t1-a" if bad else "wrong")
+
+
+def stale(made: Made, bad: bool) -> None:
+    made.put(2, 1, ["look=desk"], 10)
+    made.ask(13.2 if bad else 12.8, "/look/x", "fleet-1")
+
+
+def stale_key(made: Made, bad: bool) -> None:
+    made.put(2, 1, ["k+t1=new"], 10)
+    made.ask(14, "/look/x", status=401, key="new" if bad else "other")
+
+
+def downgraded(made: Made, bad: bool) -> None:
+    made.put(2, 1, ["look=desk"], 10)
+    made.ask(10.5, "/look/x", "desk-1")
+    made.ask(11, "/look/x", "fleet-1", gate="edge-1" if bad else "edge-2")
+
+
+def raced(made: Made, bad: bool) -> None:
+    made.put(2, 1, ["look=desk"], 10)
+    made.put(3, 1 if bad else 2, ["hold=fleet"], 10.1)
+
+
+def revoked(made: Made, bad: bool) -> None:
+    made.put(2, 1, ["k-t1-a"], 10)
+    made.history.trouble("edge-1", 9.0)  # out of touch: only Revoke binds
+    made.ask(15.1 if bad else 14.9, "/look/x", "fleet-1")
+
+
+def read_back(made: Made, bad: bool) -> None:
+    made.put(2, 1, ["look=desk"], 10)
+    made.read(11, 1 if bad else 2)
+
+
+def read_other(made: Made, bad: bool) -> None:
+    made.read(11, 1, edited(made.body, 1, ["look=desk"]) if bad else None)
+
+
+def read_refused(made: Made, bad: bool) -> None:
+    late = made.put(2, 1, ["look=desk"], 10)
+    late.acked, late.refused = math.inf, 412 if bad else 0
+    made.read(11, 2)
+
+
+def lost(made: Made, bad: bool) -> None:
+    made.history.orders.append(Order("z1", True, 9, 10))
+    made.read(11, 1, None, **{} if bad else {"Evacuations/z1": True})
+
+
+def drain(made: Made, bad: bool) -> None:
+    made.history.workers["fleet-1"].left, made.history.workers["fleet-1"].left_at = 10, "core-1"
+    made.ask(13.1 if bad else 12.7, "/look/x", "fleet-1")
+
+
+def evacuated(made: Made, bad: bool) -> None:
+    made.history.orders.append(Order("z1", True, 9, 10))
+    made.ask(15.1, "/look/x", "fleet-1" if bad else "fleet-2")
+
+
+def budget(made: Made, bad: bool) -> None:
+    for number in range(70 if bad else 50):
+        made.more(made.ask(10 + number / 100, "/look/x", "fleet-1"), 10.2 + number / 100, "fleet-2")
+
+
+def quota(made: Made, bad: bool) -> None:
+    for number in range(90):  # (10 x 5 + 10) x 1.1 + 20 = 86
+        made.ask(10 + number / (20 if bad else 10), "/look/x", "fleet-1")
+
+
+def failback(made: Made, bad: bool) -> None:
+    made.history.workers["fleet-1"].cold.append((9, 20))
+    for number in range(14):  # 5 x 1.5 + 5 = 12.5
+        made.ask(10 + number / (20 if bad else 10), "/look/x", "fleet-1")
+
+
+def home(made: Made, bad: bool) -> None:
+    made.ask(10, "/bill/x", "bill-2" if bad else "bill-1")
+
+
+def spun(made: Made, bad: bool) -> None:
+    made.ask(10, "/look/x", "fleet-1").full = 1000 if bad else 3
+
+
+PLANTED: dict[str, tuple[str, Callable[[Made, bool], None]]] = {
+    "twice": ("TWICE", twice), "refused": ("REFUSED", refused), "route": ("ROUTE", route), "tenant": ("ROUTE", tenant),
+    "denied": ("DENIED", denied), "stale": ("CONFIG", stale), "stale key": ("CONFIG", stale_key),
+    "downgraded": ("CONFIG", downgraded), "raced": ("CONFIG", raced), "revoked": ("CONFIG", revoked),
+    "read back": ("CONFIG", read_back), "read other": ("CONFIG", read_other), "read refused": ("CONFIG", read_refused),
+    "lost": ("LOST", lost), "drain": ("DRAIN", drain), "evacuated": ("EVAC", evacuated), "budget": ("BUDGET", budget),
+    "quota": ("QUOTA", quota), "failback": ("FAILBACK", failback), "home": ("HOME", home), "spun": ("Fault", spun),
+}  # fmt: skip
+
+
+@test("dovetail's checkers: {name} is caught, and only when it is there")
+def _(name: str = each(*PLANTED)) -> None:
+    rule, plant = PLANTED[name]
+    for bad in (True, False):
+        made = Made()
+        plant(made, bad)
+        judge = Judge(made.history, BOUNDS, ZONES)
+        found = [breach.rule for check in CHECKS.values() for breach in check(judge)]
+        assert (rule in found) == bad, f"{'planted' if bad else 'clean'}: {found}"
+
+
+@test("dovetail's checkers: what is out of touch is bound later, or not")
+def _() -> None:
+    made = Made()
+    made.history.trouble("edge-1", 8.0)
+    stale(made, True)
+    assert not list(Judge(made.history, BOUNDS, ZONES).config())
