Choose the region before the worker, by load that gatekeepers tell each other

Cause: a hot homed tenant fills one region's workers (15 to 20 requests at 6 slots), and unhomed requests stayed there, as each gatekeeper saw only its own. Change: pulls tell requests under way by worker, pegboards sum and tell them coarsely; lathe.spill weighs late answers against bytes.

--- a/lathe/crew.py
+++ b/lathe/crew.py
@@ -2,18 +2,21 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from jig.tables import Route
 from lathe.ledger import Worker
+from lathe.spill import Spill
 
 GAIN = 0.2  # weight of one answer in a worker's latency ratio
-USUAL_GAIN = 0.05  # weight of one answer in a route's usual latency
 FADE_S = 8.0  # in which a judgement of a worker grows old
 SHUN_S = 0.7  # a worker that failed is left out for so long, doubled each time
 SHUN_MOST_S = 5.0
+OTHERS_GAIN = 0.5  # weight of one piece of news in what others have under way
 NEAR_ZONE = 0.15  # x usual latency: what another zone of the region costs more than one's own
-FAR_REGION = 1.6  # x usual latency: bytes between regions are dear, and so is their way
+NEXT_REGION = 1e3  # a region goes after all those that cost less
+LOOKED_PAST = 1e2  # a worker that is not drawn goes after those of its region that are
 LAST_RESORT = 1e6  # a worker that is left out goes after all others
 
 
@@ -23,6 +26,7 @@
 
     worker: Worker
     out: int = 0  # requests of ours there
+    others: float = 0.0  # requests of other gatekeepers there, as last told
     ratio: float = 1.0  # its latency x usual
     judged: float = 0.0
     fails: int = 0
@@ -39,7 +43,7 @@
         self._region = regions.get(zone, "")
         self.views: dict[str, View] = {}
         self.by_service: dict[str, list[View]] = {}
-        self._usual: dict[str, float] = {}  # s, by route
+        self.spill = Spill(self._region, rng)
         self.evacuated: frozenset[str] = frozenset()
 
     def know(self, workers: Iterable[Worker]) -> None:
@@ -62,12 +66,26 @@
                 view.cold_until = now + cold_s
         self.evacuated = zones
 
+    def outs(self) -> dict[str, int]:
+        """Our requests under way, by worker."""
+        return {key: view.out for key, view in self.views.items() if view.out}
+
+    def heard(self, outs: Mapping[str, int], ours: Mapping[str, int]) -> None:
+        """Take the requests of all under way, by worker, and what was ours of them."""
+        for key, view in self.views.items():
+            view.others += OTHERS_GAIN * (max(0, outs.get(key, 0) - ours.get(key, 0)) - view.others)
+
+    def wait(self, view: View) -> float:
+        """What a request more waits for there until its work begins, x the work of one."""
+        capacity = max(1, view.worker.capacity)
+        return max(0.0, view.out + view.others + 1 - capacity) / capacity
+
     def region(self, view: View) -> str:
         return self._regions.get(view.worker.zone, "")
 
-    def usual(self, route: str, aim: float) -> float:
+    def usual(self, route: Route) -> float:
         """The usual latency of a route's answers, s."""
-        return self._usual.get(route, aim / 4)
+        return self.spill.usual(route.name, route.aim)
 
     def open(self, service: str, homes: Collection[str], tried: Collection[str]) -> list[View]:
         """The workers that a request may be sent to."""
@@ -80,20 +98,37 @@
             and (not homes or self.region(view) in homes)
         ]
 
-    def order(self, now: float, views: list[View], usual: float) -> list[View]:
-        """Best first: by the time until its answer, as far as it is known here, and what the way costs."""
-        return sorted(views, key=lambda view: self._cost(now, view, usual))
+    def order(self, now: float, views: list[View], route: Route) -> list[View]:
+        """Best first: the region that costs least; there by the time until its answer, as far as known."""
+        usual, costs = self.usual(route), dict[str, float]()
+        if views:
+            service = views[0].worker.service
+            waits: dict[str, list[float]] = {}
+            for view in views:
+                waits.setdefault(self.region(view), []).append(self.wait(view))
+            for region, each in waits.items():
+                costs[region] = self.spill.cost(now, service, region, route.name, route.aim, route.repeatable,
+                                                sum(each) / len(each))  # fmt: skip
+        cheap = sorted(costs, key=lambda one: costs[one])
+        ranks = {region: at * NEXT_REGION for at, region in enumerate(cheap)}
+        # All hear the same of the others, and late: were all looked at, everybody would turn to the same one.
+        random, left_out = self._rng.random, set[str]()
+        for region in ranks:
+            ids = [view.worker.id for view in views if self.region(view) == region]
+            ids.sort(key=lambda _: random())
+            left_out.update(ids[max(2, (len(ids) + 1) // 2) :])
+        return sorted(views, key=lambda view: ranks[self.region(view)] + self._cost(now, view, usual)
+                      + LOOKED_PAST * (view.worker.id in left_out))  # fmt: skip
 
     def _cost(self, now: float, view: View, usual: float) -> float:
         capacity = max(1, view.worker.capacity)
         ratio = max(0.5, 1.0 + (view.ratio - 1.0) * math.exp(-(now - view.judged) / FADE_S))
-        waiting = max(0, view.out + 1 - capacity) / capacity
-        cost = ratio * (1.0 + waiting + 0.5 * view.out / capacity)
+        cost = ratio * (1.0 + self.wait(view) + 0.5 * (view.out + view.others) / capacity)
         # In thin traffic nothing is out anywhere: whoever was sent something just now goes last.
         cost += 0.3 * math.exp(-(now - view.last) / (usual or 0.1))
         cost += 0.1 * self._rng.random()
         if view.worker.zone != self._zone:
-            cost += NEAR_ZONE if self.region(view) == self._region else FAR_REGION
+            cost += NEAR_ZONE
         return cost + LAST_RESORT * (now < view.shunned_until)
 
     def sent(self, now: float, view: View) -> None:
@@ -103,11 +138,13 @@
     def back(self, view: View) -> None:
         view.out -= 1
 
-    def answered(self, now: float, view: View, route: str, aim: float, waited: float) -> None:
-        usual = self.usual(route, aim)
+    def answered(self, now: float, view: View, route: Route, waited: float, size: int) -> None:
+        """Learn from an answer that took `waited` s and `size` bytes both ways."""
+        usual = self.usual(route)
         view.ratio += GAIN * (min(5.0, waited / max(0.001, usual)) - view.ratio)
         view.judged, view.fails, view.shunned_until = now, 0, -math.inf
-        self._usual[route] = usual + USUAL_GAIN * (waited - usual)
+        service, region = view.worker.service, self.region(view)
+        self.spill.answered(now, service, region, route.name, route.aim, waited, size)
 
     def failed(self, now: float, view: View) -> None:
         """Leave it out for a while: after a connection that did not come up, a reset, a silence."""
--- a/lathe/desk.py
+++ b/lathe/desk.py
@@ -60,6 +60,7 @@
         live = self.gate.arrive(now, host, path, key.strip() if scheme.lower() == "bearer" else "", remaining)
         if isinstance(live, Turn):
             return _own(live)
+        live.size = asked.head + asked.size
         try:
             return self._run(asked, attempt, live, case)
         finally:
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -50,6 +50,7 @@
     out: int = 0  # tries under way
     may_run: bool = False
     arrived: bool = False  # one of its tries reached a worker
+    size: int = 500  # bytes of it, head and body
     alone: bool = False  # no further try beside the one that is out
 
 
@@ -147,7 +148,7 @@
         if paid and not self.retries.may(now, live.service, members):
             return turn
         views = self.crew.open(live.service, live.homes, live.tried)
-        for view in self.crew.order(now, views, self.crew.usual(live.route.name, live.route.aim)):
+        for view in self.crew.order(now, views, live.route):
             if self._may(now, view):
                 if paid:
                     self.retries.spent(now, live.service)
@@ -188,7 +189,7 @@
         """When a silent try of a repeatable request gets another beside it (steady time); None: never."""
         if not live.route.repeatable or live.alone or len(live.tried) >= live.route.attempts:
             return None
-        usual = self.crew.usual(live.route.name, live.route.aim)
+        usual = self.crew.usual(live.route)
         at = live.came + max(HEDGE_LEAST * usual, live.route.aim - HEDGE_BEFORE * usual)
         return at if at + usual < live.deadline else None
 
@@ -210,7 +211,7 @@
                 reply = outcome.reply
                 assert reply is not None
                 if reply.status < 500:
-                    self.crew.answered(now, view, live.route.name, live.route.aim, outcome.waited)
+                    self.crew.answered(now, view, live.route, outcome.waited, live.size + reply.size)
                     return True
                 return not live.route.repeatable or len(live.tried) >= live.route.attempts
             case Ended.NOT_RUN:
--- a/lathe/ledger.py
+++ b/lathe/ledger.py
@@ -154,6 +154,15 @@
         names = {key[2:] for source in self.sources.values() for key in source.records if key[0] == "g"}
         self.members = tuple(sorted(names))
 
+    def outs(self) -> dict[str, int]:
+        """Requests of all gatekeepers under way, by worker, about half a second old."""
+        outs: dict[str, int] = {}
+        for source in self.sources.values():
+            for key, value in source.records.items():
+                if key[0] == "o":
+                    outs[key[2:]] = outs.get(key[2:], 0) + value
+        return outs
+
     def sums(self) -> dict[str, dict[str, tuple[int, int]]]:
         """Cumulative counts, total and declined, by source and tenant."""
         return {
--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -63,6 +63,7 @@
             "region": settings.region, "front": f"{front[0]}:{front[1]}" if front else "",
             "ready": gate.ready(now),
             "have": gate.ledger.have(), "wait": 0.0 if gate.ledger.table is None else WAIT_S,
+            "outs": gate.crew.outs(),
             "adds": {"number": self._number, "counts": gate.limiter.fresh()},
         }  # fmt: skip
         return Pull(ip, now, body)
@@ -82,6 +83,7 @@
         self._at, self._controls = pull.ip, answer["controls"]
         change = gate.ledger.take(pull.sent, now, answer)
         gate.news(now, change)
+        gate.crew.heard(gate.ledger.outs(), pull.body["outs"])
         gate.limiter.heard(now, gate.ledger.sums())
         if answer.get("age") is None or answer["age"] > STALE_S:
             self._avoid[pull.ip] = now + AVOID_S
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -13,7 +13,7 @@
 
 from pegboard.lookup import addresses
 from pegboard.records import GONE, GONE_SEQ, Session, Worker, worker
-from pegboard.source import SUM, Difference, Source
+from pegboard.source import OUT, SUM, Difference, Source
 from workbench.faults import INVALID, UNREADY, Fault
 
 WORD: Final = "vise"  # the source of the operator's word
@@ -24,6 +24,7 @@
 NAMED_S: Final = 1.0  # a source heard within this is named as alive: askers count its silence from then on
 EAGER_S: Final = 1.0  # a proof not older than this ends the wait of one that has none
 PROOF_S: Final = 10.0  # an older proof says nothing
+OUT_GRAIN, OUT_LEAST = 0.3, 2.0  # x capacity, and requests: so far off may those told to be under way be
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
 PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
 ALONE_S: Final = 1.5  # others unheard for so long are out of reach
@@ -75,6 +76,7 @@
     at: float
     open: int = 0
     adds: dict[str, int] = attrs.field(factory=dict)
+    outs: dict[str, int] = attrs.field(factory=dict)  # its requests under way, by worker
 
 
 class Registry:
@@ -160,6 +162,7 @@
             said = Session(body["front"], body["zone"], body["region"], ready, now)
             number, counts = adds.get("number", 0), dict(adds.get("counts") or {})
             incarnation = body["incarnation"]
+            outs = {str(key): int(count) for key, count in dict(body.get("outs") or {}).items()}
             fresh = [(tenant, int(total), int(declined)) for tenant, (total, declined) in counts.items()]
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             return Fault(INVALID, f"pull: {error!r}")
@@ -167,6 +170,7 @@
         pulls.at, pulls.open = now, pulls.open + 1
         if self.own.values.get(f"g/{node}") != said:
             self._put(f"g/{node}", said)
+        self._outs(pulls, outs)
         if number > pulls.adds.get(incarnation, -1):
             pulls.adds[incarnation] = number
             for tenant, total, declined in fresh:
@@ -219,6 +223,18 @@
         pack = self._pack[1]
         return {"version": told["version"], "full": told["full"], "pack": pack} if pack else told
 
+    def _outs(self, pulls: Pulls, outs: dict[str, int]) -> None:
+        """A gatekeeper's requests under way have changed: sums that moved enough are told."""
+        changed = [key for key in outs.keys() | pulls.outs.keys() if outs.get(key) != pulls.outs.get(key)]
+        pulls.outs = outs
+        for key in changed:
+            total = sum(one.outs.get(key, 0) for one in self._pulls.values())
+            told, known = self.own.values.get(OUT + key, 0), self._newest(f"w/{key}")
+            if not total or known is None:
+                self.own.drop(OUT + key)
+            elif abs(total - told) >= max(OUT_LEAST, OUT_GRAIN * known.capacity):
+                self.own.put(OUT + key, total)
+
     def sessions(self, now: float) -> dict[str, Session]:
         """Gatekeepers whose leases stand, each as it was last heard."""
         found: dict[str, Session] = {}
@@ -350,6 +366,7 @@
             pulls = self._pulls.get(key[2:]) if key[0] == "g" else None
             if pulls and not pulls.open:
                 self._drop(key)
+                self._outs(pulls, {})
 
     # ---- the operator's word
 
@@ -393,6 +410,7 @@
         for node, pulls in list(self._pulls.items()):
             if self._late(pulls.at, SESSION_S, now):
                 self._drop(f"g/{node}")
+                self._outs(pulls, {})
                 if now - pulls.at > GRAVE_S and not pulls.open:
                     del self._pulls[node]
         silent = [name for name, copy in self.copies.items() if self._late(copy.heard, SILENT_S, now)]
--- a/pegboard/source.py
+++ b/pegboard/source.py
@@ -1,6 +1,7 @@
 """Records of one origin with a version that rises with every change, told to others as differences.
 
-A key starting with `c/` is a sum: its changes count as versions but are no news that anybody is woken for.
+A key starting with `c/` or `o/` is a sum: its changes count as versions but are no news that anybody is woken
+for.
 """
 
 from collections.abc import Iterable, Mapping
@@ -8,7 +9,7 @@
 
 import attrs
 
-SUM = "c/"
+SUM, OUT = "c/", "o/"
 TOMBS = 1000  # keys gone that are remembered, so that differences can name them
 
 
@@ -92,5 +93,5 @@
     def _mark(self, key: str, version: int) -> None:
         self._at.pop(key, None)
         self._at[key] = version
-        if not key.startswith(SUM):
+        if not key.startswith((SUM, OUT)):
             self.solid = version
