--- a/vise/__main__.py
+++ b/vise/__main__.py
@@ -5,11 +5,10 @@
 import sys
 
 import gevent
-import logbook
 
 from jig import settings
 from vise.daemon import Daemon, stop_on_broken
-from workbench.events import SETTINGS_BAD, STARTED, STOPPING, set_up, tell
+from workbench.events import ERROR, SETTINGS_BAD, STARTED, STOPPING, set_up, tell
 
 PATH = "/etc/ashlift/settings.toml"
 
@@ -19,11 +18,11 @@
     if not isinstance(found, settings.Settings):
         set_up("vise", "?")
         for fault in found:
-            tell(SETTINGS_BAD, level=logbook.ERROR, fault=fault.detail)
+            tell(SETTINGS_BAD, level=ERROR, fault=fault.detail)
         return 78
     set_up("vise", found.node_name)
     if found.data_directory is None:
-        tell(SETTINGS_BAD, level=logbook.ERROR, fault="DataDirectory: is missing: the store needs a disk")
+        tell(SETTINGS_BAD, level=ERROR, fault="DataDirectory: is missing: the store needs a disk")
         return 78
     stop_on_broken(gevent.get_hub())
     daemon = Daemon(found, os.path.join(found.data_directory, "vise"))
