Pull the configuration compressed, and wait for an answer while its bytes come

Cause: 1200 routes are 230 KB of cbor2; a gatekeeper of the grown sites has 2 Mbit/s, so the answer takes 0.9 s and more, the call was given up after 0.85 s and asked for again elsewhere, for ever: no proof, not ready, no look-up. The registry could (packs), the proxy did not ask. A call with patience goes on while bytes come, 3 s at most.

--- a/lathe/news.py
+++ b/lathe/news.py
@@ -8,7 +8,7 @@
 
 from jig.settings import Settings
 from lathe.gate import Gate
-from lathe.pulling import ANSWER_S, WAIT_S, Pulling
+from lathe.pulling import ANSWER_S, MOST_S, WAIT_S, Pulling
 from workbench.bench import Callers
 
 PAUSE_S = 0.05
@@ -42,7 +42,7 @@
         pull = self._pulling.begin(time.monotonic())
         if pull is None:
             return False
-        answer = self._callers.to((pull.ip, self._port)).call("pull", pull.body, WAIT_S + ANSWER_S)
+        answer = self._callers.to((pull.ip, self._port)).call("pull", pull.body, WAIT_S + ANSWER_S, MOST_S)
         if not self._pulling.ended(pull, time.monotonic(), answer):
             return False
         self._changed()
--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -1,17 +1,22 @@
 """Which pegboard a gatekeeper pulls from, what it says there, and what it makes of the answer. Pure."""
 
 import random
+import zlib
+from collections.abc import Mapping
 from typing import Any
 
+import cbor2
 from attrs import frozen
 
 from jig.settings import Settings
 from lathe.gate import Gate
+from workbench.bench import FRAME_MOST
 from workbench.faults import UNREACHED, Fault
 
 WAIT_S = 0.25
 ANSWER_S = 0.6  # beyond the wait: so late, another pegboard is asked
 STALE_S = 1.5  # a pegboard whose proof is older is left for another
+MOST_S = 3.0  # so long an answer may take in all while bytes of it come: a whole configuration, a narrow line
 AVOID_S = 2.0
 Json = dict[str, Any]
 
@@ -25,6 +30,20 @@
     body: Json
 
 
+def unpacked(sources: Mapping[str, Json]) -> dict[str, Json]:
+    """What an answer tells of the sources, `pack` opened to `set` and `gone`. ValueError: it is no pack."""
+    found = dict(sources)
+    for name, news in sources.items():
+        if "pack" in news:
+            opening = zlib.decompressobj()
+            data = opening.decompress(news["pack"], FRAME_MOST)
+            if not opening.eof:
+                raise ValueError(f"{name}: a pack that is cut or too large")
+            values, gone = cbor2.loads(data)
+            found[name] = {"version": news["version"], "full": news["full"], "set": values, "gone": gone}
+    return found
+
+
 class Pulling:
     def __init__(self, settings: Settings, gate: Gate, incarnation: str, rng: random.Random) -> None:
         self._settings, self._gate, self._incarnation, self._rng = settings, gate, incarnation, rng
@@ -63,7 +82,7 @@
             "region": settings.region, "front": f"{front[0]}:{front[1]}" if front else "",
             "ready": gate.ready(now),
             "have": gate.ledger.have(), "wait": 0.0 if gate.ledger.table is None else WAIT_S,
-            "outs": gate.crew.outs(),
+            "outs": gate.crew.outs(), "packs": True,
             "adds": {"number": self._number, "counts": gate.limiter.fresh()},
         }  # fmt: skip
         return Pull(ip, now, body)
@@ -81,7 +100,7 @@
             return False
         gate.limiter.confirmed(counts)
         self._at, self._controls = pull.ip, answer["controls"]
-        change = gate.ledger.take(pull.sent, now, answer)
+        change = gate.ledger.take(pull.sent, now, {**answer, "sources": unpacked(answer["sources"])})
         gate.news(now, change)
         gate.crew.heard(gate.ledger.outs(), pull.body["outs"])
         gate.limiter.heard(now, gate.ledger.sums())
--- a/trials/test_lathe_pulling.py
+++ b/trials/test_lathe_pulling.py
@@ -3,12 +3,15 @@
 import random
 from typing import Any
 
-from ward import test
+import gevent
+from gevent import socket
+from ward import each, raises, test
 
 from jig.settings import Settings, parse
 from lathe.gate import Gate
-from lathe.pulling import AVOID_S, Pulling
-
+from lathe.pulling import AVOID_S, Pulling, unpacked
+from pegboard.registry import Registry, Self
+from workbench.bench import Caller, pack
 from workbench.faults import UNANSWERED, Fault
 
 NEAR, NEXT, FAR = "10.1.0.1", "10.2.0.1", "10.3.0.1"
@@ -61,3 +64,42 @@
     old["age"] = 2.0
     assert _play(pulling, 0.1, old) == NEAR
     assert _play(pulling, 0.2, _answer(NEAR, NEXT, FAR)) == NEXT
+
+
+@test("what comes compressed is taken as if it came plain; one that is cut is told")
+def _() -> None:
+    word = {f"Routes/r-{number}": {"Host": "h.example", "Timeout": "2s"} for number in range(1200)}
+    word["Version"] = "0000000c"
+    packer = Registry(Self("core-1", "0", NEAR, "a", "r", 80, 1.5), [NEAR], {"a": "r"}, 0.0)
+    packer.watched({"index": 7, "full": True, "set": word, "gone": [], "age": 0.0}, 0.0, 0.0)
+    body = {"have": {}, "zone": "a", "region": "r"}
+    plain, packed = packer.answer(body, 0.0, 0.0), packer.answer({**body, "packs": True}, 0.0, 0.0)
+    assert unpacked(packed["sources"]) == plain["sources"]
+    assert 8 * len(pack(packed)) < len(pack(plain))
+    packed["sources"]["vise"]["pack"] = packed["sources"]["vise"]["pack"][:-9]
+    with raises(ValueError):
+        unpacked(packed["sources"])
+
+
+@test("an answer is waited for while its bytes come, and no longer ({name})")
+def _(
+    name: str = each("a narrow line", "a line that falls silent", "no patience"),
+    gaps: tuple[float, ...] = each((0.03,) * 10, (0.03, 0.6), (0.03,) * 10),
+    most: float = each(5.0, 5.0, 0.0),
+    comes: bool = each(True, False, False),
+) -> None:
+    here, there = socket.socketpair()
+    caller = Caller(("10.0.0.1", 1))
+    caller._sock = here
+    gevent.spawn(caller._read, here)
+    answer = pack([1, "x" * 990])
+
+    def trickle() -> None:
+        piece = len(answer) // len(gaps) + 1
+        for number, gap in enumerate(gaps):
+            gevent.sleep(gap)
+            there.sendall(answer[number * piece : (number + 1) * piece])
+
+    gevent.spawn(trickle)
+    found = caller.call("pull", {}, 0.1, most)
+    assert isinstance(found, str) == comes
--- a/workbench/bench.py
+++ b/workbench/bench.py
@@ -5,6 +5,7 @@
 """
 
 import struct
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -21,6 +22,7 @@
 Handler = Callable[[Any], Any]
 FRAME_MOST = 8 << 20  # bytes: a whole configuration of thousands of routes
 DIAL_S = 0.5
+MORE_S = 0.3  # a call with patience goes on while bytes come at least so often
 SILENT_MS = 2000  # TCP_USER_TIMEOUT: bytes that nobody confirms for so long end the connection
 _LENGTH = struct.Struct(">I")
 
@@ -76,15 +78,17 @@
         self._number = 0
         self._waiting: dict[int, AsyncResult[Any]] = {}
         self._dialling = Semaphore()
+        self._received = 0  # bytes
 
-    def call(self, method: str, body: Any, timeout: float) -> Any:
+    def call(self, method: str, body: Any, timeout: float, most: float = 0.0) -> Any:
         """The answer's body, or a Fault; never raises for what the network does.
 
-        `timeout`: s, dialling included.
+        `timeout`: s, dialling included; while bytes come, up to `most` s in all: a large answer on a narrow
+        line must not be given up and asked for again.
         """
         timer = gevent.Timeout(timeout)
         timer.start()
-        number, sent = 0, False
+        number, sent, until = 0, False, time.monotonic() + most
         try:
             with self._dialling:
                 sock = self._sock or self._dial()
@@ -93,7 +97,16 @@
                 waiting = self._waiting[number] = AsyncResult()
                 sent = True
                 sock.sendall(pack([number, method, body]))
-            return waiting.get()
+            while True:
+                received = self._received
+                try:
+                    return waiting.get()
+                except gevent.Timeout as over:
+                    left = until - time.monotonic()
+                    if over is not timer or left <= 0 or self._received == received:
+                        raise
+                    timer = gevent.Timeout(min(MORE_S, left))
+                    timer.start()
         except gevent.Timeout as over:
             if over is not timer:
                 raise
@@ -122,6 +135,7 @@
         frames = Frames()
         try:
             while data := sock.recv(65536):
+                self._received += len(data)
                 for frame in frames.feed(data):
                     waiting = self._waiting.pop(frame[0], None)
                     if waiting is not None:
