--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -18,6 +18,7 @@
 STALE_S = 1.5  # a pegboard whose proof is older is left for another
 MOST_S = 3.0  # so long an answer may take in all while bytes of it come: a whole configuration, a narrow line
 AVOID_S = 2.0
+EAGER_S = 1.0  # without a proof younger than this, the first one is waited for, and answered at once
 Json = dict[str, Any]
 
 
@@ -82,7 +83,7 @@
             "region": settings.region, "front": f"{front[0]}:{front[1]}" if front else "",
             "ready": gate.ready(now),
             "have": gate.ledger.have(), "wait": 0.0 if gate.ledger.table is None else WAIT_S,
-            "outs": gate.crew.outs(), "packs": True,
+            "outs": gate.crew.outs(), "packs": True, "eager": gate.ledger.age(now) > EAGER_S,
             "adds": {"number": self._number, "counts": gate.limiter.fresh()},
         }  # fmt: skip
         return Pull(ip, now, body)
