--- a/dovetail/board.py
+++ b/dovetail/board.py
@@ -18,14 +18,26 @@
 
 
 class Board(Process):
-    def __init__(self, loop: Loop, net: Net, machine: Machine, seeds: Callable[[], list[str]],
-                 zones: dict[str, str], heartbeat: float) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        machine: Machine,
+        seeds: Callable[[], list[str]],
+        zones: dict[str, str],
+        heartbeat: float,
+    ) -> None:
         super().__init__(loop, net, machine, KIND)
         self.seeds, self.zones, self.heartbeat = seeds, zones, heartbeat
         self.handlers = {
-            "pull": self._pull, "swap": self._swapped, "beat": self._beat, "delete": self._delete,
-            "lookup": self._lookup, "order": self._order, "config": self._config,
-        }  # fmt: skip
+            "pull": self._pull,
+            "swap": self._swapped,
+            "beat": self._beat,
+            "delete": self._delete,
+            "lookup": self._lookup,
+            "order": self._order,
+            "config": self._config,
+        }
 
     def begin(self) -> None:
         machine = self.machine
--- a/dovetail/chance.py
+++ b/dovetail/chance.py
@@ -15,8 +15,14 @@
 def drawn(seed: int, edge: int = 11, until: float = 30.0) -> Scene:
     """A schedule of faults. At most a minority of the core is away at a time, but for whole kills."""
     chance = random.Random(seed)
-    plan = Plan(seed=seed, edge=edge, until=until, rate=chance.choice([40.0, 80.0]),
-                quota=chance.choice([10.0, 200.0]), homes=chance.choice([[], ["r1"]]))  # fmt: skip
+    plan = Plan(
+        seed=seed,
+        edge=edge,
+        until=until,
+        rate=chance.choice([40.0, 80.0]),
+        quota=chance.choice([10.0, 200.0]),
+        homes=chance.choice([[], ["r1"]]),
+    )
     core = [f"core-{number + 1}" for number in range(plan.core)]
     edges = [f"edge-{number + 1}" for number in range(edge)]
     lines: list[Line] = []
@@ -26,8 +32,17 @@
     def change(at: float) -> list[str]:
         state["base"], state["version"] = state["version"], state["version"] + 1
         version = int(state["version"])
-        words = chance.choice([["look=desk"], ["look=fleet"], ["bill=desk"], ["bill=bill"], [f"k-t{version % 4 + 1}-a"],
-                               [f"r+new{version}=fleet"], [f"q:t{version % 4 + 1}=8"]])  # fmt: skip
+        words = chance.choice(
+            [
+                ["look=desk"],
+                ["look=fleet"],
+                ["bill=desk"],
+                ["bill=bill"],
+                [f"k-t{version % 4 + 1}-a"],
+                [f"r+new{version}=fleet"],
+                [f"q:t{version % 4 + 1}=8"],
+            ]
+        )
         where = ["at", chance.choice(core)] if chance.random() < 0.5 else []
         return ["put", str(version), "on", str(int(state["base"])), *where, *words]
 
@@ -46,29 +61,50 @@
         one = chance.choice([*core, "leader"])
         rest = [name for name in core if name != one]
         span = ["for", f"{seconds:.2f}"]
-        return chance.choice([
-            ["kill", "core", one, *span], ["freeze", "all", one, *span], ["power", one, *span], ["wipe", one, *span],
-            ["cut", one, "|", "core", *span], ["oneway", one, "|", "core", *span], ["oneway", "core", "|", one, *span],
-            ["cut", *core[:2], "|", *core[2:], *span], ["kill", "core", "*"], ["kill", "pegboard", "*"],
-            ["cut", one, "|", *rest, "edge", *span],
-        ])  # fmt: skip
+        return chance.choice(
+            [
+                ["kill", "core", one, *span],
+                ["freeze", "all", one, *span],
+                ["power", one, *span],
+                ["wipe", one, *span],
+                ["cut", one, "|", "core", *span],
+                ["oneway", one, "|", "core", *span],
+                ["oneway", "core", "|", one, *span],
+                ["cut", *core[:2], "|", *core[2:], *span],
+                ["kill", "core", "*"],
+                ["kill", "pegboard", "*"],
+                ["cut", one, "|", *rest, "edge", *span],
+            ]
+        )
 
     def edge_fault(at: float) -> list[str]:
         some = chance.sample(edges, chance.choice([1, 1, 2, max(1, edge // 3)]))
         span = ["for", f"{chance.uniform(0.3, 7.0):.2f}"]
-        return chance.choice([
-            ["kill", "lathe", *some], ["freeze", "lathe", *some, *span], ["cut", *some, "|", "core", *span],
-            ["oneway", *some, "|", "core", *span], ["oneway", "core", "|", *some, *span], ["term", "lathe", some[0]],
-            ["cut", *some, "|", "workers", *span], ["cut", *some, "|", "clients", *span],
-        ])  # fmt: skip
+        return chance.choice(
+            [
+                ["kill", "lathe", *some],
+                ["freeze", "lathe", *some, *span],
+                ["cut", *some, "|", "core", *span],
+                ["oneway", *some, "|", "core", *span],
+                ["oneway", "core", "|", *some, *span],
+                ["term", "lathe", some[0]],
+                ["cut", *some, "|", "workers", *span],
+                ["cut", *some, "|", "clients", *span],
+            ]
+        )
 
     def worker(at: float) -> list[str]:
         service = chance.choice(["fleet", "desk", "bill"])
         name = f"{service}-{chance.randint(1, plan.workers)}"
-        return chance.choice([
-            ["crash", name], ["drain", name], ["chill", name, "3"], ["sick", name, "0.2"],
-            ["add", service, chance.choice(ZONES), "cold", "3"],
-        ])  # fmt: skip
+        return chance.choice(
+            [
+                ["crash", name],
+                ["drain", name],
+                ["chill", name, "3"],
+                ["sick", name, "0.2"],
+                ["add", service, chance.choice(ZONES), "cold", "3"],
+            ]
+        )
 
     makers: list[Callable[[float], list[str]]] = [change, zone, core_fault, edge_fault, worker]
     at = 6.0
--- a/dovetail/checks.py
+++ b/dovetail/checks.py
@@ -86,15 +86,21 @@
         tables = [(one.sent, one.table) for one in self.changes if one.valid]
         for request, one in self._ran():
             if not any(sent <= one.at and _allows(table, request, one) for sent, table in tables):
-                yield Breach("ROUTE", one.at, f"{request.told()} ran at {one.worker} of {one.service} "
-                             f"for {one.tenant or 'nobody'}, which nothing ever allowed")  # fmt: skip
+                yield Breach(
+                    "ROUTE",
+                    one.at,
+                    f"{request.told()} ran at {one.worker} of {one.service} "
+                    f"for {one.tenant or 'nobody'}, which nothing ever allowed",
+                )
 
     def denied(self) -> Iterator[Breach]:
         wrong = [
-            one for one in self.history.requests
-            if one.status in (401, 403, 404) and self.in_touch(one.gate, one.ended)
+            one
+            for one in self.history.requests
+            if one.status in (401, 403, 404)
+            and self.in_touch(one.gate, one.ended)
             and not any(_refuses(change.table, one) for change in self._in_force(one.taken, one.ended))
-        ]  # fmt: skip
+        ]
         if len(wrong) > DENIED_FREE + DENIED_SHARE * len(self.history.requests):
             last = wrong[-1]
             yield Breach(
@@ -124,8 +130,8 @@
 
     # ---- configuration
     def _shows(self, request: Request) -> Iterator[tuple[float, list[int], str, bool]]:
-        """What a request shows of the configuration in force at its gatekeeper: when, the versions that explain
-        it, what was seen, and whether a worker saw it."""
+        """What a request shows of the configuration in force at its gatekeeper: when, the versions that
+        explain it, what was seen, and whether a worker saw it."""
         for one in request.arrivals:
             if one.ran:
                 fit = [change.version for change in self.chain if _allows(change.table, request, one)]
@@ -155,8 +161,12 @@
                     if max(fit) < change.version and self.late(
                         request.gate, request.sent, change.acked, apply
                     ):
-                        yield Breach("CONFIG", at, f"{request.told()} {what}, as only version {max(fit)} says, and "
-                                     f"{change.told()} was acknowledged at {change.acked:.3f}")  # fmt: skip
+                        yield Breach(
+                            "CONFIG",
+                            at,
+                            f"{request.told()} {what}, as only version {max(fit)} says, and "
+                            f"{change.told()} was acknowledged at {change.acked:.3f}",
+                        )
         for seen in shown.values():
             seen.sort()
         for request, at, fit, what in told:
@@ -164,8 +174,12 @@
                 if seen_at + slack >= request.sent:
                     break
                 if max(fit) < version:
-                    yield Breach("CONFIG", at, f"{request.told()} {what}: back from version {version}, which had "
-                                 f"an effect there at {seen_at:.3f}, to {max(fit)}")  # fmt: skip
+                    yield Breach(
+                        "CONFIG",
+                        at,
+                        f"{request.told()} {what}: back from version {version}, which had "
+                        f"an effect there at {seen_at:.3f}, to {max(fit)}",
+                    )
                     break
         yield from self._races()
 
@@ -195,11 +209,15 @@
                 change.version > gone[-1].version and change.sent <= one.at for change in holders[key]
             ):
                 continue
-            yield Breach("CONFIG", one.at, f"{request.told()} ran at {one.worker}, and {gone[-1].told()} without "
-                         f"its key was acknowledged at {gone[-1].acked:.3f}")  # fmt: skip
+            yield Breach(
+                "CONFIG",
+                one.at,
+                f"{request.told()} ran at {one.worker}, and {gone[-1].told()} without "
+                f"its key was acknowledged at {gone[-1].acked:.3f}",
+            )
 
     def read_back(self) -> Iterator[Breach]:
-        """CONFIG: what is read is not older than what was acknowledged or read before, and is what was sent."""
+        """CONFIG: what is read is no older than what was acknowledged or read before, and as it was sent."""
         acked = sorted((one for one in self.chain if one.acked < math.inf), key=lambda one: one.acked)
         newest = 0
         ended: list[tuple[float, int]] = []
@@ -207,8 +225,12 @@
             for change in acked:
                 if change.acked < reading.begun and change.version > reading.version:
                     rule = "LOST" if reading.begun > self.history.closing else "CONFIG"
-                    yield Breach(rule, reading.ended, f"read version {reading.version}, and {change.told()} "
-                                 f"was acknowledged at {change.acked:.3f}")  # fmt: skip
+                    yield Breach(
+                        rule,
+                        reading.ended,
+                        f"read version {reading.version}, and {change.told()} "
+                        f"was acknowledged at {change.acked:.3f}",
+                    )
                     break
             newest = max((version for at, version in ended if at < reading.begun), default=0)
             if reading.version < newest:
@@ -250,8 +272,12 @@
                 if one.code == 421 or one.at <= due + bound or not self.in_touch(one.gate, one.at):
                     continue
                 if self.in_touch(worker.left_at, worker.left):
-                    yield Breach("DRAIN", one.at, f"{request.told()} reached {one.worker}, and {worker.left_at} "
-                                 f"acknowledged at {due:.3f} that it leaves")  # fmt: skip
+                    yield Breach(
+                        "DRAIN",
+                        one.at,
+                        f"{request.told()} reached {one.worker}, and {worker.left_at} "
+                        f"acknowledged at {due:.3f} that it leaves",
+                    )
 
     def evacuated(self) -> Iterator[Breach]:
         bound, orders = self.bounds.evacuation, self.history.orders
@@ -264,8 +290,12 @@
                 if one.code == 421 or not told or not told[-1].on:
                     continue
                 if self.late(one.gate, one.at, told[-1].acked, bound):
-                    yield Breach("EVAC", one.at, f"{request.told()} reached {one.worker} in {zone}, whose evacuation "
-                                 f"was acknowledged at {told[-1].acked:.3f}")  # fmt: skip
+                    yield Breach(
+                        "EVAC",
+                        one.at,
+                        f"{request.told()} reached {one.worker} in {zone}, whose evacuation "
+                        f"was acknowledged at {told[-1].acked:.3f}",
+                    )
 
     # ---- sums over all machines
     def budget(self) -> Iterator[Breach]:
@@ -293,8 +323,12 @@
                 spans = [at - window - shift for shift in (0.0, window / 2, window)]
                 most = max(sum(since < one <= since + window for one in sent) for since in spans)
                 if high - low + 1 > ratio * most + slack:
-                    yield Breach("BUDGET", at, f"{high - low + 1} further tries at {service} within {window:g} s, for "
-                                 f"{most} requests; the last of {request.told()} by {request.gate}")  # fmt: skip
+                    yield Breach(
+                        "BUDGET",
+                        at,
+                        f"{high - low + 1} further tries at {service} within {window:g} s, for "
+                        f"{most} requests; the last of {request.told()} by {request.gate}",
+                    )
                     break
 
     def _service(self, request: Request) -> str:
@@ -326,8 +360,12 @@
                     continue
                 inside = sum(sent > at - window for _, sent, _ in found[low : high + 1])
                 if inside > most:
-                    breach = breach or Breach("QUOTA", at, f"{tenant} within {window:g} s, {most:g} allowed, the first "
-                                              f"too many {request.told()}")  # fmt: skip
+                    breach = breach or Breach(
+                        "QUOTA",
+                        at,
+                        f"{tenant} within {window:g} s, {most:g} allowed, the first "
+                        f"too many {request.told()}",
+                    )
                     worst = max(worst, inside)
             if breach is not None:
                 yield evolve(breach, what=f"up to {worst} of {breach.what}")
@@ -352,8 +390,11 @@
                     got[one.worker].append((one.at, request.sent, request))
         for name, found in got.items():
             found.sort(key=lambda one: one[0])
-            rates = [service.warmup_rate for one in self.chain
-                     if (service := one.table.services.get(workers[name].service))]  # fmt: skip
+            rates = [
+                service.warmup_rate
+                for one in self.chain
+                if (service := one.table.services.get(workers[name].service))
+            ]
             most = max(rates, default=math.inf) * self.bounds.cold_overrun + self.bounds.cold_slack
             low = 0
             for high, (at, _, request) in enumerate(found):
@@ -361,8 +402,12 @@
                     low += 1
                 inside = sum(sent > at - 1.0 for _, sent, _ in found[low : high + 1])
                 if inside > most:
-                    yield Breach("FAILBACK", at, f"{inside} at the cold {name} within a second, {most:g} allowed; the "
-                                 f"last {request.told()} by {request.gate}")  # fmt: skip
+                    yield Breach(
+                        "FAILBACK",
+                        at,
+                        f"{inside} at the cold {name} within a second, {most:g} allowed; the "
+                        f"last {request.told()} by {request.gate}",
+                    )
                     break
 
     def home(self) -> Iterator[Breach]:
@@ -404,11 +449,22 @@
 
 Check = Callable[[Judge], Iterator[Breach]]
 CHECKS: dict[str, Check] = {
-    "twice": Judge.twice, "refused": Judge.refused, "route": Judge.route, "denied": Judge.denied,
-    "config": Judge.config, "revoked": Judge.revoked, "read back": Judge.read_back, "lost": Judge.lost,
-    "drain": Judge.drain, "evacuated": Judge.evacuated, "budget": Judge.budget, "quota": Judge.quota,
-    "failback": Judge.failback, "home": Judge.home, "spun": Judge.spun,
-}  # fmt: skip
+    "twice": Judge.twice,
+    "refused": Judge.refused,
+    "route": Judge.route,
+    "denied": Judge.denied,
+    "config": Judge.config,
+    "revoked": Judge.revoked,
+    "read back": Judge.read_back,
+    "lost": Judge.lost,
+    "drain": Judge.drain,
+    "evacuated": Judge.evacuated,
+    "budget": Judge.budget,
+    "quota": Judge.quota,
+    "failback": Judge.failback,
+    "home": Judge.home,
+    "spun": Judge.spun,
+}
 
 
 def judge(history: History, bounds: Bounds, zones: dict[str, str]) -> Breach | None:
--- a/dovetail/engine.py
+++ b/dovetail/engine.py
@@ -256,9 +256,9 @@
             caller.later(0.001, future.set, Fault(UNREACHED, "nobody is there"))
             return future
         connection = caller.connections.get(target)
-        if connection is not None and connection.stuck is not None:
-            if self.loop.now - connection.stuck > STUCK_S:
-                self.close(connection)
+        stuck = connection.stuck if connection is not None else None
+        if connection is not None and stuck is not None and self.loop.now - stuck > STUCK_S:
+            self.close(connection)
         if connection is not None and not connection.closed:
             self._send(caller, connection, method, body, timeout, future)
             return future
@@ -277,8 +277,9 @@
         caller.later(trip, dialled)
         return future
 
-    def _send(self, caller: Process, connection: Connection, method: str, body: Any, timeout: float,
-              future: Future) -> None:  # fmt: skip
+    def _send(
+        self, caller: Process, connection: Connection, method: str, body: Any, timeout: float, future: Future
+    ) -> None:
         target, life = connection.to, caller.life
         connection.waiting.add(future)
 
@@ -311,8 +312,15 @@
         caller.later(timeout, over)
         self._carry(caller.machine, target.machine, connection, True, arrive, None)
 
-    def _carry(self, one: Machine, other: Machine, connection: Connection, there: bool,
-               action: Callable[[Any], None], value: Any) -> None:  # fmt: skip
+    def _carry(
+        self,
+        one: Machine,
+        other: Machine,
+        connection: Connection,
+        there: bool,
+        action: Callable[[Any], None],
+        value: Any,
+    ) -> None:
         if self.loss and self.loop.chance.random() < self.loss:
             return
         if self.cuts and (one.link, other.link) in self.cuts:
--- a/dovetail/history.py
+++ b/dovetail/history.py
@@ -47,7 +47,8 @@
     arrivals: list[Arrival] = field(factory=list)
 
     def told(self) -> str:
-        return f"request {self.id} {self.path} ({self.key or 'no key'}) sent {self.sent:.3f} to {self.gate or '-'}"
+        key = self.key or "no key"
+        return f"request {self.id} {self.path} ({key}) sent {self.sent:.3f} to {self.gate or '-'}"
 
 
 @define(eq=False, slots=True)
--- a/dovetail/keeper.py
+++ b/dovetail/keeper.py
@@ -164,8 +164,9 @@
 class Keeper(Process):
     """A gatekeeper."""
 
-    def __init__(self, loop: Loop, net: Net, machine: Machine, settings: Callable[[], Settings],
-                 yard: "Way") -> None:  # fmt: skip
+    def __init__(
+        self, loop: Loop, net: Net, machine: Machine, settings: Callable[[], Settings], yard: "Way"
+    ) -> None:
         super().__init__(loop, net, machine, KIND)
         self.settings, self.yard = settings, yard
         self.told: dict[str, int] = {}  # answers by cause or status, over all lives
--- a/dovetail/people.py
+++ b/dovetail/people.py
@@ -44,8 +44,15 @@
 class Crowd(Process):
     """The clients of one zone: they hold one answer of /lookup together."""
 
-    def __init__(self, loop: Loop, net: Net, machine: Machine, history: History, boards: list[str],
-                 share: Callable[[], float]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        machine: Machine,
+        history: History,
+        boards: list[str],
+        share: Callable[[], float],
+    ) -> None:
         super().__init__(loop, net, machine, "crowd")
         self.history, self.boards, self.share = history, boards, share
         self.wants: list[Want] = []
@@ -58,8 +65,13 @@
 
     def _lookups(self) -> Steps:
         machines = self.net.machines
-        near = sorted(self.boards, key=lambda name: (machines[name].zone != self.machine.zone,
-                                                     machines[name].region != self.machine.region))  # fmt: skip
+        near = sorted(
+            self.boards,
+            key=lambda name: (
+                machines[name].zone != self.machine.zone,
+                machines[name].region != self.machine.region,
+            ),
+        )
         yield self.loop.chance.random()
         while True:
             for at in near[:3]:
@@ -177,8 +189,15 @@
         left, _, right = word.partition("=")
         kind, name = left[:2], left[2:]
         if kind == "r+":
-            spec: dict[str, Any] = {"Host": "app.example", "PathPrefix": f"/{name}/", "RouteType": "idempotent",
-                                    "Timeout": "3000ms", "Service": right, "MaxAttempts": 2, "Anonymous": True}  # fmt: skip
+            spec: dict[str, Any] = {
+                "Host": "app.example",
+                "PathPrefix": f"/{name}/",
+                "RouteType": "idempotent",
+                "Timeout": "3000ms",
+                "Service": right,
+                "MaxAttempts": 2,
+                "Anonymous": True,
+            }
             objects["Routes", name] = {
                 "ObjectType": "Routes",
                 "Metadata": {"Name": name},
--- a/dovetail/scene.py
+++ b/dovetail/scene.py
@@ -3,8 +3,8 @@
 # title                     one file may hold several scenes
 core 5 | edge 11 | rate 60 | seed 1 | workers 6 | quota 200 | homes r1 ...      what is built (world.Plan)
 until 20
-at 3.0 cut core-1 | core-2 core-3 [for 2]     both ways; `oneway A | B`: nothing from A to B; `join`: all links
-at 4 kill lathe * [for 1]        programs: vise, pegboard, lathe, core, all; WHO: names, `*`, `leader`, `others`
+at 3.0 cut core-1 | core-2 core-3 [for 2]     both ways; `oneway A | B`: none from A to B; `join`: all
+at 4 kill lathe * [for 1]        vise, pegboard, lathe, core, all; WHO: names, `*`, `leader`, `others`
 at 4 freeze all WHO for 2 | term lathe WHO
 at 4 power WHO [for 2] | wipe WHO [for 2] | start WHO | spoil WHO      machines; spoil: the disk reads no more
 at 4 closing                     what comes now is the closing fault
@@ -13,8 +13,8 @@
 at 5 evacuate z1 [at core-2] | restore z1 | read
 at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
 at 5 seeds core-4 core-5
-at 8 expect WHAT                 version N everywhere|at GATE | acked N | refused N | served S (share since the
-                                 last) | crew (all know the workers) | evacuated z1 | leader | runs N
+at 8 expect WHAT                 version N everywhere|at GATE | acked N | refused N | served S (share since
+                                 the last) | crew (all know the workers) | evacuated z1 | leader | runs N
                                  | idle WORKER (nothing since the last `expect` of its kind, or `mark`)
                                  | busy WORKER
 """
@@ -249,9 +249,11 @@
                 wanted = int(rest[1])
                 wrong = [
                     f"{one.name} has {one.gate.ledger.table.version if one.gate.ledger.table else 0}"
-                    for one in world.keepers() if one.up and told.get("at", one.name) == one.name
+                    for one in world.keepers()
+                    if one.up
+                    and told.get("at", one.name) == one.name
                     and (one.gate.ledger.table is None or one.gate.ledger.table.version != wanted)
-                ]  # fmt: skip
+                ]
                 return ", ".join(wrong)
             case "acked" | "refused":
                 found = [one for one in history.changes if one.version == int(rest[1])]
@@ -283,8 +285,11 @@
                 return "" if member and member.lead and member.lead.commit else "nobody leads"
             case "idle" | "busy":
                 self._since = world.loop.now
-                got = sum(one.at > since and one.worker == rest[1] for request in history.requests
-                          for one in request.arrivals)  # fmt: skip
+                got = sum(
+                    one.at > since and one.worker == rest[1]
+                    for request in history.requests
+                    for one in request.arrivals
+                )
                 return "" if bool(got) == (rest[0] == "busy") else f"{got} requests"
         raise ValueError(" ".join(rest))
 
--- a/dovetail/store.py
+++ b/dovetail/store.py
@@ -8,8 +8,21 @@
 from vise.agreement import Member
 from vise.daemon import ORDER_S, PAUSE_S, READ_S, SEEK_S, STEP_S, WATCH_MOST_S
 from vise.interface import (
-    CALL_S, Answered, Called, Effect, Gone, Keep, Kept, Leave, Read, Reply, Send, State, Submit, Tick,
-)  # fmt: skip
+    CALL_S,
+    Answered,
+    Called,
+    Effect,
+    Gone,
+    Keep,
+    Kept,
+    Leave,
+    Read,
+    Reply,
+    Send,
+    State,
+    Submit,
+    Tick,
+)
 from vise.orders import decide
 from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
 
--- a/dovetail/workers.py
+++ b/dovetail/workers.py
@@ -19,8 +19,17 @@
 class Worker(Process):
     """One life; its machine's name is its id. `address` may pass to another after its end."""
 
-    def __init__(self, loop: Loop, net: Net, machine: Machine, yard: "Yard", service: str, capacity: int,
-                 latency: float, cold_s: float) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        machine: Machine,
+        yard: "Yard",
+        service: str,
+        capacity: int,
+        latency: float,
+        cold_s: float,
+    ) -> None:
         super().__init__(loop, net, machine, KIND)
         self.yard, self.service, self.capacity, self.latency = yard, service, capacity, latency
         self.id, self.state, self.seq = machine.name, "ready", 0
@@ -106,10 +115,19 @@
         if method == "beat":
             self.seq += 1
             warm = max(0.0, self.warm_at - self.loop.now)
-            body = self.id, {
-                "service": self.service, "address": self.address, "zone": self.machine.zone,
-                "capacity": self.capacity, "state": self.state, "seq": self.seq, "warm": warm, "version": "v1",
-            }  # fmt: skip
+            body = (
+                self.id,
+                {
+                    "service": self.service,
+                    "address": self.address,
+                    "zone": self.machine.zone,
+                    "capacity": self.capacity,
+                    "state": self.state,
+                    "seq": self.seq,
+                    "warm": warm,
+                    "version": "v1",
+                },
+            )
         return (yield self.call(at, board.KIND, method, body, ACK_S))
 
     def _beat(self, target: str | None) -> Steps:
@@ -153,8 +171,9 @@
 class Yard:
     """All workers, by id and by address, and the way of tries to them."""
 
-    def __init__(self, loop: Loop, net: Net, history: History, boards: list[str], heartbeat: float,
-                 drain_s: float) -> None:  # fmt: skip
+    def __init__(
+        self, loop: Loop, net: Net, history: History, boards: list[str], heartbeat: float, drain_s: float
+    ) -> None:
         self.loop, self.net, self.history = loop, net, history
         self.boards, self.heartbeat, self.drain_s = boards, heartbeat, drain_s
         self.workers: dict[str, Worker] = {}
@@ -163,8 +182,16 @@
         self._addresses = 0
         self._wanted: str | None = None
 
-    def add(self, service: str, zone: str, region: str, capacity: int, latency: float, cold_s: float,
-            address: str | None = None) -> Worker:  # fmt: skip
+    def add(
+        self,
+        service: str,
+        zone: str,
+        region: str,
+        capacity: int,
+        latency: float,
+        cold_s: float,
+        address: str | None = None,
+    ) -> Worker:
         number = self._numbers[service] = self._numbers.get(service, 0) + 1
         machine = Machine(f"{service}-{number}", zone, region, 0.0, "workers")
         self.net.machines[machine.name] = machine
--- a/dovetail/world.py
+++ b/dovetail/world.py
@@ -22,8 +22,13 @@
 BOOT_S = 0.2
 TRAFFIC_S = 5.0  # clients come so long after the machines
 CORE, EDGE = "core", "edge"
-KINDS = {"vise": [store.KIND], "pegboard": [board.KIND], "lathe": [keeper.KIND],
-         "core": [store.KIND, board.KIND], "all": [store.KIND, board.KIND, keeper.KIND]}  # fmt: skip
+KINDS = {
+    "vise": [store.KIND],
+    "pegboard": [board.KIND],
+    "lathe": [keeper.KIND],
+    "core": [store.KIND, board.KIND],
+    "all": [store.KIND, board.KIND, keeper.KIND],
+}
 # route -> service, repeatable
 ROUTES = {"look": ("fleet", True), "hold": ("desk", False), "bill": ("bill", False)}
 
@@ -53,14 +58,25 @@
     spec: dict[str, Any]
     for name, (service, repeatable) in ROUTES.items():
         spec = {
-            "Host": HOST, "PathPrefix": f"/{name}/", "RouteType": "idempotent" if repeatable else "non_idempotent",
-            "Timeout": "3000ms", "TargetLatency": "800ms", "Priority": 1, "Service": service, "MaxAttempts": 3,
-            "Anonymous": False, "HomeRegions": plan.homes if name == "bill" else [],
-        }  # fmt: skip
+            "Host": HOST,
+            "PathPrefix": f"/{name}/",
+            "RouteType": "idempotent" if repeatable else "non_idempotent",
+            "Timeout": "3000ms",
+            "TargetLatency": "800ms",
+            "Priority": 1,
+            "Service": service,
+            "MaxAttempts": 3,
+            "Anonymous": False,
+            "HomeRegions": plan.homes if name == "bill" else [],
+        }
         objects.append({"ObjectType": "Routes", "Metadata": {"Name": name}, "Specification": spec})
     for service, _ in ROUTES.values():
-        spec = {"HealthCheck": "/health", "MaxConnections": 100, "Warmup": f"{plan.warmup}s",
-                "WarmupRateS": plan.warmup_rate}  # fmt: skip
+        spec = {
+            "HealthCheck": "/health",
+            "MaxConnections": 100,
+            "Warmup": f"{plan.warmup}s",
+            "WarmupRateS": plan.warmup_rate,
+        }
         objects.append({"ObjectType": "Services", "Metadata": {"Name": service}, "Specification": spec})
     for number in range(1, plan.tenants + 1):
         spec = {"ApiKeys": [f"t{number}-a", f"t{number}-b"], "RatePerS": plan.quota, "BurstSize": plan.quota}
@@ -93,10 +109,17 @@
         for number, name in enumerate(self.edge):
             machine = self._machine(name, names[number % len(names)])
             settings = Settings(
-                node_name=name, ip=name, internal_ports=(7600, 7615), zone=machine.zone, region=machine.region,
-                seeds=(), zones=self.zones, heartbeat=heartbeat, bounds=self.bounds,
+                node_name=name,
+                ip=name,
+                internal_ports=(7600, 7615),
+                zone=machine.zone,
+                region=machine.region,
+                seeds=(),
+                zones=self.zones,
+                heartbeat=heartbeat,
+                bounds=self.bounds,
                 bindings=Bindings(front=(name, 80), readiness=(name, 81)),
-            )  # fmt: skip
+            )
             Keeper(self.loop, self.net, machine, lambda one=settings: self._settings(one), self.yard)  # type: ignore[misc]
         self.operators: dict[str, Operator] = {}
         self.crowds: list[Crowd] = []
