--- a/vise/ranges.py
+++ b/vise/ranges.py
@@ -38,17 +38,17 @@
     def changed(self, set: Mapping[str, Any], gone: Iterable[str]) -> "Chest":
         """This chest with `set` laid over it and `gone` taken out."""
         map = {**self.map, **set}
-        touched = {drawer_of(key) for key in set}
+        fresh: dict[int, dict[str, Any]] = {}
+        for key, value in set.items():
+            fresh.setdefault(drawer_of(key), {})[key] = value
         for key in gone:
             if map.pop(key, self) is not self:
-                touched.add(drawer_of(key))
+                fresh.setdefault(drawer_of(key), {})
         other = self._copy(map)
-        for number in touched:
-            other._drawers[number] = {}
-            other._packed[number] = other._digests[number] = None
-        for number in touched:
-            drawer = {**self._drawers[number], **{key: set[key] for key in set if drawer_of(key) == number}}
+        for number, laid in fresh.items():
+            drawer = {**self._drawers[number], **laid}
             other._drawers[number] = {key: value for key, value in drawer.items() if key in map}
+            other._packed[number] = other._digests[number] = None
         return other
 
     def replaced(self, drawers: Mapping[int, bytes]) -> "Chest":
