Limiter: blind shares by what each passed before, and no doubt of what was known

Cause: a blind gatekeeper held itself to limit / members while clients are uneven (13 to 45 a second a gatekeeper); and once all sources were new (the core lost power), what the others passed in the whole window before counted as unknown though it had been heard, on top of being counted, and what passed blind was told to others that knew it. Change: shares of 0.25 even, 0.75 by use, frozen at the last news; the unknown is the time from that news to the first of the new sources, at the pace of before x the jump here; nothing late is told where all sources are new. Ruled out: softer guard (QUOTA); only blind shares (refusals after hearing again stayed at 80 %).

--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -25,6 +25,7 @@
 BLIND_AFTER = 1.0  # s without sums
 DOUBT = 3.0  # requests: added to both sides of a jump, as few requests speak for few others
 JUMP_MOST = 10.0  # x, the largest jump taken for one
+FEW = 2.0  # requests: added to what each passed, as few requests tell little of a gatekeeper's part
 HOT = 1.5  # x the limit asked, from which a tenant is surely beyond it
 SPIKE = 2.5  # x our share asked in the last second, from which a blind gatekeeper holds to
 HOT_SHARE = 0.7  # x its share of the bound
@@ -32,6 +33,7 @@
 YOUNG_FOR = 1.2  # s after the first news in which the others' rate is not known well
 AMPLE = 2.0  # x what the others are taken to have passed unheard
 EVEN = 0.5  # of what is left is dealt evenly, the rest by use: a tenant's traffic need not be even
+BLIND_EVEN = 0.25  # of a limit is dealt evenly among the blind, the rest by what each passed before
 SAFETY = 0.84  # x the bound that the guard goes up to, about the quota: the rest is for what is unheard
 ROUND_FOR = 1.0  # s that a draw for rounding a part stands
 PENDING_FOR = 2.0  # s after which adds of ours that no source has shown are lost
@@ -61,6 +63,8 @@
         self.late = self.late_calls = 0  # passed while blind and not yet told, and calls left to tell it
         self.pending: list[list[float]] = []  # [until, total, accepted] confirmed, not yet shown
         self.since = math.inf  # when news first told of it, or could have
+        self.before_at = -math.inf  # the last news before we went blind, and what passed a second until then:
+        self.ours_before, self.far_before = 0.0, math.inf  # here, and elsewhere
         self.factor, self.factor_until = 0.0, -math.inf
         self.rounding, self.rounding_until = 0.0, -math.inf
 
@@ -181,12 +185,16 @@
         nothing yet: it starts at what it says."""
         before, blind_since = self._heard_at, self._heard_at + BLIND_AFTER
         self._now = self._heard_at = now
+        # Where all sources are new, all were blind like us, and take it into account.
+        known = any(name in self._sources and told != self._sources[name].sums for name, told in sums.items())
         for entry in self._tenants.values():
+            if now > blind_since:
+                self._freeze(entry, before)
             window.trim(entry.buckets, now * 1000 - self._kept(entry))
             entry.since = min(entry.since, now)
             if now > blind_since > entry.since:
                 first = max(blind_since, now - self._bounds.quota_window)
-                entry.late = round(_between(entry.buckets, first * 1000, math.inf).accepted)
+                entry.late = round(_between(entry.buckets, first * 1000, math.inf).accepted) if known else 0
                 entry.late_calls = LATE_CALLS
         for name, told in sums.items():
             source = self._sources.get(name)
@@ -229,6 +237,23 @@
         """ms for which buckets are kept."""
         return 1000 * max(entry.length, self._bounds.quota_window, 1.0)
 
+    def _freeze(self, entry: _Tenant, heard_at: float) -> None:
+        """Keep what passed here and elsewhere up to the last news before we went blind, if that was known."""
+        age = heard_at - entry.since
+        if entry.before_at < heard_at and age > YOUNG_FOR:
+            edge, span = heard_at - NEWS_LAG, min(self._bounds.quota_window, age)
+            known = _between(entry.buckets, (edge - span) * 1000, edge * 1000)
+            entry.ours_before, entry.far_before = known.accepted / span, known.far_accepted / span
+            entry.before_at = heard_at
+
+    def _blind_share(self, entry: _Tenant) -> float:
+        """Our share of any limit while blind: partly even, partly by use before. Over all that is about one,
+        and less where some have never heard."""
+        self._freeze(entry, self._heard_at)
+        members, doubt = self._unheard.members, FEW / self._bounds.quota_window
+        use = (entry.ours_before + doubt) / (entry.ours_before + entry.far_before + doubt * members)
+        return BLIND_EVEN / members + (1 - BLIND_EVEN) * use
+
     def _alone(self, now: float, entry: _Tenant) -> _Seen:
         """What the regimes see where nothing is heard: our own requests, and our share of the limit. A new
         tenant has that of its soft limit; one heard of, that of what the rule's window lets through."""
@@ -237,10 +262,10 @@
         if entry.since <= now:
             length = max(length, self._bounds.quota_window)
             soft = entry.rate * length + entry.burst
+        share = self._blind_share(entry)
         window.trim(entry.buckets, now * 1000 - self._kept(entry))
         ours = _between(entry.buckets, (now - length) * 1000, math.inf)
         last = _between(entry.buckets, (now - 1) * 1000, math.inf).total
-        share = 1 / self._unheard.members
         return _Seen(ours.total, ours.accepted, last, soft * share, entry.rate * share, length)
 
     def _together(self, now: float, entry: _Tenant) -> _Seen:
@@ -264,8 +289,8 @@
         span = self._bounds.quota_window
         ours = _between(entry.buckets, (now - span) * 1000, math.inf)
         last = _between(entry.buckets, (now - 1) * 1000, math.inf).total
-        share = entry.bound / self._unheard.members
-        if last * span > SPIKE * share:  # those in touch may not know yet that nobody hears of us
+        share = entry.bound * self._blind_share(entry)
+        if (last - FEW) * span > SPIKE * share:  # those in touch may not know yet that nobody hears of us
             share *= HOT_SHARE
         return ours.accepted + 1 <= share + self._rounding(now, entry)
 
@@ -274,11 +299,16 @@
         edge, span = self._heard_at - NEWS_LAG, self._bounds.quota_window
         heard = _between(entry.buckets, (now - span) * 1000, edge * 1000)
         unheard = _between(entry.buckets, edge * 1000, math.inf)
-        # What went on before the first news is not known: as much as since, or as the limit lets through.
+        # What went on until the first news is not known: as much as since, or as before we were blind and as
+        # it jumped here, or as the limit lets through.
         age, unknown = now - entry.since, 0.0
-        if age < span:
-            pace = UNKNOWN * (heard.accepted + heard.far_accepted) / age if age > YOUNG_FOR else math.inf
-            unknown = (span - age) * min(entry.rate, pace)
+        hole = entry.since - max(now - span, entry.before_at - NEWS_LAG)
+        if hole > 0:
+            pace = UNKNOWN * entry.far_before * self._jumped(now, entry)
+            if age > YOUNG_FOR:
+                since = _between(entry.buckets, entry.since * 1000, edge * 1000)
+                pace = UNKNOWN * (since.accepted + since.far_accepted) / age
+            unknown = hole * min(entry.rate, pace)
         left = entry.bound - heard.accepted - heard.far_accepted - unknown - self._hidden(now, entry)
         # Where even twice what the others may have passed leaves room, nothing is dealt out: few are uneven.
         # But who has just begun to hear does not know them.
@@ -290,6 +320,12 @@
         part = left * (EVEN / self._unheard.members + (1 - EVEN) * use)
         return unheard.accepted + 1 <= part + self._rounding(now, entry)
 
+    def _jumped(self, now: float, entry: _Tenant) -> float:
+        """How much more a second was asked here since the last news before we were blind."""
+        since = max(entry.before_at, now - self._bounds.quota_window)
+        asked = _between(entry.buckets, since * 1000, math.inf).total
+        return _jump(asked, entry.ours_before * (now - since))
+
     def _rounding(self, now: float, entry: _Tenant) -> float:
         """By chance up or down, or a share of less than one would be one everywhere, or none."""
         if now >= entry.rounding_until:
