--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,12 +3,14 @@
 import itertools
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import gevent
 import httptools
 import pytest
 from gevent import socket
+from gevent.event import Event
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -259,16 +261,27 @@
     assert pipe.held == 0
 
 
-def test_two_sides_that_rest_in_turn_are_both_alive() -> None:
-    """Together they rest for far longer than the source's limit; the source alone never does."""
+def test_two_sides_that_rest_in_turn_are_both_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Together they rest for far longer than the source's limit; the source alone never does. The rests
+    are on a clock of the test's own, so that a busy machine adds nothing to them."""
+    now, full = [0.0], Event()
+    monkeypatch.setattr(pump, "time", SimpleNamespace(monotonic=lambda: now[0]))
     source, near = both()
     pipe, got = Pipe(Pool(16 * LEAST_LEASE, 2 * LEAST_LEASE, 4)), 0
+
+    def gone() -> bool:  # asked while there is no room to read
+        full.set()
+        return False
+
     with gevent.Timeout(20):
-        filling = gevent.spawn(pump.Source(near, Pace(250)).fill, pipe, 60_000)
+        filling = gevent.spawn(pump.Source(near, Pace(250), gone).fill, pipe, 60_000)
         for turn in range(1, 4):
-            gevent.sleep(0.02)  # the source's rest
+            gevent.sleep(0.02)
+            now[0] += 0.02  # the source's rest
+            full.clear()
             source.sendall(b"x" * 20_000)
-            gevent.sleep(0.4)  # the sink's, behind a full window
+            full.wait()
+            now[0] += 0.4  # the sink's, behind a full window
             while got < 20_000 * turn:
                 part = pipe.get()
                 assert part is not None
--- a/trials/gate_scenes.py
+++ b/trials/gate_scenes.py
@@ -2,11 +2,13 @@
 
     # title of the next scene
     after 1.5                        the steady clock goes on, s
-    news age=0.1 w1:board:z1 ...     an answer of a pull: proof's age (or `none`), all workers (`name:service:zone`,
-                                     with `:cold=2` or `:draining`), `gone=ZONE` evacuated, `members=N`
+    news age=0.1 w1:board:z1 ...     an answer of a pull: proof's age (or `none`), all workers
+                                     (`name:service:zone`, with `:cold=2` or `:draining`),
+                                     `gone=ZONE` evacuated, `members=N`
     ask A /look/ k1 -> in            a request named A arrives; `-> 503 unready` where it is turned away
     pick A -> w1|w2                  its (next) try goes to one of these; `-> 504 unanswered` where it ends
-    end A lost -> again              its last try ends: answered:STATUS, not_run, unreached, lost, late; `final` or `again`
+    end A lost -> again              its last try ends: answered:STATUS, not_run, unreached, lost, late;
+                                     `final` or `again`
 """
 
 import random
@@ -68,7 +70,8 @@
         self.now += float(seconds)
 
     def do_news(self, age: str, *words: str) -> None:
-        word, records = dict(WORD), {}
+        word = dict(WORD)
+        records: dict[str, dict[str, Any]] = {}
         for text in words:
             if text.startswith("gone="):
                 word[f"Evacuations/{text[5:]}"] = 1
@@ -80,8 +83,8 @@
                 name, service, zone, *more = text.split(":")
                 cold = next((float(one[5:]) for one in more if one.startswith("cold=")), 0.0)
                 records[f"w/{name}"] = {
-                    "service": service, "zone": zone, "address": "127.0.0.1:9", "capacity": 2, "seq": 1, "warm": cold,
-                    "state": "draining" if "draining" in more else "ready",
+                    "service": service, "zone": zone, "address": "127.0.0.1:9", "capacity": 2, "seq": 1,
+                    "warm": cold, "state": "draining" if "draining" in more else "ready",
                 }  # fmt: skip
         self.index += 1
         sources = {"vise": {"version": self.index, "full": True, "set": word, "gone": []},
@@ -112,7 +115,8 @@
             reply = WorkerReply()
             reply.status, reply.done = int(status or 503), True
         outcome = Outcome(Ended[word.upper()], reply, 0.1)
-        return "final" if self.gate.ended(self.now, self.lives[name], self.views[name], outcome, False) else "again"
+        final = self.gate.ended(self.now, self.lives[name], self.views[name], outcome, False)
+        return "final" if final else "again"
 
 
 def scenes(path: Path) -> list[tuple[str, list[str]]]:
--- a/trials/test_gate.py
+++ b/trials/test_gate.py
@@ -6,11 +6,11 @@
 
 from trials.gate_scenes import Play, scenes
 
-SCENES = scenes(Path(__file__).parent / "scenes" / "gate.txt")
+TITLES, LINES = zip(*scenes(Path(__file__).parent / "scenes" / "gate.txt"), strict=True)
 
 
 @test("gate: {title}")
-def _(title: str = each(*(title for title, _ in SCENES)), lines: list[str] = each(*(lines for _, lines in SCENES))):
+def _(title: str = each(*TITLES), lines: list[str] = each(*LINES)):
     play = Play()
     for line in lines:
         play.line(line)
--- a/trials/test_vise_agreement.py
+++ b/trials/test_vise_agreement.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -89,7 +90,17 @@
         world.at_step[step] = strike
         world.run(0.3)
         world.settle()
-        assert world.blanks() == 0 or world.run(5, lambda world=world: world.blanks() == 0)
+
+        def whole(world: World = world) -> bool:
+            return world.blanks() == 0
+
+        assert whole() or world.run(5, whole)
+
+
+def in_turn(fates: Iterable[str | None]) -> Callable[[str, str, str], str | None]:
+    """The fates of the next messages, whoever sends them."""
+    coming = iter(fates)
+    return lambda one, other, kind: next(coming, None)
 
 
 @test("I1 I2 I3: every fate (lost, doubled, late) of the first messages between three who elect and commit")
@@ -98,8 +109,7 @@
     for fates, lost in itertools.product(every, (False, True)):
         world = begun(3, 7)
         leader = world.leader()
-        coming = iter(fates)
-        world.fate = lambda one, other, kind, coming=coming: next(coming, None)  # type: ignore[misc]
+        world.fate = in_turn(fates)
         if lost:
             world.kill(str(leader))
         world.run(1.6)
--- a/trials/vise_scenes.py
+++ b/trials/vise_scenes.py
@@ -15,6 +15,7 @@
 """
 
 from pathlib import Path
+from typing import Any
 
 from trials.vise_sim import Op, World
 from workbench.faults import Fault
@@ -33,14 +34,15 @@
 
 
 def told(op: Op) -> str:
-    match op.answer:
+    answer: Any = op.answer
+    match answer:
         case None:
             return "none"
         case Fault(reason=reason):
             return {"unanswered": "doubt"}.get(reason, reason)
         case list():
-            return " ".join(op.answer)
-        case answer:
+            return " ".join(answer)
+        case _:
             return str(answer["status"])
 
 
@@ -56,8 +58,9 @@
 
     def who(self, words: list[str]) -> list[str]:
         all_, leader = self.world.ips, self.world.leader()
-        groups = {"all": all_, "leader": [leader], "others": [ip for ip in all_ if ip != leader]}
-        return [str(ip) for word in words for ip in groups.get(word, [word])]
+        lead = [leader] if leader else []
+        groups = {"all": all_, "leader": lead, "others": [ip for ip in all_ if ip != leader]}
+        return [ip for word in words for ip in groups.get(word, [word])]
 
     def line(self, text: str) -> None:
         text, _, wanted = (part.strip() for part in text.partition("->"))
