Turn away what ranks low first where the wait would outlast the time left

Priority had no effect yet. A request whose expected answer, by the work told to be under way at the best worker, comes later than a share of its time (0.95, less 0.12 a rank of the tenant, 0.02 a rank of the route) is turned away at once and may come again.

--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -20,6 +20,9 @@
 UNREADY_AGAIN_S = 0.4
 START_S = 1.2  # so long after its start a gatekeeper usually has all it needs
 BUSY_AGAIN_S = 0.15
+CROWDED_AGAIN_S = 0.5
+PATIENCE = 0.95  # x the time left that the highest rank waits for a worker; less by rank,
+RANK_FIRST, RANK_NEXT = 0.12, 0.02  # the tenant's before the route's
 DIAL_NEAR_S, DIAL_FAR_S = 0.25, 0.4
 COLD_OWNERS = 2
 BEAT_LATE = 1.2  # x heartbeat: so old may be what a worker last told of its warmth
@@ -150,6 +153,8 @@
         views = self.crew.open(live.service, live.homes, live.tried)
         for view in self.crew.order(now, views, live.route):
             if self._may(now, view):
+                if not further and self._crowded(now, live, view):
+                    return Turn(503, "crowded", CROWDED_AGAIN_S)
                 if paid:
                     self.retries.spent(now, live.service)
                 self.crew.sent(now, view)
@@ -174,6 +179,13 @@
         self.pace.sent(now, view.worker.id)
         return True
 
+    def _crowded(self, now: float, live: Live, view: View) -> bool:
+        """Whether it would wait there for most of the time that it has: what ranks low gives way first."""
+        first = live.tenant.priority if live.tenant is not None and live.tenant.priority is not None else 0
+        patience = PATIENCE - RANK_FIRST * min(4, first) - RANK_NEXT * min(5, live.route.priority)
+        expected = self.crew.usual(live.route) * (1.0 + self.crew.wait(view))
+        return expected > patience * (live.deadline - now)
+
     def _known(self, view: View) -> Service | None:
         table = self.ledger.table
         return table.services.get(view.worker.service) if table is not None else None
--- a/trials/gate_scenes.py
+++ b/trials/gate_scenes.py
@@ -5,6 +5,7 @@
     news age=0.1 w1:board:z1 ...     an answer of a pull: proof's age (or `none`), all workers
                                      (`name:service:zone`, with `:cold=2` or `:draining`),
                                      `gone=ZONE` evacuated, `members=N`
+    crowd w1 20                      so many requests of other gatekeepers are at w1
     ask A /look/ k1 -> in            a request named A arrives; `-> 503 unready` where it is turned away
     pick A -> w1|w2                  its (next) try goes to one of these; `-> 504 unanswered` where it ends
     end A lost -> again              its last try ends: answered:STATUS, not_run, unreached, lost, late;
@@ -46,6 +47,7 @@
                     "MaxAttempts": 2, "Anonymous": True},
     "Services/board": {"HealthCheck": "/health", "MaxConnections": 100, "Warmup": "3s", "WarmupRateS": 4},
     "Tenants/t1": {"ApiKeys": ["k1"], "RatePerS": 10, "BurstSize": 10},
+    "Tenants/low": {"ApiKeys": ["low"], "Priority": 2},
     "Tenants/far": {"ApiKeys": ["k2"], "HomeRegions": ["r2"]},
 }  # fmt: skip
 
@@ -93,6 +95,9 @@
         answer = {"sources": sources, "alive": ["p#1"], "age": told, "held": 0.0}
         self.gate.news(self.now, self.gate.ledger.take(self.now, self.now, answer))
 
+    def do_crowd(self, name: str, others: str) -> None:
+        self.gate.crew.views[name].others = float(others)
+
     def do_ask(self, name: str, path: str, key: str) -> str:
         live = self.gate.arrive(self.now, "h", path + "x", key, 3.0)
         if isinstance(live, Turn):
