--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -168,7 +168,7 @@
         cold = max(view.cold_until, view.worker.warm_at)
         service = self._known(view)
         if view.out >= self.connections(view):
-            return False  # each try has a connection: there is none for one more, and asking again would not end
+            return False  # each try has a connection: none is left, and asking again would not end
         if now >= cold or service is None or service.warmup_rate <= 0:
             return view.out < 2 * max(1, view.worker.capacity) + 2
         if self.settings.node_name not in owners(view.worker.id, self.ledger.members, COLD_OWNERS):
