--- a/trials/test_lathe_pulling.py
+++ b/trials/test_lathe_pulling.py
@@ -68,7 +68,7 @@
 
 @test("what comes compressed is taken as if it came plain; one that is cut is told")
 def _() -> None:
-    word = {f"Routes/r-{number}": {"Host": "h.example", "Timeout": "2s"} for number in range(1200)}
+    word: dict[str, Any] = {f"Routes/r-{number}": {"Host": "h", "Timeout": "2s"} for number in range(1200)}
     word["Version"] = "0000000c"
     packer = Registry(Self("core-1", "0", NEAR, "a", "r", 80, 1.5), [NEAR], {"a": "r"}, 0.0)
     packer.watched({"index": 7, "full": True, "set": word, "gone": [], "age": 0.0}, 0.0, 0.0)
