--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -313,6 +313,8 @@
                 return self.reply(ref, Fault(REFUSED, "disk"))
             if restored:
                 self.tell(events.WHOLE, term=term, index=index)
+            elif state is not None and chest is self.staged:
+                self.tell(events.MENDED, term=term, index=index)
             if state is not None or restored:
                 self.staged = None
             self._learn(term, commit)
