--- a/trials/test_events.py
+++ b/trials/test_events.py
@@ -21,11 +21,10 @@
     found: dict[str, tuple[int, str]] = {}
     for hundred, package in PLACES.items():
         for one in ast.parse((ROOT / package / "events.py").read_text()).body:
-            if isinstance(one, ast.AnnAssign) and isinstance(one.target, ast.Name):
-                if isinstance(one.value, ast.Tuple):
-                    number, words = ast.literal_eval(one.value)
-                    assert one.target.id not in found and number // 100 == hundred, one.target.id
-                    found[one.target.id] = number, words
+            if isinstance(one, ast.AnnAssign) and isinstance(one.value, ast.Tuple):
+                name, (number, words) = ast.unparse(one.target), ast.literal_eval(one.value)
+                assert name not in found and number // 100 == hundred, name
+                found[name] = number, words
     return found
 
 
