Drop the sums of sources that are long gone from the ledger

Cause: nobody called the limiter's keep_sources, so each restart of a pegboard left one more source in every proxy. The gate calls it whenever members change, as the ledger does when it drops a source. The ledger drops after 5 s; the limiter thinks of a silent source for 11 s (what it may hide), so it keeps it so long, and one that comes back before then tells what passed meanwhile. Test: a source dropped by the ledger is kept at 8 s and gone at 12 s.

--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -13,7 +13,7 @@
 from collections.abc import Container, Mapping
 from typing import NamedTuple, Protocol
 
-from gauge.unheard import MOST, Source, Span, Unheard
+from gauge.unheard import KEPT_FOR, MOST, Source, Span, Unheard
 from mintfront import Bucket, window
 
 Counts = dict[str, tuple[int, int]]  # by tenant: total, declined
@@ -185,7 +185,8 @@
         before, blind_since = self._heard_at, self._heard_at + BLIND_AFTER
         self._now = self._heard_at = now
         # Where all sources are new, all were blind like us, and take it into account.
-        known = any(name in self._sources and told != self._sources[name].sums for name, told in sums.items())
+        known = now > blind_since and any(
+            name in self._sources and told != self._sources[name].sums for name, told in sums.items())  # fmt: skip
         for entry in self._tenants.values():
             if now > blind_since:
                 self._freeze(entry, before)
@@ -222,9 +223,11 @@
                 source.told(now, new)
         self._spans = self._unheard.spans(now, self._sources)
 
-    def keep_sources(self, alive: Container[str]) -> None:
-        """Drop the sums of all sources but these: one that comes back starts anew."""
-        self._sources = {name: source for name, source in self._sources.items() if name in alive}
+    def keep_sources(self, now: float, alive: Container[str]) -> None:
+        """Drop the sums of all sources but these and those that fell silent of late: one that comes back later
+        starts anew."""
+        kept = {name: one for name, one in self._sources.items() if name in alive or now < one.at + KEPT_FOR}
+        self._sources = kept
 
     def blind(self, now: float) -> bool:
         """Whether the last sums are so old that each tenant has only its share here."""
--- a/gauge/unheard.py
+++ b/gauge/unheard.py
@@ -15,6 +15,7 @@
 SILENT_COUNTS = 8.0  # requests that a source should have told of by now, without any change of it
 UNTOLD = 0.5  # s before its last change from which it has not told all
 SILENT_FOR = 5.5  # s that those behind it may go on
+KEPT_FOR = 2 * SILENT_FOR  # s that a silent source is thought of
 MOST = 0.9  # share of all that is taken to be unheard, at most
 FLOW_FOR = 2.0  # s, time constant of a source's flow
 
@@ -87,6 +88,6 @@
             if now <= source.at + 1e-3:
                 source.share = source.flow / max(1.0, flow)  # what it had before it fell silent
                 continue
-            if source.missed(now) and now < source.at + 2 * SILENT_FOR:
+            if source.missed(now) and now < source.at + KEPT_FOR:
                 self._silent.append(Span(source.share, source.at - UNTOLD, source.at + SILENT_FOR))
         return spans + self._silent
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -89,6 +89,7 @@
             self.crew.know(ledger.workers.values())
         if change.members:
             self.limiter.set_members(now, max(1, len(ledger.members)))
+            self.limiter.keep_sources(now, ledger.sources)
 
     def ready(self, now: float) -> bool:
         """Whether clients may be sent here."""
--- a/trials/test_gauge_limits.py
+++ b/trials/test_gauge_limits.py
@@ -6,6 +6,8 @@
 from ward import each, test
 
 from gauge.limits import Limiter
+from lathe.ledger import Change
+from trials import gate_scenes
 from trials.gauge_play import SCENES, Bounds, Play, read
 
 NAMES = sorted(path.name for path in Path(SCENES).glob("gauge_*.txt"))
@@ -68,3 +70,15 @@
     assert any(limiter.admit(0.1, "t") for _ in range(20))
     limiter.set_quota("t", 0.0, 0.0)
     assert not any(limiter.admit(0.2, "t") for _ in range(20)) and limiter.fresh() == {}
+
+
+@test("gate: a source that the ledger dropped is kept for a while, then starts anew")
+def _() -> None:
+    play = gate_scenes.Play()
+    limiter, ledger = play.gate.limiter, play.gate.ledger
+    for now in (1.0, 9.0, 13.0):
+        play.gate.news(now, Change(members=True))
+        if now == 1.0:
+            limiter.heard(now, {"p#1": {"t": (3, 0)}})
+        assert ("p#1" in limiter._sources) is (now < 12), now
+    assert not ledger.sources
