--- a/lathe/crew.py
+++ b/lathe/crew.py
@@ -16,6 +16,7 @@
 OTHERS_GAIN = 0.5  # weight of one piece of news in what others have under way
 NEAR_ZONE = 0.15  # x usual latency: what another zone of the region costs more than one's own
 NEXT_REGION = 1e3  # a region goes after all those that cost less
+LOOKED_AT = 2  # workers of a region are drawn for a request, whatever their number: news of them are old
 LOOKED_PAST = 1e2  # a worker that is not drawn goes after those of its region that are
 LAST_RESORT = 1e6  # a worker that is left out goes after all others
 
@@ -99,8 +100,8 @@
         ]
 
     def order(self, now: float, views: list[View], route: Route) -> list[View]:
-        """Best first: the region that costs least; there by the time until its answer, as far as known."""
-        usual, costs = self.usual(route), dict[str, float]()
+        """Best first: a region that costs little; there by the time until its answer, as far as known."""
+        usual, costs, service = self.usual(route), dict[str, float](), ""
         if views:
             service = views[0].worker.service
             waits: dict[str, list[float]] = {}
@@ -109,14 +110,14 @@
             for region, each in waits.items():
                 costs[region] = self.spill.cost(now, service, region, route.name, route.aim, route.repeatable,
                                                 sum(each) / len(each))  # fmt: skip
-        cheap = sorted(costs, key=lambda one: costs[one])
-        ranks = {region: at * NEXT_REGION for at, region in enumerate(cheap)}
+        regions = self.spill.ranked(now, service, route.name, costs)
+        ranks = {region: at * NEXT_REGION for at, region in enumerate(regions)}
         # All hear the same of the others, and late: were all looked at, everybody would turn to the same one.
         random, left_out = self._rng.random, set[str]()
         for region in ranks:
             ids = [view.worker.id for view in views if self.region(view) == region]
             ids.sort(key=lambda _: random())
-            left_out.update(ids[max(2, (len(ids) + 1) // 2) :])
+            left_out.update(ids[LOOKED_AT:])
         return sorted(views, key=lambda view: ranks[self.region(view)] + self._cost(now, view, usual)
                       + LOOKED_PAST * (view.worker.id in left_out))  # fmt: skip
 
--- a/lathe/spill.py
+++ b/lathe/spill.py
@@ -6,6 +6,7 @@
 
 import math
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 LAG_GAIN = 0.1  # weight of one answer of the quickest route in a lag; less, the slower its route is
@@ -23,6 +24,9 @@
 SIZE_FIRST = 1500.0  # bytes
 FAR_BYTE, ZONE_BYTE = 8e-5, 1e-5  # worth of a byte between regions, between zones
 FAR_S = 0.03  # way to another region and back, until its lag is known
+DRIFT = 0.5  # of a region's share that may leave it in a second: all hear the same, 0.6 s late
+DRIFT_MOST_S = 1.0  # a pause between two requests counts for no more
+SHARES_MOST = 2000  # kept
 NOISE = 0.02  # worth, and
 WAVER = 0.3  # x a risk: so that not all turn at once
 
@@ -47,11 +51,20 @@
     size: float = SIZE_FIRST  # bytes, request and answer
 
 
+@dataclass(slots=True)
+class Shares:
+    """How requests of one kind are shared out over the regions that they may go to, as of `at`."""
+
+    parts: dict[str, float]
+    at: float
+
+
 class Spill:
     def __init__(self, region: str, rng: random.Random) -> None:
         self._region, self._rng = region, rng
         self._lags: dict[tuple[str, str], Lag] = {}
         self._customs: dict[str, Custom] = {}
+        self._shares: dict[tuple[str, str, tuple[str, ...]], Shares] = {}
         self._work: dict[str, float] = {}  # s, usual latency of all answers of a service
         self._quickest: dict[str, float] = {}  # s, usual latency of the quickest route, by service
 
@@ -98,3 +111,24 @@
         risk = min(1.0, ((usual + lag) / max(0.001, RISK_AT * aim)) ** RISK_POWER)
         risk *= 1 + WAVER * (2 * self._rng.random() - 1)
         return cost + OTHERS * risk * (1.0 if repeatable else 2.0)
+
+    def ranked(self, now: float, service: str, route: str, costs: Mapping[str, float]) -> list[str]:
+        """Regions by their `costs`, but the first is drawn: were all gatekeepers to turn to the cheapest at
+        once, it would be full before they heard of it, and the next one after that. So shares drift to it."""
+        cheap = sorted(costs, key=lambda region: costs[region])
+        if len(cheap) < 2:
+            return cheap
+        key = service, route, tuple(sorted(costs))
+        shares = self._shares.get(key)
+        if shares is None:
+            if len(self._shares) >= SHARES_MOST:
+                self._shares.clear()
+            at_home = self._region in costs
+            first = {one: float(one == self._region) if at_home else 1 / len(cheap) for one in key[2]}
+            shares = self._shares[key] = Shares(first, now)
+        stays = math.exp(-DRIFT * min(DRIFT_MOST_S, now - shares.at))
+        parts, shares.at = shares.parts, now
+        for region in parts:
+            parts[region] = parts[region] * stays + (1 - stays) * (region == cheap[0])
+        drawn = self._rng.choices([*parts], [*parts.values()])[0]
+        return [drawn, *(region for region in cheap if region != drawn)]
