Limiter: a new source after a silence has lost what was told before; count the hole

Where no source has told anything for 0.6 s and a new one appears, the time before is a hole, counted as before. Ruled out: the blind shares (none of the passes came through them).

--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -22,6 +22,7 @@
 CACHED = 0.1  # s that a suppression factor stands
 NEWS_LAG = 0.4  # s, mean age of what is told: adds, swaps and pulls each take up to 0.25 s
 BLIND_AFTER = 1.0  # s without sums
+HOLE_AFTER = 0.6  # s in which no source told anything, after which a new one does not speak of that time
 DOUBT = 3.0  # requests: added to both sides of a jump, as few requests speak for few others
 JUMP_MOST = 10.0  # x, the largest jump taken for one
 FEW = 2.0  # requests: added to what each passed, as few requests tell little of a gatekeeper's part
@@ -86,7 +87,7 @@
         self._random, self._bounds = rng, bounds
         self._tenants: dict[str, _Tenant] = {}
         self._sources: dict[str, Source] = {}
-        self._heard_at = -math.inf
+        self._heard_at = self._told_at = -math.inf  # last sums, and last ones that told something
         self._now = -math.inf  # latest time told
         self._unheard = Unheard()
         self._spans: list[Span] = []
@@ -184,6 +185,7 @@
         nothing yet: it starts at what it says."""
         before, blind_since = self._heard_at, self._heard_at + BLIND_AFTER
         self._now = self._heard_at = now
+        hole_since = self._told_at + HOLE_AFTER  # a new source then stands for one that has lost what it knew
         # Where all sources are new, all were blind like us, and take it into account.
         known = now > blind_since and any(
             name in self._sources and told != self._sources[name].sums for name, told in sums.items())  # fmt: skip
@@ -200,7 +202,8 @@
             source = self._sources.get(name)
             if source is None:
                 self._sources[name] = Source(now, dict(told))
-                for entry in self._tenants.values() if now > blind_since else ():
+                for entry in self._tenants.values() if now > min(blind_since, hole_since) else ():
+                    self._freeze(entry, self._told_at)
                     entry.since = now  # what came to this source meanwhile is not known
                 continue
             since, until, new, part = max(source.at, before) - NEWS_LAG, now - NEWS_LAG, 0, 1.0
@@ -211,7 +214,7 @@
                 old_total, old_declined = source.sums.get(tenant, (0, 0))
                 if counts == (old_total, old_declined):
                     continue
-                source.sums[tenant] = counts
+                source.sums[tenant], self._told_at = counts, now
                 asked = counts[0] - old_total
                 accepted = asked - counts[1] + old_declined
                 new += accepted
