--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,11 +1,11 @@
 """CPU a served request, lathe against a bare relay: `python -m bench.relay [--requests 4000] [--rounds 5]`.
 
-Both pass small requests (a GET with the users' headers, an answer of 600 bytes) from eight kept connections of
-clients to one worker over kept connections, on loopback, with the same httptools and gevent sockets. The relay
-reads and writes whole messages and decides nothing. lathe is its real front, desk, gate and links: route, tenant
-with a quota, limiter, budget, choice of a worker, answer checked. Its news come from its own process four times
-a second, in place of pulls. CPU is user and system time of the process between, over the requests served.
-Prints a table; takes some ten seconds; not part of CI.
+Both pass small requests (a GET with the users' headers, an answer of 600 bytes) from eight kept connections
+of clients to one worker over kept connections, on loopback, with the same httptools and gevent sockets. The
+relay reads and writes whole messages and decides nothing. lathe is its real front, desk, gate and links:
+route, tenant with a quota, limiter, budget, choice of a worker, answer checked. Its news come from its own
+process four times a second, in place of pulls. CPU is user and system time of the process between, over the
+requests served. Prints a table; takes some ten seconds; not part of CI.
 """
 
 import argparse
@@ -159,7 +159,7 @@
 
 
 def client(address: str, requests: int) -> None:
-    """Ask over some connections, each waiting for its answers; print how many were served, and the s taken."""
+    """Ask over some connections, each waiting for its answers; print how many were served, and s taken."""
     host, _, port = address.rpartition(":")
     served = [0]
     numbers = iter(range(1, requests + 1))
