--- a/trials/test_vise_shelf.py
+++ b/trials/test_vise_shelf.py
@@ -20,13 +20,12 @@
 from vise.shelf import Shelf
 from workbench.faults import Fault
 
-MEMORY = "/dev/shm"  # files in memory, where there are any: a busy disk made these tests ten times as long
 SYNCS = 3  # of one write: data, index, folder
 
 
 @fixture
 def folder() -> Iterator[Path]:
-    with tempfile.TemporaryDirectory(dir=MEMORY if os.path.isdir(MEMORY) else None) as name:
+    with tempfile.TemporaryDirectory() as name:
         yield Path(name) / "shelf"
 
 
