--- a/pegboard/lookup.py
+++ b/pegboard/lookup.py
@@ -1,11 +1,13 @@
 """Which gatekeepers a client is told of. Pure."""
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from pegboard.records import Session
 
 MOST = 64  # addresses in one answer
+LOOK_S = 0.1  # what a zone's clients are told is worked out so often
+LOOKS_MOST = 100  # zones, as asked for
 FEW = 2  # fewer near ones than this: a single gatekeeper must not carry a whole zone, nor be the only way
 
 
@@ -19,3 +21,20 @@
     if len(found) < FEW:
         found += [one for one in ready if one.zone != zone and one.region != region]
     return [one.front for one in found[:MOST]]
+
+
+class Looks:
+    """Answers kept for LOOK_S: hundreds of clients ask the same every second."""
+
+    def __init__(self, sessions: Callable[[float], Mapping[str, Session]]) -> None:
+        self._sessions = sessions
+        self.kept: dict[tuple[str, str], tuple[float, list[str]]] = {}  # when, fronts
+
+    def addresses(self, zone: str, region: str, now: float) -> list[str]:
+        at, found = self.kept.get((zone, region), (-1.0, []))
+        if at < now - LOOK_S:
+            found = addresses(self._sessions(now).values(), zone, region)
+            if len(self.kept) >= LOOKS_MOST:
+                self.kept.clear()
+            self.kept[zone, region] = now, found
+        return found
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -11,7 +11,7 @@
 import attrs
 import cbor2
 
-from pegboard.lookup import addresses
+from pegboard.lookup import Looks
 from pegboard.records import GONE, GONE_SEQ, Session, Worker, worker
 from pegboard.source import OUT, SUM, Difference, Source
 from workbench.faults import INVALID, UNREADY, Fault
@@ -28,8 +28,6 @@
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
 PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
 ALONE_S: Final = 1.5  # others unheard for so long are out of reach
-LOOKS_MOST: Final = 100  # zones, as asked for
-LOOK_S: Final = 0.1  # what a zone's clients are told of gatekeepers is worked out so often
 STILL_S: Final = 1.0  # no tick for so long: this process stood still, the others did not fall silent
 Json = dict[str, Any]
 
@@ -97,7 +95,8 @@
         self._beats: dict[str, Beats] = {}
         self._graves: dict[str, float] = {}
         self._pulls: dict[str, Pulls] = {}
-        self._looks: dict[tuple[str, str], tuple[float, list[str]]] = {}  # when, fronts
+        self._looks = Looks(self.sessions)
+        self._counted = -1, 0  # at which news, gatekeepers
         self._pack: tuple[tuple[int | None, int], bytes | None] = (None, -1), None
 
     # ---- workers
@@ -220,9 +219,16 @@
             "age": None if age is None else round(age, 4),
             "held": round(now - began, 4),
             "controls": self.controls(body["zone"], body["region"], now),
-            "members": len({key for source in self._sources() for key in source.values if key[0] == "g"}),
+            "members": self._members(),
         }
 
+    def _members(self) -> int:
+        """Gatekeepers with a record, counted once for each piece of news."""
+        if self._counted[0] != self.news:
+            names = {key for source in self._sources() for key in source.values if key[0] == "g"}
+            self._counted = self.news, len(names)
+        return self._counted[1]
+
     def _packed(self, have: int | None, told: Json) -> Json:
         """The same, `set` and `gone` compressed where they are large: many lack the same at once."""
         if (have, told["version"]) != self._pack[0]:
@@ -258,12 +264,7 @@
 
     def lookup(self, zone: str, region: str, now: float) -> list[str] | Fault:
         """Fronts for a client, near ones first; Fault(UNREADY): this registry cannot tell yet."""
-        at, found = self._looks.get((zone, region), (-1.0, []))
-        if at < now - LOOK_S:
-            found = addresses(self.sessions(now).values(), zone, region)
-            if len(self._looks) >= LOOKS_MOST:
-                self._looks.clear()
-            self._looks[zone, region] = now, found
+        found = self._looks.addresses(zone, region, now)
         if not found or self.alone(now) or not self._settled(now):
             return Fault(UNREADY, "the gatekeepers are not known for sure")
         return found
--- a/trials/test_pegboard_parts.py
+++ b/trials/test_pegboard_parts.py
@@ -10,8 +10,9 @@
 from jig.settings import Settings
 from pegboard.door import Answer, Request, _Reading
 from pegboard.records import Worker, read_beat
+from pegboard.lookup import LOOKS_MOST
 from pegboard.loops import CALLERS_FEW, GATHER_S, PEERS_FEW, WAIT_S, spread
-from pegboard.registry import LOOKS_MOST, Registry, Self
+from pegboard.registry import Registry, Self
 from pegboard.resources import Config, Evacuation, Instances
 from pegboard.source import TOMBS, Source
 from pegboard.store import Store
@@ -237,7 +238,7 @@
     assert isinstance(later, list) and sorted(later) == ["10.1.0.0:80", "10.1.0.2:80"]
     for number in range(1000):
         registry.lookup(f"z{number}", "r", 5.11)
-    assert len(registry._looks) <= LOOKS_MOST
+    assert len(registry._looks.kept) <= LOOKS_MOST
 
 
 @test("calls for news stay as often as they were with few heads, and a registry's load is bounded with many")
