--- a/trials/test_vise_shelf.py
+++ b/trials/test_vise_shelf.py
@@ -23,12 +23,27 @@
 SYNCS = 3  # of one write: data, index, folder
 
 
+def _there(path: str) -> None:
+    """A sync that finds what it is to sync, and does not wait for this machine's disk."""
+    os.close(os.open(path, os.O_RDONLY))
+
+
 @fixture
 def folder() -> Iterator[Path]:
     with tempfile.TemporaryDirectory() as name:
         yield Path(name) / "shelf"
 
 
+@fixture
+def unsynced(folder: Path = folder) -> Iterator[Path]:
+    """For tests that read and write hundreds of times, and not about what a sync does."""
+    sync, shelves._sync = shelves._sync, _there
+    try:
+        yield folder
+    finally:
+        shelves._sync = sync
+
+
 def records(number: int) -> dict[str, bytes]:
     return {"all": b"%d" % number * 40, f"own{number % 3}": b"x" * 30 * number}
 
@@ -134,16 +149,15 @@
 
 
 @test("every torn prefix and the lack of a file leave the newest generation that is whole, or a fault")
-def _(folder: Path = folder) -> None:
+def _(folder: Path = unsynced) -> None:
     written(folder, 3)
     newest = sorted(folder.glob("map-b.da*")) + sorted(folder.glob("map-b.dir"))
     assert len(newest) == 2
     for path in newest:
         whole = path.read_bytes()
         for length in [*range(len(whole)), None]:
-            if length is None:
-                path.unlink()
-            else:
+            path.unlink(missing_ok=True)  # a file that is cut and written over waits for the disk
+            if length is not None:
                 path.write_bytes(whole[:length])
             held = Shelf(str(folder), "map").read()
             assert held == records(2) or (length and held == records(3)), (path, length, held)
@@ -176,7 +190,7 @@
 
 
 @test("a generation that wastes too much is written anew, and a member's state comes back as it was")
-def _(folder: Path = folder) -> None:
+def _(folder: Path = unsynced) -> None:
     disk, chest = Disk(str(folder)), Chest({"Members/1": {}})
     assert disk.read() == (None, None)
     for number in range(1, 60):
