Limiter: hold QUOTA with a split core and gatekeepers cut off amid a hot tenant

Cause: gatekeepers that are missed were taken for those behind a silent source, though that source's own are gone only when the ledger drops it, 5 s later; so 4 cut off passed unheard and uncounted. And a blind share by use left out what a silent source hid. Change: a silent source hides missed gatekeepers only from 5 s of silence on; the frozen use counts what is hidden.

--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -187,8 +187,8 @@
         self._now = self._heard_at = now
         hole_since = self._told_at + HOLE_AFTER  # a new source then stands for one that has lost what it knew
         # Where all sources are new, all were blind like us, and take it into account.
-        known = now > blind_since and any(
-            name in self._sources and told != self._sources[name].sums for name, told in sums.items())  # fmt: skip
+        old = [name for name in sums if name in self._sources] if now > blind_since else []
+        known = any(sums[name] != self._sources[name].sums for name in old)
         for entry in self._tenants.values():
             if now > blind_since:
                 self._freeze(entry, before)
@@ -227,8 +227,8 @@
         self._spans = self._unheard.spans(now, self._sources)
 
     def keep_sources(self, now: float, alive: Container[str]) -> None:
-        """Drop the sums of all sources but these and those that fell silent of late: one that comes back later
-        starts anew."""
+        """Drop the sums of all sources but these and those that fell silent of late: one that comes back
+        later starts anew."""
         kept = {name: one for name, one in self._sources.items() if name in alive or now < one.at + KEPT_FOR}
         self._sources = kept
 
@@ -248,7 +248,8 @@
         if entry.before_at < heard_at and age > YOUNG_FOR:
             edge, span = heard_at - NEWS_LAG, min(self._bounds.quota_window, age)
             known = _between(entry.buckets, (edge - span) * 1000, edge * 1000)
-            entry.ours_before, entry.far_before = known.accepted / span, known.far_accepted / span
+            far = known.far_accepted + self._hidden(heard_at, entry)
+            entry.ours_before, entry.far_before = known.accepted / span, far / span
             entry.before_at = heard_at
 
     def _blind_share(self, entry: _Tenant) -> float:
--- a/gauge/unheard.py
+++ b/gauge/unheard.py
@@ -15,6 +15,7 @@
 SILENT_COUNTS = 8.0  # requests that a source should have told of by now, without any change of it
 UNTOLD = 0.5  # s before its last change from which it has not told all
 SILENT_FOR = 5.5  # s that those behind it may go on
+DROPPED = 5.0  # s of its silence after which a source's own gatekeepers may be gone with it; others before
 KEPT_FOR = 2 * SILENT_FOR  # s that a silent source is thought of
 MOST = 0.9  # share of all that is taken to be unheard, at most
 FLOW_FOR = 2.0  # s, time constant of a source's flow
@@ -63,7 +64,7 @@
         if count < self.members:
             if not self._lost:
                 self._lost_at = now
-            hidden = sum(span.share for span in self._silent) * self.members
+            hidden = sum(span.share for span in self._silent if now > span.first + DROPPED) * self.members
             self._lost += max(0, self.members - count - math.ceil(hidden))
         elif count > self.members:
             back = min(self._lost, count - self.members)
