--- a/pegboard/loops.py
+++ b/pegboard/loops.py
@@ -75,7 +75,8 @@
         bell.held += 1
         try:
             have = body["have"]
-            until = began + min(WAIT_S, max(LEAST_S, body["wait"]))
+            least = max(LEAST_S, spread(registry.callers, CALLERS_FEW))  # at a start, all are in a hurry
+            until = began + min(WAIT_S, max(least, body["wait"]))
             eager = bool(body.get("eager"))
             while not (registry.lacks(have) or (eager and registry.proves(time.monotonic()))):
                 if not bell.wait(until):
