Limiter: a new gatekeeper counts an even part of the unknown as its own

After kill_all every limiter is new: what passed before its first news is unknown, and that swamped its part by use, so the fleet dealt out only half of what was left. Ruled out: blind shares and regimes (a dozen refusals).

--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -322,8 +322,9 @@
         others = before.far_total * (now - edge) * _jump(unheard.total, before.total * (now - edge))
         if age > YOUNG_FOR and unheard.accepted + 1 + AMPLE * others <= left:
             return True
-        use = heard.accepted / max(1.0, heard.accepted + heard.far_accepted + unknown)
-        part = left * (EVEN / self._unheard.members + (1 - EVEN) * use)
+        members = self._unheard.members  # of what is not known, an even part may have been ours
+        use = (heard.accepted + unknown / members) / max(1.0, heard.accepted + heard.far_accepted + unknown)
+        part = left * (EVEN / members + (1 - EVEN) * use)
         return unheard.accepted + 1 <= part + self._rounding(now, entry)
 
     def _jumped(self, now: float, entry: _Tenant) -> float:
