Test that a gatekeeper that has just begun to hear takes an even part of the unknown

The other side is bound as well: eleven times what passes fits beside what all may have passed before.

--- a/trials/test_gauge_limits.py
+++ b/trials/test_gauge_limits.py
@@ -32,6 +32,20 @@
     return limiter
 
 
+@test("limiter: one that has just begun to hear takes an even part of what is not known, and no more")
+def _() -> None:
+    members = 11
+    limiter = _limiter(rate=100.0, burst=100.0, members=members)
+    limiter.set_members(100.0, members)
+    limiter.heard(100.0, {"p#1": {}})
+    limiter.heard(100.3, {"p#1": {}})
+    passed = sum(limiter.admit(100.3 + 0.01 * at, "t") is None for at in range(20))
+    assert passed >= 8  # 5 or 6 where the unknown swamps its part by use
+    bounds = Bounds()
+    most = (100.0 * bounds.quota_window + 100.0) * (1 + bounds.quota_overrun) + bounds.quota_slack
+    assert members * passed <= most - 100.0 * (bounds.quota_window - 1)  # had all been as quick
+
+
 @test("limiter: one who never heard has the even part of the blind share of the soft limit")
 def _() -> None:
     limiter = _limiter(rate=40.0, burst=40.0, members=4)
