Check /config for linearizability over whole histories, and play PATCH in the scenes

The checks of a read-back compared pairs of calls; a change in doubt that shows up and vanishes, or a PATCH that drops the rest, could pass them. dovetail.linear (after Wing and Gong) looks for one order of all calls that explains every answer; calls in doubt may count or not. It judges every dovetail run; scenes can say patch, and runs by chance send every other change so.

--- a/dovetail/chance.py
+++ b/dovetail/chance.py
@@ -44,7 +44,8 @@
             ]
         )
         where = ["at", chance.choice(core)] if chance.random() < 0.5 else []
-        return ["put", str(version), "on", str(int(state["base"])), *where, *words]
+        kind = "patch" if version % 2 else "put"
+        return [kind, str(version), "on", str(int(state["base"])), *where, *words]
 
     def zone(at: float) -> list[str]:
         if evacuated and chance.random() < 0.6:
--- a/dovetail/checks.py
+++ b/dovetail/checks.py
@@ -10,6 +10,7 @@
 from attrs import evolve, frozen
 
 from dovetail.history import Arrival, Change, History, Request
+from dovetail.linear import DOUBT, STALE, TAKEN, Call, unexplained
 from jig.settings import Bounds
 from jig.tables import Table
 
@@ -245,6 +246,18 @@
             if lost and all(one.refused or not one.valid for one in lost):
                 yield Breach("CONFIG", reading.ended, f"{lost[0].told()} was refused and is in force")
 
+    def linear(self) -> Iterator[Breach]:
+        """CONFIG: one order of all changes and readings explains every answer (`dovetail.linear`)."""
+        calls = [
+            Call(one.sent, one.ended, one.asked(), _told(one), name=one.who)
+            for one in self.changes
+            if one.valid and one.refused in (0, 412)
+        ]
+        calls += [Call(one.begun, one.ended, seen=one.seen()) for one in self.history.readings]
+        wrong = unexplained(calls)
+        if wrong is not None:
+            yield Breach("CONFIG", wrong.ended, f"no order of all calls explains {wrong}")
+
     def lost(self) -> Iterator[Breach]:
         """LOST: evacuations that were acknowledged stand, and those taken back do not."""
         for reading in self.history.readings:
@@ -419,6 +432,12 @@
                     yield Breach("HOME", one.at, f"{request.told()} reached {one.worker} in {region}")
 
 
+def _told(change: Change) -> str | None:
+    if change.refused:
+        return STALE
+    return TAKEN if change.acked < math.inf else DOUBT
+
+
 def _allows(table: Table, request: Request, one: Arrival) -> bool:
     """Whether the configuration lets this run there, for that tenant."""
     route = table.route("app.example", request.path)
@@ -456,6 +475,7 @@
     "config": Judge.config,
     "revoked": Judge.revoked,
     "read back": Judge.read_back,
+    "linear": Judge.linear,
     "lost": Judge.lost,
     "drain": Judge.drain,
     "evacuated": Judge.evacuated,
--- a/dovetail/history.py
+++ b/dovetail/history.py
@@ -4,12 +4,14 @@
 """
 
 import bisect
+import json
 import math
 from collections.abc import Mapping
 from typing import Any
 
 from attrs import define, field
 
+from dovetail import linear
 from jig.tables import Table
 
 HOST = "app.example"
@@ -69,6 +71,12 @@
         return any(since <= at < until for since, until in self.cold)
 
 
+def objects(found: list[dict[str, Any]]) -> linear.Items:
+    """A configuration's objects as values that can be compared."""
+    named = {f"{one['ObjectType']}/{one['Metadata'].get('Name', '')}": one for one in found}
+    return linear.items({key: json.dumps(one, sort_keys=True) for key, one in named.items()})
+
+
 @define(eq=False, slots=True)
 class Change:
     """A configuration that an operator sent; `entries`: the map that it stands for, `table` made of it."""
@@ -84,6 +92,15 @@
     acked: float = math.inf
     refused: int = 0
     ended: float = math.inf
+    patch: dict[str, Any] | None = None  # what is sent in place of the whole
+
+    def asked(self) -> linear.Change:
+        """As the checker of linearizability takes it."""
+        if self.patch is None:
+            return linear.Change(self.base, self.version, objects(self.body["Objects"]))
+        gone = [f"{kind}/{name}" for kind, names in self.patch["Withdraw"].items() for name in names]
+        upsert = objects(self.patch["Upsert"]["Objects"])
+        return linear.Change(self.base, self.version, upsert, frozenset(gone))
 
     def told(self) -> str:
         return f"version {self.version} of {self.who} on {self.base}"
@@ -99,6 +116,9 @@
     body: Mapping[str, Any]
     entries: Mapping[str, Any]
 
+    def seen(self) -> tuple[int, linear.Items]:
+        return self.version, objects(self.body.get("Objects", []))
+
 
 @define(eq=False, slots=True)
 class Order:
--- a/dovetail/people.py
+++ b/dovetail/people.py
@@ -226,6 +226,17 @@
     return {"ConfigVersion": f"{version:08x}", "Objects": list(objects.values())}
 
 
+def patched(old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
+    """The PATCH that makes `new` of `old`."""
+    held = {(one["ObjectType"], one["Metadata"].get("Name", "")): one for one in old["Objects"]}
+    fresh = {(one["ObjectType"], one["Metadata"].get("Name", "")): one for one in new["Objects"]}
+    withdraw: dict[str, list[str]] = {}
+    for kind, name in held.keys() - fresh.keys():
+        withdraw.setdefault(kind, []).append(name)
+    upsert = [one for key, one in fresh.items() if held.get(key) != one]
+    return {"ConfigVersion": new["ConfigVersion"], "Upsert": {"Objects": upsert}, "Withdraw": withdraw}
+
+
 class Operator(Process):
     """Sends orders again, unchanged, to any core machine, until there is a clear answer."""
 
@@ -256,7 +267,7 @@
             yield pause
             pause = min(1.0, 1.5 * pause)
 
-    def put(self, change: Change, first: str | None = None, kind: str = "put") -> None:
+    def put(self, change: Change, first: str | None = None) -> None:
         change.sent = self.loop.now
         self.history.changes.append(change)
 
@@ -267,7 +278,8 @@
             else:
                 change.refused = status
 
-        self.order({"kind": kind, "if_match": f"{change.base:08x}", "body": change.body}, first, told)
+        kind, body = ("put", change.body) if change.patch is None else ("patch", change.patch)
+        self.order({"kind": kind, "if_match": f"{change.base:08x}", "body": body}, first, told)
 
     def zone(self, zone: str, on: bool, first: str | None = None) -> None:
         order = Order(zone, on, self.loop.now)
--- a/dovetail/scene.py
+++ b/dovetail/scene.py
@@ -9,7 +9,7 @@
 at 4 power WHO [for 2] | wipe WHO [for 2] | start WHO | spoil WHO      machines; spoil: the disk reads no more
 at 4 closing                     what comes now is the closing fault
 at 5 loss 0.05 | load 3 | hot t1 5      calls that get no answer; clients' rate, of all, and of one tenant
-at 5 put 2 [on 1] [by B] [at core-2] look=desk k-t1-a ...        the operator (people.edited)
+at 5 put|patch 2 [on 1] [by B] [at core-2] look=desk k-t1-a ...  the operator (people.edited)
 at 5 evacuate z1 [at core-2] | restore z1 | read
 at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
 at 5 seeds core-4 core-5
@@ -25,7 +25,7 @@
 from attrs import define, evolve, fields
 
 from dovetail.checks import Breach, judge
-from dovetail.people import Operator, change, edited
+from dovetail.people import Operator, change, edited, patched
 from dovetail.world import Plan, World, first_configuration
 
 FIRST_S = 0.5  # the operator sends the first configuration so long after the start
@@ -152,8 +152,10 @@
                     found.append(word)
         return found
 
-    def _put(self, operator: Operator, version: int, base: int, at: str | None) -> None:
+    def _put(self, operator: Operator, version: int, base: int, at: str | None, patch: bool = False) -> None:
         made = change(version, base, operator.name.rpartition("-")[2], self.bodies[version], 0.0)
+        if patch:
+            made.patch = patched(self.bodies[base], self.bodies[version])
         if version == 1:
             self.world.loop.later(FIRST_S, operator.put, made, at)
         else:
@@ -196,11 +198,11 @@
                 world.load = float(rest[0])
             case "hot":
                 self._hot(rest[0], float(rest[1]))
-            case "put":
+            case "put" | "patch":
                 version = int(rest[0])
                 base = int(told.get("on", self._newest()))
                 self.bodies[version] = edited(self.bodies[base], version, rest[1:])
-                self._put(operator, version, base, told.get("at"))
+                self._put(operator, version, base, told.get("at"), word == "patch")
             case "evacuate" | "restore":
                 operator.zone(rest[0], word == "evacuate", told.get("at"))
             case "read":
--- /dev/null
+++ b/trials/test_linear.py
@@ -0,0 +1,97 @@
+"""The checker of linearizability: planted breaches are caught, what is allowed passes."""
+
+import math
+import random
+
+from ward import each, test
+
+from dovetail.linear import DOUBT, STALE, TAKEN, Call, Change, items, unexplained
+
+# One call a word: `w1@0-1:200` writes version 1 on 0 (`w3on1@...` on another base), `p2` patches, `r1` reads,
+# `w2b` writes something else as version 2; `?`: in doubt.
+GOOD = {
+    "a write, read back": "w1@0-1:200 r1@2-3",
+    "a read beside a write sees either": "w1@0-9:200 r0@1-2 r1@3-4",
+    "one of two on a base": "w1@0-1:200 w2@2-5:200 w2b@2-6:412 r2@7-8",
+    "a resend": "w1@0-? w1@2-3:200 w1@4-5:200 r1@6-7",
+    "a patch leaves the rest": "w1@0-1:200 p2@2-3:200 r2+1@4-5",
+    "in doubt, and in force much later": "w1@0-1:200 w2@2-? r1@3-4 r2@5-6 r2@7-8",
+    "in doubt, and never in force": "w1@0-1:200 w2@2-? w2b@3-4:200 r2b@5-6",
+    "refused beside the one that wins": "w2b@0-9:412 w1@1-2:200 w2@3-4:200",
+}
+BAD = {
+    "a stale read": "w1@0-1:200 w2@2-3:200 r1@4-5",
+    "reads that go back": "w1@0-9:200 r1@1-2 r0@3-4",
+    "a lost acknowledged write": "w1@0-1:200 w2@2-3:200 w2b@4-5:200",
+    "two on one base": "w1@0-1:200 w2@2-5:200 w2b@2-6:200",
+    "in doubt, shows up and vanishes": "w1@0-1:200 w2@2-? r2@3-4 r1@5-6",
+    "in doubt, shows up twice": "w1@0-1:200 w2@2-? r2@3-4 w3@4-5:200 r3@5-6 r2@7-8",
+    "refused without cause": "w1@0-1:200 w2@2-3:412 r1@4-5",
+    "refused, and in force": "w1@0-1:200 w2b@1-2:412 r2b@3-4",
+    "read as it never was": "w1@0-1:200 r1b@2-3",
+    "a patch that drops the rest": "w1@0-1:200 p2@2-3:200 r2@4-5",
+    "in force before it was sent": "r1@0-1 w1@2-3:200",
+}
+
+
+def called(word: str) -> Call:
+    what, _, rest = word.partition("@")
+    span, _, status = rest.partition(":")
+    begun, _, ended = span.partition("-")
+    times = float(begun), math.inf if ended == "?" else float(ended)
+    name, _, base = what.partition("on")
+    name, _, more = name.partition("+")
+    number = int(name[1:].rstrip("b"))
+    held = {f"k{number}": name[1:]} | ({f"k{more}": more} if more else {})
+    if name[0] == "r":
+        return Call(*times, seen=(number, items(held if number else {})))
+    gone = frozenset[str]() if name[0] == "p" else None
+    change = Change(int(base) if base else number - 1, number, items(held), gone)
+    return Call(*times, change, {"200": TAKEN, "412": STALE, "": DOUBT}[status])
+
+
+@test("linearizable: {name}")
+def _(name: str = each(*GOOD)) -> None:
+    assert unexplained(map(called, GOOD[name].split())) is None
+
+
+@test("not linearizable: {name}")
+def _(name: str = each(*BAD)) -> None:
+    calls = [called(word) for word in BAD[name].split()]
+    assert unexplained(calls) is not None
+    assert unexplained(calls[:1]) is None or name.startswith("in force before")
+
+
+def made(seed: int, count: int = 120) -> list[Call]:
+    """A history of one true register, with effects at a random moment of each call."""
+    chance, version, held, calls = random.Random(seed), 0, dict[str, str](), list[Call]()
+    changes: list[Change] = []
+    for at in range(count):
+        begun, ended = at - chance.uniform(0.1, 3), at + chance.uniform(0.1, 3)
+        kind = chance.choice("rwwd")
+        if kind == "r":
+            calls.append(Call(begun, ended, seen=(version, items(held))))
+            continue
+        base = version if chance.random() < 0.6 else max(0, version - 1)
+        gone = frozenset([f"k{at % 3}"]) if chance.random() < 0.5 else None
+        change = Change(base, max(base, version) + 1, items({f"k{at % 5}": str(at)}), gone)
+        fits = base == version
+        if fits and (kind == "w" or chance.random() < 0.5):
+            kept = {} if gone is None else {key: value for key, value in held.items() if key not in gone}
+            version, held = change.version, {**kept, **dict(change.set)}  # type: ignore[arg-type]
+            changes.append(change)
+        calls.append(
+            Call(begun, math.inf, change)
+            if kind == "d" else Call(begun, ended, change, TAKEN if fits else STALE)
+        )  # fmt: skip
+    return calls
+
+
+@test("long histories of a true register pass, and a read put out of place in them fails")
+def _() -> None:
+    for seed in range(6):
+        calls = made(seed)
+        assert unexplained(calls) is None
+        first = next(call for call in calls if call.change is None)
+        late = Call(1000.0, 1001.0, seen=first.seen)
+        assert unexplained([*calls, late]) is not None
--- a/trials/test_system_checks.py
+++ b/trials/test_system_checks.py
@@ -8,7 +8,7 @@
 
 from dovetail.checks import CHECKS, Judge
 from dovetail.history import Arrival, History, Order, Reading, Request, WorkerLife
-from dovetail.people import change, edited
+from dovetail.people import change, edited, patched
 from dovetail.world import ZONES, Plan, first_configuration
 from jig.settings import Bounds
 
@@ -178,6 +178,19 @@
         assert (rule in found) == bad, f"{'planted' if bad else 'clean'}: {found}"
 
 
+@test("dovetail's checkers: no order explains a change that shows up and vanishes, or a torn PATCH")
+def _() -> None:
+    for seen, torn in ((1, False), (2, True), (2, False)):
+        made = Made()
+        late = made.put(2, 1, ["look=desk", "r+new=desk"], 10)
+        late.acked = late.ended = math.inf  # in doubt
+        late.patch = patched(made.body, late.body)
+        made.read(11, 2)
+        made.read(12, seen, made.body if torn else None)
+        found = list(Judge(made.history, BOUNDS, ZONES).linear())
+        assert bool(found) == (seen == 1 or torn)
+
+
 @test("dovetail's checkers: what is out of touch is bound later, or not")
 def _() -> None:
     made = Made()
