--- a/ashlift/ratelimit/server.py
+++ b/ashlift/ratelimit/server.py
@@ -83,7 +83,7 @@
         for job in jobs:
             self._bridge.post(self._inbox.put, job)
         wait_all(answers, timeout=left if left is not None else LONGEST_S)
-        # At the deadline the end of the call may settle the answers before the wait gives up: late all the same.
+        # At the deadline the end of the call may settle the answers before the wait gives up.
         if not all(answer.done() for answer in answers) or context.time_remaining() == 0:
             self._expire(context)
         return self._response([answer.result() for answer in answers], context)
--- a/gauge/retries.py
+++ b/gauge/retries.py
@@ -75,8 +75,3 @@
         if slots is None:
             slots = self._spent[service] = _Slots(self._bounds.retry_window)
         slots.add(now)
-
-    def forget(self, service: str) -> None:
-        """Drop a service that no configuration holds any more."""
-        self._requests.pop(service, None)
-        self._spent.pop(service, None)
--- a/gauge/warmth.py
+++ b/gauge/warmth.py
@@ -4,7 +4,7 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from functools import lru_cache
 from hashlib import blake2b
 
@@ -47,6 +47,6 @@
         """Count one request sent."""
         self._sent.setdefault(worker_id, deque(maxlen=256)).append(now)
 
-    def forget(self, worker_id: str) -> None:
-        """Drop a worker that is warm or gone."""
-        self._sent.pop(worker_id, None)
+    def keep(self, workers: Container[str]) -> None:
+        """Drop all workers but these: an id never comes back."""
+        self._sent = {worker: times for worker, times in self._sent.items() if worker in workers}
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -87,6 +87,7 @@
                 self.crew.evacuate(now, ledger.evacuated, warmup + BEAT_LATE * self.settings.heartbeat)
         if change.workers:
             self.crew.know(ledger.workers.values())
+            self.pace.keep(ledger.workers)
         if change.members:
             self.limiter.set_members(now, max(1, len(ledger.members)))
             self.limiter.keep_sources(now, ledger.sources)
--- a/trials/test_gauge_parts.py
+++ b/trials/test_gauge_parts.py
@@ -1,11 +1,10 @@
-"""Retry budget, cold workers, choice of a worker."""
+"""Retry budget, cold workers."""
 
 import random
 from dataclasses import dataclass
 
 from ward import each, test
 
-from gauge.places import Candidate, Here, choose
 from gauge.retries import RetryBudget
 from gauge.warmth import ColdPace, owners
 
@@ -62,25 +61,10 @@
     assert len(sent) >= 60 * min(int(rate / 2) or 1, rate / 2) * 0.8
 
 
-@test("places: near first, far when near is full, never one penalised while others stand")
+@test("cold: what is gone is forgotten, what is still there keeps its pace")
 def _() -> None:
-    rng, here = random.Random(2), Here("z1", "r1")
-    crew = [Candidate(f"n{at}", "z1", "r1", 4) for at in range(3)]
-    crew += [Candidate(f"f{at}", "z9", "r9", 4) for at in range(3)]
-    crew[0].penalised_until = 10.0
-
-    def taken() -> set[str]:
-        return {one.id for _ in range(80) if (one := choose(rng, 5.0, crew, here, 100.0)) is not None}
-
-    assert taken() == {"n1", "n2"}
-    crew[1].out = crew[2].out = 4
-    assert taken() == {"f0", "f1", "f2"}
-    assert choose(rng, 5.0, crew[:1], here, 100.0) is crew[0]  # better than none
-    assert choose(rng, 5.0, crew[:1], here, 100.0, ["n0"]) is None
-
-
-@test("places: of two, the one that should answer first; the slow one rests")
-def _() -> None:
-    rng, here = random.Random(3), Here("z1", "r1")
-    crew = [Candidate("slow", "z1", "r1", 4, ratio=4.0), Candidate("well", "z1", "r1", 4)]
-    assert all(choose(rng, 0.0, crew, here, 100.0) is crew[1] for _ in range(20))
+    pace = ColdPace()
+    for worker in ("here", "gone"):
+        pace.sent(5.0, worker)
+    pace.keep({"here"})
+    assert not pace.may(5.5, "here", 1.0, 0.5) and pace.may(5.5, "gone", 1.0, 0.5)
