Never pass on a worker's 503, 429 or 408 that does not say it has not run

It counts now as an answer of no use: 504, or a further try where the request may be repeated. Its tests fail without the change (3 of 10).

--- a/lathe/answering.py
+++ b/lathe/answering.py
@@ -9,6 +9,7 @@
 
 ATTEMPT: Final = b"x-attempt-id"
 SEAL: Final = b"x-server-seal"
+PROMISES: Final = (408, 429, 503)  # to a client they say that it has not run and never will; so does 421
 
 
 class WorkerReply(Reply):
@@ -29,8 +30,9 @@
         return self.status == 421 or any(key == b"x-not-executed" for key, _ in self.headers)
 
     def sound(self) -> bool:
-        """Whether it may be passed on as the worker's own word: whole, and a success with its seal."""
-        if not self.done or self.to_close or not 200 <= self.status <= 599:
+        """Whether it may be passed on as the worker's own word: whole, a success with its seal, and no
+        promise that the worker has not given (only X-Not-Executed says that a request has not run)."""
+        if not self.done or self.to_close or not 200 <= self.status <= 599 or self.status in PROMISES:
             return False
         if self.status >= 300:
             return True
--- a/trials/test_gate.py
+++ b/trials/test_gate.py
@@ -1,9 +1,10 @@
-"""The proxy's gate, by text scenes (scenes/gate.txt)."""
+"""The proxy's gate, by text scenes (scenes/gate.txt), and which answers of workers it passes on."""
 
 from pathlib import Path
 
 from ward import each, test
 
+from lathe.answering import WorkerReply
 from trials.gate_scenes import Play, scenes
 
 TITLES, LINES = zip(*scenes(Path(__file__).parent / "scenes" / "gate.txt"), strict=True)
@@ -14,3 +15,26 @@
     play = Play()
     for line in lines:
         play.line(line)
+
+
+WHOLE = "Content-Length: 2|X-Attempt-Id: a|"
+SEALED = "X-Server-Seal: s|"
+ANSWERS = {
+    f"200 OK|{WHOLE}{SEALED}": "passed on",
+    f"200 OK|{WHOLE}": "spoilt",
+    f"200 OK|{SEALED}": "spoilt",
+    f"200 OK|{WHOLE}{SEALED}Content-Encoding: br|": "spoilt",
+    f"500 -|{WHOLE}": "passed on",
+    f"503 -|{WHOLE}X-Not-Executed: 1|": "not run",
+    f"421 -|{WHOLE}": "not run",
+    f"503 -|{WHOLE}": "spoilt",
+    f"429 -|{WHOLE}": "spoilt",
+    f"408 -|{WHOLE}": "spoilt",
+}
+
+
+@test("answers: {head} is {wanted}")
+def _(head: str = each(*ANSWERS), wanted: str = each(*ANSWERS.values())):
+    reply = WorkerReply()
+    reply.feed("HTTP/1.1 {}\r\nok".format(head.replace("|", "\r\n")).encode())
+    assert wanted == ("not run" if reply.not_run else "passed on" if reply.sound() else "spoilt")
