--- /dev/null
+++ b/toolbox/base.py
@@ -0,0 +1,36 @@
+"""What all commands share: output, faults, and configurations by file or address."""
+
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.io.outputs.output import Type
+
+from jig import configuration
+from toolbox import sources
+from workbench.faults import Fault
+
+DIFFERENT = 1
+FAILED = 2
+
+
+class Tool(Command):
+    def tell(self, lines: list[str]) -> int:
+        for line in lines:
+            self.io.output.write_line(line, type=Type.RAW)
+        return 0
+
+    def fail(self, faults: list[Fault]) -> int:
+        for fault in faults:
+            self.io.error_output.write_line(" ".join(fault.detail.split()), type=Type.RAW)
+        return FAILED
+
+
+def entries(source: str) -> dict[str, Any] | list[Fault]:
+    """The map of the configuration in a file or at an address, or its faults, each told with its place."""
+    body = sources.configuration(source)
+    if isinstance(body, Fault):
+        return [body]
+    found = configuration.laid_out(body)
+    if isinstance(found, list):
+        return [Fault(one.reason, f"{source}: {one.detail}") for one in found]
+    return found
--- a/toolbox/commands.py
+++ b/toolbox/commands.py
@@ -7,32 +7,16 @@
 from typing import Any
 
 from cleo.application import Application
-from cleo.commands.command import Command
 from cleo.helpers import argument, option
-from cleo.io.outputs.output import Type
 
 from ashlift import __version__
 from jig import configuration, settings
 from toolbox import showing, sources
+from toolbox.base import DIFFERENT, Tool, entries
+from toolbox.planning import PlanCapacity, PlanChange, PlanRollout
 from workbench.faults import INVALID, Fault
 
-DIFFERENT = 1
-FAILED = 2
-
-
-class _Tool(Command):
-    def tell(self, lines: list[str]) -> int:
-        for line in lines:
-            self.io.output.write_line(line, type=Type.RAW)
-        return 0
-
-    def fail(self, faults: list[Fault]) -> int:
-        for fault in faults:
-            self.io.error_output.write_line(" ".join(fault.detail.split()), type=Type.RAW)
-        return FAILED
-
-
-class Check(_Tool):
+class Check(Tool):
     name = "check"
     description = "Check a settings file (TOML) or a configuration (JSON): every fault by place and key."
     arguments = [argument("file", "The file; what begins with a brace is a configuration.")]
@@ -61,13 +45,13 @@
         return found if isinstance(found, list) else []
 
     def _follow(self, body: Any, on: str) -> list[Fault]:
-        current = _entries(on)
+        current = entries(on)
         if isinstance(current, list):
             return current
         return configuration.faults(current, "patch" if _is_patch(body) else "put", body)
 
 
-class Status(_Tool):
+class Status(Tool):
     name = "status"
     description = "The state of the system, as one core machine sees it."
     arguments = [argument("address", "A Control address, such as 10.0.0.4:8200.")]
@@ -94,7 +78,7 @@
         return self._show(showing.members)
 
 
-class ConfigShow(_Tool):
+class ConfigShow(Tool):
     name = "config show"
     description = "The newest configuration, as JSON that can be sent again."
     arguments = [argument("address", "A Control address, such as 10.0.0.4:8200.")]
@@ -106,7 +90,7 @@
         return self.tell([json.dumps(answer, indent=2, ensure_ascii=False)])
 
 
-class ConfigDiff(_Tool):
+class ConfigDiff(Tool):
     name = "config diff"
     description = "What turns one configuration into another: + there only in the second, - gone, ~ changed."
     arguments = [
@@ -115,7 +99,7 @@
     ]
 
     def handle(self) -> int:
-        first, second = _entries(self.argument("first")), _entries(self.argument("second"))
+        first, second = entries(self.argument("first")), entries(self.argument("second"))
         faults = [fault for found in (first, second) if isinstance(found, list) for fault in found]
         if isinstance(first, list) or isinstance(second, list):
             return self.fail(faults)
@@ -128,20 +112,10 @@
     return isinstance(body, dict) and "Objects" not in body and ("Upsert" in body or "Withdraw" in body)
 
 
-def _entries(source: str) -> dict[str, Any] | list[Fault]:
-    """The map of the configuration in a file or at an address, or its faults, each told with its place."""
-    body = sources.configuration(source)
-    if isinstance(body, Fault):
-        return [body]
-    found = configuration.laid_out(body)
-    if isinstance(found, list):
-        return [Fault(one.reason, f"{source}: {one.detail}") for one in found]
-    return found
-
-
 def application() -> Application:
     made = Application("toolbox", __version__)
-    for command in (Check(), Status(), Members(), ConfigShow(), ConfigDiff()):
+    looking: list[Tool] = [Check(), Status(), Members(), ConfigShow(), ConfigDiff()]
+    for command in [*looking, PlanCapacity(), PlanRollout(), PlanChange()]:
         made.add(command)
     return made
 
