--- a/dovetail/engine.py
+++ b/dovetail/engine.py
@@ -189,8 +189,10 @@
 
         step(None)
 
-    def call(self, to: str, kind: str, method: str, body: Any, timeout: float) -> Future:
-        return self.net.call(self, to, kind, method, body, timeout)
+    def call(
+        self, to: str, kind: str, method: str, body: Any, timeout: float, dial: float = DIAL_S
+    ) -> Future:
+        return self.net.call(self, to, kind, method, body, timeout, dial)
 
 
 class Net:
@@ -248,7 +250,9 @@
                 if connection is not None and self.open(gone.machine.link, machine.link):
                     process.later(self.delay(gone.machine, machine), self.close, connection)
 
-    def call(self, caller: Process, to: str, kind: str, method: str, body: Any, timeout: float) -> Future:
+    def call(
+        self, caller: Process, to: str, kind: str, method: str, body: Any, timeout: float, dial: float
+    ) -> Future:
         """The answer, or a Fault: UNREACHED (not sent) or UNANSWERED (in doubt)."""
         future, machine = Future(), self.machines.get(to)
         target = machine.processes.get(kind) if machine else None
@@ -263,7 +267,7 @@
             self._send(caller, connection, method, body, timeout, future)
             return future
         if not machine.powered or not self.open(caller.machine.link, machine.link):
-            caller.later(min(timeout, DIAL_S), future.set, Fault(UNREACHED, "no connection came up"))
+            caller.later(min(timeout, dial), future.set, Fault(UNREACHED, "no connection came up"))
             return future
         trip = self.delay(caller.machine, machine) + self.delay(machine, caller.machine)
 
--- a/dovetail/keeper.py
+++ b/dovetail/keeper.py
@@ -191,7 +191,8 @@
         while True:
             pull = self.pulling.begin(self.clock())
             if pull is not None:
-                answer: Any = yield self.call(pull.ip, board.KIND, "pull", pull.body, WAIT_S + ANSWER_S)
+                within = WAIT_S + ANSWER_S
+                answer: Any = yield self.call(pull.ip, board.KIND, "pull", pull.body, within, pull.dial)
                 if self.pulling.ended(pull, self.clock(), answer):
                     continue
             yield PAUSE_S
--- a/lathe/news.py
+++ b/lathe/news.py
@@ -42,7 +42,8 @@
         pull = self._pulling.begin(time.monotonic())
         if pull is None:
             return False
-        answer = self._callers.to((pull.ip, self._port)).call("pull", pull.body, WAIT_S + ANSWER_S, MOST_S)
+        caller = self._callers.to((pull.ip, self._port))
+        answer = caller.call("pull", pull.body, WAIT_S + ANSWER_S, MOST_S, pull.dial)
         if not self._pulling.ended(pull, time.monotonic(), answer):
             return False
         self._changed()
--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -10,7 +10,7 @@
 
 from jig.settings import Settings
 from lathe.gate import Gate
-from workbench.bench import FRAME_MOST
+from workbench.bench import DIAL_S, FRAME_MOST
 from workbench.faults import UNREACHED, Fault
 
 WAIT_S = 0.25
@@ -18,17 +18,19 @@
 STALE_S = 1.5  # a pegboard whose proof is older is left for another
 MOST_S = 3.0  # so long an answer may take in all while bytes of it come: a whole configuration, a narrow line
 AVOID_S = 2.0
+DIAL_FIRST_S = 0.15  # a connection may take so long to come up, twice that after each that did not
 EAGER_S = 1.0  # without a proof younger than this, the first one is waited for, and answered at once
 Json = dict[str, Any]
 
 
 @frozen
 class Pull:
-    """One call: the pegboard's IP, when it was sent, and its body."""
+    """One call: the pegboard's IP, when it was sent, its body, and s for its connection to come up."""
 
     ip: str
     sent: float
     body: Json
+    dial: float
 
 
 def unpacked(sources: Mapping[str, Json]) -> dict[str, Json]:
@@ -52,6 +54,7 @@
         self._at: str | None = None
         self._controls: list[str] = []  # IPs, near ones first
         self._number = 0
+        self._dial = DIAL_FIRST_S  # a silent seed must not hold up the start
         self.seeds = [host for host, _ in settings.seeds]
 
     def _choose(self, now: float) -> str | None:
@@ -86,7 +89,7 @@
             "outs": gate.crew.outs(), "packs": True, "eager": gate.ledger.age(now) > EAGER_S,
             "adds": {"number": self._number, "counts": gate.limiter.fresh()},
         }  # fmt: skip
-        return Pull(ip, now, body)
+        return Pull(ip, now, body, self._dial)
 
     def ended(self, pull: Pull, now: float, answer: Json | Fault) -> bool:
         """Take the answer; False: there was none, and the next call is to wait a little."""
@@ -94,12 +97,14 @@
         if isinstance(answer, Fault):
             if answer.reason == UNREACHED:
                 gate.limiter.unsent(counts)
+                self._dial = min(DIAL_S, 2 * self._dial)
             else:
                 gate.limiter.confirmed(counts)  # it may have been added, and must not be twice
             self._avoid[pull.ip] = now + AVOID_S
             self._at = None
             return False
         gate.limiter.confirmed(counts)
+        self._dial = DIAL_FIRST_S
         self._at, self._controls = pull.ip, answer["controls"]
         change = gate.ledger.take(pull.sent, now, {**answer, "sources": unpacked(answer["sources"])})
         gate.news(now, change)
--- a/trials/test_lathe_pulling.py
+++ b/trials/test_lathe_pulling.py
@@ -9,8 +9,8 @@
 from lathe.gate import Gate
 from lathe.pulling import AVOID_S, Pulling, unpacked
 from pegboard.registry import Registry, Self
-from workbench.bench import MORE_S, Patience, pack
-from workbench.faults import UNANSWERED, Fault
+from workbench.bench import DIAL_S, MORE_S, Patience, pack
+from workbench.faults import UNANSWERED, UNREACHED, Fault
 
 NEAR, NEXT, FAR = "10.1.0.1", "10.2.0.1", "10.3.0.1"
 TEXT = f"""NodeName = "edge-1"
@@ -64,6 +64,21 @@
     assert _play(pulling, 0.2, _answer(NEAR, NEXT, FAR)) == NEXT
 
 
+@test("seeds that are silent cost little at a start; where all links are slow, each is given longer")
+def _() -> None:
+    pulling, seen, dials = _pulling(3), set[str](), []
+    for step in range(5):
+        pull = pulling.begin(0.4 * step)
+        assert pull is not None
+        pulling.ended(pull, 0.4 * step, Fault(UNREACHED))
+        seen.add(pull.ip)
+        dials.append(pull.dial)
+    assert seen == {NEAR, NEXT, FAR} and dials[0] < 0.2 and dials[2:] == [DIAL_S] * 3
+    _play(pulling, 2.0, _answer(NEAR, NEXT, FAR))
+    again = pulling.begin(2.1)
+    assert again is not None and again.dial == dials[0]
+
+
 @test("what comes compressed is taken as if it came plain; one that is cut is told")
 def _() -> None:
     word: dict[str, Any] = {f"Routes/r-{number}": {"Host": "h", "Timeout": "2s"} for number in range(1200)}
--- a/workbench/bench.py
+++ b/workbench/bench.py
@@ -92,18 +92,18 @@
         self._dialling = Semaphore()
         self._received = 0  # bytes
 
-    def call(self, method: str, body: Any, timeout: float, most: float = 0.0) -> Any:
+    def call(self, method: str, body: Any, timeout: float, most: float = 0.0, dial: float = DIAL_S) -> Any:
         """The answer's body, or a Fault; never raises for what the network does.
 
-        `timeout`: s, dialling included; while bytes come, up to `most` s in all: a large answer on a narrow
-        line must not be given up and asked for again.
+        `timeout`: s, dialling included, which itself may take `dial`; while bytes come, up to `most` s in
+        all: a large answer on a narrow line must not be given up and asked for again.
         """
         timer = gevent.Timeout(timeout)
         timer.start()
         number, sent, patience = 0, False, Patience(time.monotonic() + most)
         try:
             with self._dialling:
-                sock = self._sock or self._dial()
+                sock = self._sock or self._dial(dial)
                 self._number += 1
                 number = self._number
                 waiting = self._waiting[number] = AsyncResult()
@@ -130,11 +130,11 @@
             timer.close()
             self._waiting.pop(number, None)
 
-    def _dial(self) -> socket.socket:
+    def _dial(self, within: float) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             tune(sock)
-            with gevent.Timeout(DIAL_S, OSError("no connection came up")):
+            with gevent.Timeout(within, OSError("no connection came up")):
                 sock.connect(self.address)
         except BaseException:
             sock.close()
