One stage for both worlds: workers, clients and operators stand once, simulated or as processes

Cause: dovetail.world.World and the lab's ProcessWorld had the same forty lines for workers, traffic and operators. Change: dovetail.world.Stage holds them; each world says how its yard is furnished. Programs of a run are started in a session of their own, so that Ctrl-C reaches the lab alone, which ends them. Ruled out: moving Plan and the routes to a module of their own (every test imports them from where they are).

--- a/ashlift_lab/system/places.py
+++ b/ashlift_lab/system/places.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from dovetail.world import CORE, EDGE, ZONES, Plan
+from dovetail.world import CORE, EDGE, HEARTBEAT, ZONES, Plan
 from jig.reading import Seconds
 from jig.settings import Bounds
 
@@ -18,7 +18,6 @@
 WORKER_PORT = 8080
 FIRST_PORT, PORTS = 7600, 16  # of the first machine's inner ports; of each
 MACHINES_MOST = 200
-HEARTBEAT = 1.5
 
 
 @attrs.frozen
--- a/ashlift_lab/system/programs.py
+++ b/ashlift_lab/system/programs.py
@@ -35,7 +35,7 @@
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", self.kind], env=env, stdout=log, stderr=log, cwd=ROOT,
-                stdin=subprocess.DEVNULL,
+                stdin=subprocess.DEVNULL, start_new_session=True,  # Ctrl-C is for us, who end them
             )  # fmt: skip
 
     def signal(self, number: signal.Signals) -> None:
--- a/ashlift_lab/system/world.py
+++ b/ashlift_lab/system/world.py
@@ -28,11 +28,9 @@
 from ashlift_lab.system.wire import Calls, Clock, exchange, request_head
 from ashlift_lab.system.yard import WireYard
 from dovetail.engine import Loop, Machine, Net
-from dovetail.marks import Marks
-from dovetail.people import Operator, Want
 from dovetail.scene import Scene
-from dovetail.world import BACK_S, CORE, EDGE, ROUTES, TRAFFIC_S, ZONES, Plan
-from jig.settings import Bounds
+from dovetail.workers import Yard
+from dovetail.world import BACK_S, CORE, EDGE, HEARTBEAT, ZONES, Plan, Stage
 from workbench.faults import Fault
 
 KINDS = {"vise": ["vise"], "pegboard": ["pegboard"], "lathe": ["lathe"], "core": ["vise", "pegboard"],
@@ -62,21 +60,18 @@
     return found
 
 
-class ProcessWorld(Marks):
+class ProcessWorld(Stage):
     """`begin` starts everything and returns when all listen; `stop` ends all that was started."""
 
     def __init__(self, plan: Plan, progress: Callable[[str], None] | None = None) -> None:
         net = 20 + os.getpid() % 200  # so that two runs do not meet
         self.places = places.places(plan, net)
-        at = {one.name: one for one in self.places}
-        super().__init__([one.name for one in self.places if one.kind == CORE],
-                         [one.name for one in self.places if one.kind == EDGE])  # fmt: skip
-        self.plan, self.progress, self._at = plan, progress, at
-        self.bounds = Bounds(revocation_strict=True)
-        self.load, self.zones, self.seeds = 1.0, dict(ZONES), self.core[:3]
-        self.clock = Clock(plan.seed)
-        self.loop, self.calls = cast(Loop, self.clock), Calls(self.places)
-        self.net = cast(Net, self.calls)
+        self._at = {one.name: one for one in self.places}
+        self._net_number, self.progress = net, progress
+        self.clock, self.calls = Clock(plan.seed), Calls(self.places)
+        core = [one.name for one in self.places if one.kind == CORE]
+        edge = [one.name for one in self.places if one.kind == EDGE]
+        super().__init__(plan, core, edge, cast(Loop, self.clock), cast(Net, self.calls))
         self.cuts: set[tuple[str, str]] = set()
         self.did: list[tuple[float, str, str]] = []  # s, machine, what befell it
         self.folder = Path(tempfile.mkdtemp(prefix="ashlift-system-"))
@@ -84,14 +79,10 @@
         self.wires: list[TcpLink] = []
         self.programs: dict[tuple[str, str], Program] = {}
         self.powered = {one.name: True for one in self.places}
-        self.yard = WireYard(self.loop, self.net, self.history, self.core, places.HEARTBEAT,
-                             self.bounds.drain, net)  # fmt: skip
-        self.crowds: list[WireCrowd] = []
-        self.operators: dict[str, Operator] = {}
         for zone in ZONES:
             machine = Machine(f"clients-{zone}", zone, ZONES[zone], 0.0, "clients")
             crowd = WireCrowd(self.loop, self.net, machine, self.history, self.core, self._share)
-            crowd.reach({name: at[name].ip for name in self.edge}, self.yard.sent, self._life)
+            crowd.reach({name: self._at[name].ip for name in self.edge}, self.wire_yard.sent, self._life)
             self.crowds.append(crowd)
         self.calls.machines = {one.name: Machine(one.name, one.zone, one.region, 0.0) for one in self.places}
 
@@ -115,14 +106,12 @@
             link.begin(self.clock.began)
         for place in self.places:
             self._write(place, False)  # whoever starts again does not begin anew
-        for crowd in self.crowds:
-            crowd.start()
-        names, chance = list(ZONES), self.clock.chance
-        for service, _ in ROUTES.values():
-            for number in range(self.plan.workers):
-                at = 0.5 + (number + 0.9 * chance.random()) / self.plan.workers
-                self.clock.later(at, self.worker, service, names[number % len(names)])
-        self.clock.later(TRAFFIC_S, self._traffic)
+        self.populate()
+
+    def furnished(self) -> Yard:
+        self.wire_yard = WireYard(self.loop, self.net, self.history, self.core, HEARTBEAT, self.bounds.drain,
+                                  self._net_number)  # fmt: skip
+        return self.wire_yard
 
     def _path(self, place: places.Place) -> Path:
         return self.folder / f"{place.name}.toml"
@@ -153,7 +142,7 @@
 
     def stop(self) -> None:
         self.clock.stopped = True
-        self.yard.stop()
+        self.wire_yard.stop()
         stop(list(self.programs.values()))
         for link in self.wires:
             link.close()
@@ -182,28 +171,6 @@
         return (f"{self.clock.now:5.1f} / {self.plan.until:g} s  requests {len(requests)}  served {served}  "
                 f"refused {refused}")  # fmt: skip
 
-    def worker(self, service: str, zone: str, cold: float = 0.0, address: str | None = None) -> None:
-        plan = self.plan
-        latency = plan.latency * self.clock.chance.uniform(0.8, 1.3)
-        self.yard.add(service, zone, self.zones[zone], plan.capacity, latency, cold, address)
-
-    def operator(self, name: str) -> Operator:
-        if name not in self.operators:
-            machine = Machine(f"operator-{name}", "z1", "r1", 0.0, "operators")
-            self.operators[name] = Operator(self.loop, self.net, machine, self.history, self.core)
-            self.operators[name].start()
-        return self.operators[name]
-
-    def _traffic(self) -> None:
-        rate = self.plan.rate / (len(ROUTES) * self.plan.tenants)
-        for crowd in self.crowds:
-            for name, (_, repeatable) in ROUTES.items():
-                for number in range(1, self.plan.tenants + 1):
-                    crowd.add(Want(f"/{name}/x", repeatable, f"t{number}-a", rate))
-
-    def _share(self) -> float:
-        return self.load / len(self.crowds)
-
     def _life(self, name: str) -> int:
         return self.programs[name, "lathe"].life
 
@@ -239,9 +206,6 @@
         return self.leader() is not None
 
     # ---- what befalls machines
-    def now(self) -> float:
-        return self.clock.now
-
     def runs(self, name: str) -> bool:
         return self.powered[name] and all(
             one.up and not one.frozen for (at, _), one in self.programs.items() if at == name
--- a/dovetail/world.py
+++ b/dovetail/world.py
@@ -1,5 +1,6 @@
 """The made world: machines in zones, their programs, workers, clients, operators, and what befalls them."""
 
+from abc import abstractmethod
 from collections.abc import Iterable
 from typing import Any
 
@@ -20,6 +21,7 @@
 ZONES = {"z1": "r1", "z2": "r2", "z3": "r3", "z4": "r1", "z5": "r2", "z6": "r3"}
 BACK_S = 0.5  # a process that has ended is started again after so long
 BOOT_S = 0.2
+HEARTBEAT = 1.5
 TRAFFIC_S = 5.0  # clients come so long after the machines
 CORE, EDGE = "core", "edge"
 KINDS = {
@@ -84,26 +86,73 @@
     return {"ConfigVersion": "00000001", "Objects": objects}
 
 
-class World(Marks):
-    def __init__(self, plan: Plan) -> None:
-        core = [f"{CORE}-{number + 1}" for number in range(plan.core)]
-        super().__init__(core, [f"{EDGE}-{number + 1}" for number in range(plan.edge)])
-        self.plan = plan
-        self.loop = Loop(plan.seed)
-        self.net = Net(self.loop)
-        self.net.loss = plan.loss
+class Stage(Marks):
+    """What a world of simulated programs and one of processes share: workers, clients, operators."""
+
+    def __init__(self, plan: Plan, core: list[str], edge: list[str], loop: Loop, net: Net) -> None:
+        super().__init__(core, edge)
+        self.plan, self.loop, self.net = plan, loop, net
         self.bounds = Bounds(revocation_strict=True)
         self.load = 1.0
         self.zones = dict(ZONES)
         self.seeds = self.core[:3]
-        names = list(ZONES)
-        heartbeat = 1.5
-        self.yard = Yard(self.loop, self.net, self.history, self.core, heartbeat, self.bounds.drain)
-        chance = self.loop.chance
+        self.crowds: list[Crowd] = []
+        self.operators: dict[str, Operator] = {}
+        self.yard = self.furnished()
+
+    @abstractmethod
+    def furnished(self) -> Yard: ...
+
+    def now(self) -> float:
+        return self.loop.now
+
+    def populate(self) -> None:
+        """Workers come in turn, fleet-2 stands in z2; then clients, and a little later what they ask."""
+        names, chance = list(ZONES), self.loop.chance
+        for service, _ in ROUTES.values():
+            for number in range(self.plan.workers):
+                at = 0.5 + (number + 0.9 * chance.random()) / self.plan.workers
+                self.loop.later(at, self.worker, service, names[number % len(names)])
+        for crowd in self.crowds:
+            crowd.start()
+        self.loop.later(TRAFFIC_S, self._traffic)
+
+    def _share(self) -> float:
+        return self.load / len(self.crowds)
+
+    def _traffic(self) -> None:
+        rate = self.plan.rate / (len(ROUTES) * self.plan.tenants)
+        for crowd in self.crowds:
+            for name, (_, repeatable) in ROUTES.items():
+                for number in range(1, self.plan.tenants + 1):
+                    crowd.add(Want(f"/{name}/x", repeatable, f"t{number}-a", rate))
+
+    def worker(self, service: str, zone: str, cold: float = 0.0, address: str | None = None) -> None:
+        plan = self.plan
+        latency = plan.latency * self.loop.chance.uniform(0.8, 1.3)
+        self.yard.add(service, zone, self.zones[zone], plan.capacity, latency, cold, address)
+
+    def operator(self, name: str) -> Operator:
+        if name not in self.operators:
+            machine = Machine(f"operator-{name}", "z1", "r1", 0.0, "operators")
+            self.net.machines[machine.name] = machine
+            self.operators[name] = Operator(self.loop, self.net, machine, self.history, self.core)
+            self.operators[name].start()
+        return self.operators[name]
+
+
+class World(Stage):
+    def __init__(self, plan: Plan) -> None:
+        core = [f"{CORE}-{number + 1}" for number in range(plan.core)]
+        edge = [f"{EDGE}-{number + 1}" for number in range(plan.edge)]
+        loop = Loop(plan.seed)
+        super().__init__(plan, core, edge, loop, Net(loop))
+        self.net.loss = plan.loss
+        names, chance = list(ZONES), self.loop.chance
         for number, name in enumerate(self.core):
             machine = self._machine(name, names[number % len(names)])
             Store(self.loop, self.net, machine, lambda: self.seeds)
-            Board(self.loop, self.net, machine, lambda: self.seeds, self.zones, heartbeat)
+            Board(self.loop, self.net, machine, lambda: self.seeds, self.zones, HEARTBEAT)
         for number, name in enumerate(self.edge):
             machine = self._machine(name, names[number % len(names)])
             settings = Settings(
@@ -114,13 +163,11 @@
                 region=machine.region,
                 seeds=(),
                 zones=self.zones,
-                heartbeat=heartbeat,
+                heartbeat=HEARTBEAT,
                 bounds=self.bounds,
                 bindings=Bindings(front=(name, 80), readiness=(name, 81)),
             )
             Keeper(self.loop, self.net, machine, lambda one=settings: self._settings(one), self.yard)  # type: ignore[misc]
-        self.operators: dict[str, Operator] = {}
-        self.crowds: list[Crowd] = []
         for zone in names:
             machine = Machine(f"clients-{zone}", zone, self.zones[zone], 0.0, "clients")
             self.net.machines[machine.name] = machine
@@ -128,13 +175,10 @@
         for name in [*self.core, *self.edge]:
             for process in self.net.machines[name].processes.values():
                 self.loop.later(chance.uniform(0.0, BOOT_S), process.start)
-        for service, _ in ROUTES.values():
-            for number in range(plan.workers):
-                at = 0.5 + (number + 0.9 * chance.random()) / plan.workers  # in turn: fleet-2 stands in z2
-                self.loop.later(at, self.worker, service, names[number % len(names)])
-        for crowd in self.crowds:
-            crowd.start()
-        self.loop.later(TRAFFIC_S, self._traffic)
+        self.populate()
+
+    def furnished(self) -> Yard:
+        return Yard(self.loop, self.net, self.history, self.core, HEARTBEAT, self.bounds.drain)
 
     def _machine(self, name: str, zone: str) -> Machine:
         machine = Machine(name, zone, self.zones[zone], self.loop.chance.uniform(0.0, 1000.0))
@@ -144,29 +188,6 @@
     def _settings(self, settings: Settings) -> Settings:
         return evolve(settings, seeds=tuple((seed, board.CONTROL) for seed in self.seeds))
 
-    def _share(self) -> float:
-        return self.load / len(self.crowds)
-
-    def _traffic(self) -> None:
-        rate = self.plan.rate / (len(ROUTES) * self.plan.tenants)
-        for crowd in self.crowds:
-            for name, (_, repeatable) in ROUTES.items():
-                for number in range(1, self.plan.tenants + 1):
-                    crowd.add(Want(f"/{name}/x", repeatable, f"t{number}-a", rate))
-
-    def worker(self, service: str, zone: str, cold: float = 0.0, address: str | None = None) -> None:
-        plan = self.plan
-        latency = plan.latency * self.loop.chance.uniform(0.8, 1.3)
-        self.yard.add(service, zone, self.zones[zone], plan.capacity, latency, cold, address)
-
-    def operator(self, name: str) -> Operator:
-        if name not in self.operators:
-            machine = Machine(f"operator-{name}", "z1", "r1", 0.0, "operators")
-            self.net.machines[machine.name] = machine
-            self.operators[name] = Operator(self.loop, self.net, machine, self.history, self.core)
-            self.operators[name].start()
-        return self.operators[name]
-
     # ---- looking
     def process(self, machine: str, kind: str) -> Process:
         return self.net.machines[machine].processes[kind]
@@ -206,9 +227,6 @@
         return bool(member and member.lead and member.lead.commit)
 
     # ---- what befalls machines
-    def now(self) -> float:
-        return self.loop.now
-
     def runs(self, name: str) -> bool:
         machine = self.net.machines[name]
         return machine.powered and all(one.up and not one.frozen for one in machine.processes.values())
