Edits of single routes: proposals from a cut-off side, merged or confirmed after the rejoin

On the cut-off side an operator's edit of a route was lost (503), and nothing settled two sides. Change: `route edit | proposals | confirm | reject | history`. With a majority an edit is an order like any other; without one it waits on the shelves of all stores in reach, in force nowhere and acknowledged by nobody. After the rejoin look-ups' edits merge by their stamps, by the leader, on the newest map; what concerns orders, places or homes waits for a confirmation on the version that was shown (412, or 409 with both texts). An edit in doubt is in force once at most, by its id. No program loads any of it before such a call, and the platform makes none. Ruled out: an exchange between members at the rejoin (asking all stores at the call needs no loop and no state), and effect at once on the cut-off side (two layers at every gatekeeper; open). Found by a test: a second edit from a machine whose clock lags fell behind the first; it is stamped above all that waits.

--- a/dovetail/board.py
+++ b/dovetail/board.py
@@ -6,11 +6,15 @@
 from dovetail import store
 from dovetail.engine import Loop, Machine, Net, Process, Signal, Steps
 from jig.configuration import whole
+from mitre.clock import Clock, Stamp
+from mitre.desk import kept, made, past
+from mitre.edits import Edit, join, read_edit
+from mitre.settling import SETTLED
 from pegboard.loops import ANSWER_S, GATHER_S, LEAST_S, PAUSE_S, TICK_S, WAIT_S, WATCH_S
 from pegboard.records import Worker
 from pegboard.registry import Registry, Self
 from pegboard.store import ANSWER_S as STORE_S
-from pegboard.store import ELSEWHERE, HOP_S, LATE_S
+from pegboard.store import DRAFTS_S, ELSEWHERE, HOP_S, LATE_S
 from workbench.faults import UNANSWERED, UNREACHED, Fault
 
 KIND = "pegboard"
@@ -37,6 +41,8 @@
             "lookup": self._lookup,
             "order": self._order,
             "config": self._config,
+            "edit": self._edit,
+            "word": self._word,
         }
 
     def begin(self) -> None:
@@ -49,6 +55,7 @@
         self._bell, self._told = Signal(self), 0
         self._swaps: set[str] = set()
         self._turn = 0
+        self._stamps = Clock(machine.name, self.wall(), self.clock())
         self.spawn(self._watch())
         self.spawn(self._tick())
 
@@ -183,3 +190,55 @@
             return 503, answer.reason
         map = answer["objects"]
         return (200, (whole(map), map)) if map.get("Version") else (404, ({}, map))
+
+    # ---- calls on single routes (pegboard.routes)
+    def wall(self) -> float:
+        return self.loop.now + self.machine.skew
+
+    def _waiting(self, add: list[dict[str, Any]]) -> Steps:
+        ips = dict.fromkeys([self.name, *self._stores()])
+        asked = {ip: self.call(ip, store.KIND, "drafts", {"add": add}, DRAFTS_S) for ip in ips}
+        book: dict[str, Edit] = {}
+        held = []
+        for ip, future in asked.items():
+            answer = yield future
+            if not isinstance(answer, Fault):
+                held.append(ip)
+                found = [read_edit(one) for one in answer["edits"]]
+                book = join(book, {one.id: one for one in found if isinstance(one, Edit)})
+        return book, held
+
+    def _stamp(self, name: str, book: dict[str, Edit]) -> Stamp:
+        seen = past(self.registry.word.values, book, name)
+        self._stamps.seen(seen, self.wall(), self.clock())
+        return self._stamps.stamp(seen, self.wall(), self.clock())
+
+    def _edit(self, body: dict[str, Any]) -> Steps:
+        name, map = body["name"], self.registry.word.values
+        edit = made(map, name, body, self._stamp(name, {}), self.name)
+        assert isinstance(edit, Edit)
+        order = {"kind": "edit", "if_match": None, "body": {"edit": edit.wire()}}
+        answer = yield from self._stored("submit", order)
+        if not isinstance(answer, Fault):
+            return answer["status"], answer
+        book, _ = yield from self._waiting([])
+        waits = kept(map, book, edit, answer.reason not in ELSEWHERE)
+        if isinstance(waits, dict):
+            return 409, waits
+        _, held = yield from self._waiting([waits.wire()])
+        return (202, {"outcome": "waits", "auto": waits.auto, "held": held}) if held else (503, {})
+
+    def _word(self, body: dict[str, Any]) -> Steps:
+        done = self.registry.word.values.get(SETTLED + body["id"])
+        if done:
+            return 200, done
+        book, _ = yield from self._waiting([])
+        if body["id"] not in book:
+            return 404, {}
+        edit = book[body["id"]]
+        said = {"edit": edit.wire(), "who": body["who"], "over": body["over"]}
+        said["stamp"] = [*self._stamp(edit.name, book)]
+        version = self.registry.word.values.get("Version")
+        order = {"kind": body["word"], "if_match": version, "body": said}
+        answer = yield from self._stored("submit", order)
+        return (503, {}) if isinstance(answer, Fault) else (answer["status"], answer)
--- a/dovetail/engine.py
+++ b/dovetail/engine.py
@@ -88,6 +88,7 @@
         self.name, self.zone, self.region, self.offset = name, zone, region, offset
         self.link = link or name
         self.powered = True
+        self.skew = 0.0  # s that its time of day is ahead
         self.disk: dict[str, Any] = {}
         self.processes: dict[str, Process] = {}
 
--- a/dovetail/history.py
+++ b/dovetail/history.py
@@ -169,6 +169,7 @@
         self.changes: list[Change] = []
         self.readings: list[Reading] = []
         self.orders: list[Order] = []
+        self.errands: dict[str, Any] = {}  # edits of single routes by id (`dovetail.clerks`)
         self.troubles: dict[str, list[list[float]]] = {}  # machine -> [from, until]
         self.planned: dict[str, list[float]] = {}  # machine -> when a trouble began that was a SIGTERM
         self.unsettled: list[list[float]] = []  # of the core
--- a/dovetail/scene.py
+++ b/dovetail/scene.py
@@ -14,10 +14,13 @@
 at 5 evacuate z1 [at core-2] | restore z1 | read
 at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
 at 5 seeds core-4 core-5
+at 5 edit ID hold=bill|r+NAME=SERVICE|r-NAME at core-2 [by B]     one route (clerks); clock core-4 3
+at 5 confirm|reject ID [over] at core-2 [by B]                    the operator's word on it
 at 8 expect WHAT                 version N everywhere|at GATE | acked N | refused N | served S (share since
                                  the last) | crew (all know the workers) | evacuated z1 | leader | runs N
                                  | idle WORKER (nothing since the last `expect` of its kind, or `mark`)
-                                 | busy WORKER
+                                 | busy WORKER | told ID STATUS | edit ID in-force|lost|rejected|waits
+                                 | alike (all gatekeepers hold the routes agreed on, byte for byte)
 """
 
 import gc
@@ -27,10 +30,12 @@
 
 from attrs import define, evolve, fields
 
+from dovetail import clerks
 from dovetail.checks import Breach
 from dovetail.people import Operator, Want, change, edited, patched
 from dovetail.rules import judge
 from dovetail.world import ROUTES, Plan, World, first_configuration
+from jig.tables import Table
 
 RARELY = (200_000, 50, 1000)  # of gc.set_threshold
 FIRST_S = 0.5  # the operator sends the first configuration so long after the start
@@ -154,6 +159,8 @@
                 break
         else:
             world.run(max(world.plan.until, world.loop.now))
+        if world.history.errands:
+            clerks.settle(world.history, clerks.agreed(world.stores()))
         return judge(world.history, world.bounds, world.zones) or self.failed
 
     def _who(self, words: list[str], kind: str = "all") -> list[str]:
@@ -233,6 +240,13 @@
                 self._put(operator, version, base, told.get("at"), word == "patch")
             case "evacuate" | "restore":
                 operator.zone(rest[0], word == "evacuate", told.get("at"))
+            case "edit":
+                board = world.board(self._who([told["at"]])[0])
+                clerks.edit(operator, world.history, rest[0], rest[1], board)
+            case "confirm" | "reject":
+                clerks.word(operator, world.history, rest[0], word, told["at"], "over" in rest)
+            case "clock":
+                world.net.machines[rest[0]].skew = float(rest[1])
             case "read":
                 operator.read(told.get("at"))
             case "seeds":
@@ -309,6 +323,14 @@
                 return "" if over and share >= float(rest[1]) else f"{share:.3f} of {len(over)}"
             case "crew":
                 return self._crew()
+            case "edit":
+                found_ = clerks.outcome(rest[1], world.stores())
+                return "" if found_ == rest[2].replace("-", " ") else found_
+            case "told":
+                status = world.history.errands[rest[1]].status
+                return "" if status == int(rest[2]) else str(status)
+            case "alike":
+                return self._alike()
             case "leader":
                 return "" if world.leads() else "nobody leads"
             case "idle" | "busy":
@@ -321,6 +343,16 @@
                 return "" if bool(got) == (rest[0] == "busy") else f"{got} requests"
         raise ValueError(" ".join(rest))
 
+    def _alike(self) -> str:
+        """Whether all gatekeepers hold the same routes, byte for byte, and they are those agreed on."""
+        map = clerks.agreed(self.world.stores())
+        wanted = _routes(Table.build(map))
+        wrong = [
+            one.name for one in self.world.keepers()
+            if one.up and (one.gate.ledger.table is None or _routes(one.gate.ledger.table) != wanted)
+        ]  # fmt: skip
+        return f"others at {', '.join(wrong)}" if wrong else ""
+
     def _crew(self) -> str:
         """Whether all gatekeepers know the workers that stand, and no others."""
         world = self.world
@@ -331,3 +363,7 @@
             if lacks or wrong:
                 return f"{name} lacks {lacks}, and wrongly has {wrong}"
         return ""
+
+
+def _routes(table: Table) -> bytes:
+    return repr((table.version, sorted((name, str(one)) for name, one in table.routes.items()))).encode()
--- a/dovetail/store.py
+++ b/dovetail/store.py
@@ -1,12 +1,13 @@
 """The store's process as `vise.daemon` runs it: the real member on a made disk."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from dovetail.engine import Future, Loop, Machine, Net, Process, Signal, Steps
 from vise.agreement import Member
-from vise.daemon import ORDER_S, PAUSE_S, READ_S, SEEK_S, STEP_S, WATCH_MOST_S
+from vise.daemon import MERGE_S, ORDER_S, PAUSE_S, READ_S, SEEK_S, STEP_S, WATCH_MOST_S
+from vise.drafts import NAME, Drafts
 from vise.interface import (
     CALL_S,
     Answered,
@@ -31,6 +32,21 @@
 DISK_FAULTS = ("done", "undone", "half")  # what a write in the middle of which the process ends has come to
 
 
+class _Records:
+    """The shelf of edits on a made disk."""
+
+    def __init__(self, disk: dict[str, Any]) -> None:
+        self._disk = disk
+
+    def read(self) -> dict[str, bytes] | Fault | None:
+        found: dict[str, bytes] | None = self._disk.get(NAME)
+        return found
+
+    def write(self, records: Mapping[str, bytes]) -> Fault | None:
+        self._disk[NAME] = dict(records)
+        return None
+
+
 class Store(Process):
     """`machine.disk` holds `vote` and `state` as they are durable."""
 
@@ -42,7 +58,8 @@
         self.writing: Keep | None = None
         self.refuses = False  # the disk does not take writes
         self.handlers = {method: self._handler(method) for method in ("ballot", "append", "join", "succeed")}
-        self.handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch}
+        self.handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch, "drafts": self._add}
+        self.drafts: Drafts | None = None
 
     def begin(self) -> None:
         disk = self.machine.disk
@@ -54,6 +71,9 @@
         self.writing, self._todo, self._doing = None, deque[Effect](), False
         self._news, self._seen = Signal(self), 0
         self._do(self.member.begin(self.clock()))
+        self.drafts = None
+        if NAME in disk:
+            self._waiting()
         self._tick()
 
     def ended(self, silently: bool) -> None:
@@ -141,6 +161,28 @@
         map = dict(found.chest.map)
         return {"version": map.get("Version"), "objects": map}
 
+    def _add(self, body: Any) -> Any:
+        return self._waiting().call(body)
+
+    def _waiting(self) -> Drafts:
+        if self.drafts is None:
+            self.drafts = Drafts(_Records(self.machine.disk), self._committed, lambda *_, **__: None)
+            self.spawn(self._merge(self.drafts))
+        return self.drafts
+
+    def _committed(self) -> tuple[int, Mapping[str, Any]]:
+        assert self.member is not None
+        return self.member.news.index, self.member.news.state.chest.map
+
+    def _merge(self, drafts: Drafts) -> Steps:
+        while True:
+            yield MERGE_S
+            order = drafts.order()
+            answer = None
+            if order:
+                answer = yield from self.submit(order)
+            drafts.answered(answer)
+
     def _led(self, method: str, body: dict[str, Any], event: Callable[[Any], Any], timeout: float) -> Steps:
         until = self.clock() + SEEK_S
         found: Any = Fault(UNREADY, "no leader")
--- a/dovetail/world.py
+++ b/dovetail/world.py
@@ -198,6 +198,11 @@
     def boards(self) -> list[Board]:
         return [one for name in self.core if isinstance(one := self.process(name, board.KIND), Board)]
 
+    def board(self, machine: str) -> Board:
+        found = self.process(machine, board.KIND)
+        assert isinstance(found, Board)
+        return found
+
     def keepers(self) -> list[Keeper]:
         return [one for name in self.edge if isinstance(one := self.process(name, keeper.KIND), Keeper)]
 
--- a/mitre/edits.py
+++ b/mitre/edits.py
@@ -12,7 +12,8 @@
 
 Text = dict[str, Any] | None  # a route's Specification; None: there is no such route
 Book = Mapping[str, "Edit"]  # by id
-TEXT_MOST: Final = 200  # characters of a name, an id, of who and where
+WORD_MOST: Final = 200  # characters of a name, an id, of who and where
+TEXT_MOST: Final = 8 << 10  # characters of a route's text: a shelf of edits fits a frame
 REPEATABLE: Final = "idempotent"
 
 
@@ -46,12 +47,19 @@
         return Fault(INVALID, f"no edit: {error}")
     words = (edit.id, edit.name, edit.version, edit.who, edit.where)
     sound = (
-        all(isinstance(one, str) and 0 < len(one) <= TEXT_MOST for one in words)
-        and all(one is None or isinstance(one, dict) for one in (edit.text, edit.base))
+        all(isinstance(one, str) and 0 < len(one) <= WORD_MOST for one in words)
+        and all(one is None or _is_text(one) for one in (edit.text, edit.base))
         and isinstance(edit.auto, bool)
         and isinstance(edit.doubt, bool)
     )
-    return edit if sound else Fault(INVALID, "no edit: a field is of the wrong kind")
+    return edit if sound else Fault(INVALID, "no edit: a field is of the wrong kind, or too long")
+
+
+def _is_text(value: Any) -> bool:
+    try:
+        return isinstance(value, dict) and len(json.dumps(value, allow_nan=False)) <= TEXT_MOST
+    except (TypeError, ValueError, RecursionError):
+        return False
 
 
 def same(one: Text, other: Text) -> bool:
--- a/pegboard/__main__.py
+++ b/pegboard/__main__.py
@@ -16,6 +16,7 @@
 from pegboard.loops import Bell, Calls, Loops
 from pegboard.registry import Registry, Self
 from pegboard.resources import Config, Evacuation, Instances, Lookup, Status
+from pegboard.routes import Desk, Proposals, Routes
 from pegboard.store import Store
 from workbench.bench import Address, Callers, serve
 from workbench.events import ERROR, SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
@@ -41,12 +42,14 @@
         self._bell, callers = Bell(self._registry), Callers()
         store = Store(settings.ip, low, self._stores, callers)
         self._loops = Loops(self._registry, store, self._bell, callers, low + 1)
-        ring = self._bell.ring
+        ring, desk = self._bell.ring, Desk(self._registry, store)
         resources: dict[str, Resource] = {
             "instances": Instances(self._registry, ring),
             "config": Config(store),
             "evacuation": Evacuation(store, lambda: self._settings),
             "lookup": Lookup(self._registry),
+            "proposals": Proposals(desk),
+            "routes": Routes(desk),
             "status": Status(self._registry),
         }
         addresses = {settings.bindings.control, settings.bindings.directory} - {None}
--- a/pegboard/door.py
+++ b/pegboard/door.py
@@ -18,9 +18,9 @@
 READ_S = 10.0  # s from a request's first byte to its last
 IDLE_S = 30.0  # s that a connection may wait for its next request
 STATUSES = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    412: "Precondition Failed", 413: "Content Too Large", 422: "Unprocessable Content",
-    431: "Request Header Fields Too Large", 503: "Service Unavailable",
+    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
+    422: "Unprocessable Content", 431: "Request Header Fields Too Large", 503: "Service Unavailable",
 }  # fmt: skip
 
 
--- /dev/null
+++ b/pegboard/routes.py
@@ -0,0 +1,135 @@
+"""Operators' calls on single routes, and on edits that wait. The platform never makes them."""
+
+import time
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+from pegboard import events
+from pegboard.door import Answer, Request, Resource, refusal
+from pegboard.records import read_json
+from pegboard.registry import Registry
+from pegboard.resources import AGAIN_S
+from pegboard.store import ELSEWHERE, Store
+from workbench.events import tell
+from workbench.faults import Fault
+
+if TYPE_CHECKING:
+    from mitre.clock import Clock
+
+
+class Desk:
+    """What both resources share: the way to what waits, and this registry's stamps."""
+
+    def __init__(self, registry: Registry, store: Store) -> None:
+        self.registry, self.store = registry, store
+        self._clock: Clock | None = None
+
+    @property
+    def map(self) -> dict[str, Any]:
+        """The agreed map, as known here."""
+        return self.registry.word.values
+
+    def waiting(self, add: tuple[dict[str, Any], ...] = ()) -> tuple[dict[str, Any], list[str]]:
+        """All edits that wait at stores in reach, and the IPs of these, `add` given to each first."""
+        from mitre.edits import Edit, join, read_edit
+
+        answers = self.store.drafts(list(add))
+        held = {ip: answer for ip, answer in answers.items() if not isinstance(answer, Fault)}
+        books = [[read_edit(one) for one in answer["edits"]] for answer in held.values()]
+        return join(*({one.id: one for one in book if isinstance(one, Edit)} for book in books)), sorted(held)
+
+    def stamp(self, name: str, book: dict[str, Any]) -> Any:
+        """A new stamp, above all that is known of the name."""
+        from mitre import clock
+        from mitre.desk import past
+
+        wall, steady = time.time(), time.monotonic()
+        self._clock = self._clock or clock.Clock(self.registry.me.node, wall, steady)
+        seen = past(self.map, book, name)
+        self._clock.seen(seen, wall, steady)
+        return self._clock.stamp(seen, wall, steady)
+
+    def about(self) -> dict[str, Any]:
+        return {"version": self.map.get("Version"), "age": self.registry.age(time.monotonic())}
+
+
+def _told(answer: dict[str, Any], id: str, route: str) -> Answer:
+    status = answer.pop("status")
+    tell(events.EDIT, id=id, route=route, status=status, outcome=answer.get("outcome", "-"))
+    return Answer(status, answer, AGAIN_S if status == 503 else None)
+
+
+def _named(request: Request) -> str:
+    """What the path names, after the resource."""
+    return unquote("/".join(request.segments))
+
+
+class _Edits(Resource):
+    def __init__(self, desk: Desk) -> None:
+        self._desk = desk
+
+
+class Routes(_Edits):
+    """GET and POST /routes/NAME: a route with its history; an edit of it, `{id, who, text, base}`."""
+
+    def get(self, request: Request) -> Answer:
+        from mitre.desk import history
+
+        name, map = _named(request), self._desk.map
+        book, held = self._desk.waiting()
+        told = {"name": name, "text": map.get(f"Routes/{name}"), "history": history(map, book, name)}
+        return Answer(200, {**self._desk.about(), **told, "reached": held})
+
+    def post(self, request: Request) -> Answer:
+        """200: in force; 202: it waits, not in force; 409: the route is not what the edit was made on."""
+        from mitre.desk import kept, made
+
+        name, map = _named(request), self._desk.map
+        body = read_json(request.body)
+        edit = made(map, name, body, self._desk.stamp(name, {}), self._desk.registry.me.node)
+        if isinstance(edit, Fault):
+            return refusal(400, edit.detail)
+        answer = self._desk.store.submit("edit", None, {"edit": edit.wire()}, len(request.body))
+        if not isinstance(answer, Fault):
+            return _told(answer, edit.id, name)
+        book, _ = self._desk.waiting()
+        waits = kept(map, book, edit, answer.reason not in ELSEWHERE)
+        if isinstance(waits, dict):
+            return _told({"status": 409, "reason": "the route has changed since", **waits}, edit.id, name)
+        _, held = self._desk.waiting((waits.wire(),))
+        if not held:
+            return _told({"status": 503, "reason": "no store has kept it"}, edit.id, name)
+        told = {"id": edit.id, "outcome": "waits", "in_force": False, "held": held}
+        return _told({"status": 202, **told, "doubt": waits.doubt, "auto": waits.auto}, edit.id, name)
+
+
+class Proposals(_Edits):
+    """GET /proposals: what waits. POST /proposals/ID: an operator's word, `{word, who, version, over}`."""
+
+    def get(self, request: Request) -> Answer:
+        from mitre.desk import listed
+
+        book, held = self._desk.waiting()
+        found = listed(self._desk.map, book)
+        return Answer(200, {**self._desk.about(), "proposals": found, "reached": held})
+
+    def post(self, request: Request) -> Answer:
+        """200: settled, and how; 404: no such edit waits in reach; 409, 412: look again; 503: ask again."""
+        from mitre.settling import SETTLED
+
+        body, id = read_json(request.body), _named(request)
+        if not isinstance(body, dict) or body.get("word") not in ("confirm", "reject"):
+            return refusal(400, "the body is no {word: confirm or reject, who, version, over}")
+        done = self._desk.map.get(SETTLED + id)
+        if done:
+            return Answer(200, done)
+        book, held = self._desk.waiting()
+        if id not in book:
+            return refusal(404, f"no edit {id[:100]} waits at {', '.join(held) or 'any store in reach'}")
+        edit = book[id]
+        said = {"edit": edit.wire(), "who": body.get("who"), "over": body.get("over")}
+        said["stamp"] = [*self._desk.stamp(edit.name, book)]
+        answer = self._desk.store.submit(body["word"], body.get("version"), said, len(request.body))
+        if isinstance(answer, Fault):
+            return _told({"status": 503, "reason": f"no clear answer: {answer.reason}"}, id, edit.name)
+        return _told(answer, id, edit.name)
--- a/pegboard/store.py
+++ b/pegboard/store.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable
 from typing import Any
 
+import gevent
+
 from workbench.bench import Callers
 from workbench.faults import UNANSWERED, UNKNOWN, UNREACHED, UNREADY, Fault
 
 ANSWER_S = 0.9  # callers move on after a second
 BYTE_S = 1e-5  # s more for each byte of a body: callers wait longer for large ones
 LATE_S = 0.6  # s for a watch's answer beyond its wait
+DRAFTS_S = 0.6  # s for all stores' answers about edits of routes
 HOP_S = 0.25  # s kept for a further store
 ELSEWHERE = frozenset((UNREACHED, UNREADY, UNKNOWN))  # not done, and another store may do it
 
@@ -45,6 +48,15 @@
             caller.close()
         return answer
 
+    def drafts(self, add: list[dict[str, Any]]) -> dict[str, Any]:
+        """By IP, what every store answers to `drafts`, or its Fault."""
+        ips = dict.fromkeys([self._own, *self._members()])
+        asked = {
+            ip: gevent.spawn(self._callers.to((ip, self._port)).call, "drafts", {"add": add}, DRAFTS_S)
+            for ip in ips
+        }
+        return {ip: one.get() for ip, one in asked.items()}
+
     def _call(self, method: str, body: Any, within: float) -> Any:
         until = time.monotonic() + within
         others = [ip for ip in self._members() if ip != self._own]
--- a/toolbox/__init__.py
+++ b/toolbox/__init__.py
@@ -1,1 +1,1 @@
-"""The system's command line: looks at files and at running core machines, changes nothing."""
+"""The system's command line: looks at files and at running core machines; `route` commands edit routes."""
--- a/toolbox/commands.py
+++ b/toolbox/commands.py
@@ -14,6 +14,7 @@
 from toolbox import showing, sources
 from toolbox.base import DIFFERENT, Tool, entries
 from toolbox.planning import PlanCapacity, PlanChange, PlanRollout
+from toolbox.routes import COMMANDS
 from workbench.faults import INVALID, Fault
 
 class Check(Tool):
@@ -115,7 +116,7 @@
 def application() -> Application:
     made = Application("toolbox", __version__)
     looking: list[Tool] = [Check(), Status(), Members(), ConfigShow(), ConfigDiff()]
-    for command in [*looking, PlanCapacity(), PlanRollout(), PlanChange()]:
+    for command in [*looking, PlanCapacity(), PlanRollout(), PlanChange(), *(one() for one in COMMANDS)]:
         made.add(command)
     return made
 
--- a/toolbox/showing.py
+++ b/toolbox/showing.py
@@ -1,6 +1,7 @@
 """What the commands print, as lines. Pure: values in, text out; what an answer lacks is shown as `-`."""
 
 import json
+import time
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
@@ -110,3 +111,56 @@
 
 def _objects(keys: Iterable[str]) -> list[str]:
     return [key for key in keys if key.partition("/")[0] in ("Routes", "Services", "Tenants", "Limits")]
+
+
+# ---- edits of single routes
+def _text(text: Any) -> str:
+    return "no such route" if text is None else json.dumps(text, sort_keys=True)
+
+
+def _at(ms: Any) -> str:
+    """Milliseconds of the time of day as a text, UTC."""
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(ms / 1000)) if isinstance(ms, int) else "-"
+
+
+def _known(answer: Mapping[str, Any]) -> str:
+    age = answer.get("age")
+    proof = f"proven {age:.2f} s ago" if isinstance(age, int | float) else "not proven: no majority in reach"
+    reached = ", ".join(map(cell, answer.get("reached") or [])) or "no store"
+    return f"version {cell(answer.get('version'))}, {proof}; edits as held at {reached}"
+
+
+def waits(answer: Mapping[str, Any]) -> list[str]:
+    """An edit that was kept, not in force."""
+    how = "merges by itself after the rejoin" if answer.get("auto") else "waits for `route confirm`"
+    held = ", ".join(map(cell, answer.get("held") or []))
+    lines = [f"{cell(answer.get('id'))}: NOT in force; {how}; held at {held}"]
+    if answer.get("doubt"):
+        lines.append("in doubt: a leader was asked and fell silent; it may come into force, once at most")
+    return lines
+
+
+def both(answer: Mapping[str, Any]) -> list[str]:
+    """A route that is not what an edit was made on."""
+    shown = [f"  {name:<11}{_text(answer.get(key))}" for name, key in
+             (("made on", "base"), ("edit", "yours"), ("now", "theirs"))]  # fmt: skip
+    return [f"conflict: {cell(answer.get('reason'))}", *shown]
+
+
+def proposals(answer: Mapping[str, Any]) -> list[str]:
+    lines = [_known(answer)]
+    told = {"": "merges by itself", "text": "CONFLICT: the route has changed since"}
+    for row in rows_of(answer, "proposals"):
+        stamp, why = row.get("stamp"), row.get("why") or ""
+        at = _at(stamp[0]) if isinstance(stamp, list) and stamp else "-"
+        id, name, who, where, on = (cell(row.get(key)) for key in ("id", "name", "who", "where", "version"))
+        lines.append(f"{id}  {name}  by {who} at {where}, {at}, on {on}: {told.get(why, cell(why))}")
+        lines += both({"base": row.get("base"), "yours": row.get("text"), "theirs": row.get("now")})[1:]
+    return lines if len(lines) > 1 else [*lines, "  none"]
+
+
+def history(answer: Mapping[str, Any]) -> list[str]:
+    found = answer.get("history")
+    rows = [{**row, "at": _at(row.get("at_ms"))} for row in found or [] if isinstance(row, dict)]
+    keys = ["id", "at", "who", "where", "on", "outcome", "version", "by", "lost_to"]
+    return [_known(answer), f"now {_text(answer.get('text'))}", *table(keys, rows)]
--- a/toolbox/sources.py
+++ b/toolbox/sources.py
@@ -44,8 +44,28 @@
     return Fault(REFUSED, f"{address}: GET {path}: sent on more than {REDIRECTS} times")
 
 
+def post(address: str, path: str, body: Any) -> tuple[int, Any] | Fault:
+    """The status and the JSON value that `POST path` gives at a `Control` address."""
+    target, asked = parse_address(address), f"{address}: POST {path}"
+    answer = target if isinstance(target, Fault) else _post(target, path, asked, json.dumps(body).encode())
+    if isinstance(answer, Fault):
+        return answer
+    value = parse_json(answer[2], asked)
+    return value if isinstance(value, Fault) else (answer[0], value)
+
+
 def _get(target: Address, path: str, asked: str) -> tuple[int, str, bytes] | Fault:
     """Status, `Location` and body."""
+    return _exchange(target, "GET", path, asked, None)
+
+
+def _post(target: Address, path: str, asked: str, body: bytes) -> tuple[int, str, bytes] | Fault:
+    return _exchange(target, "POST", path, asked, body)
+
+
+def _exchange(
+    target: Address, method: str, path: str, asked: str, body: bytes | None
+) -> tuple[int, str, bytes] | Fault:
     way = http.client.HTTPConnection(*target, timeout=WAIT_S)
     try:
         way.connect()
@@ -53,7 +73,7 @@
         way.close()
         return Fault(UNREACHED, f"{asked}: no connection: {error}")
     try:
-        way.request("GET", path)
+        way.request(method, path, body)
         answer = way.getresponse()
         data = answer.read(ANSWER_MOST + 1)
     except (OSError, ValueError, http.client.HTTPException) as error:
--- a/trials/test_mitre.py
+++ b/trials/test_mitre.py
@@ -282,7 +282,8 @@
 def _() -> None:
     good = edit("x", route("b"), 5).wire()
     assert read_edit(good) == edit("x", route("b"), 5)
-    wrong: list[Map] = [{"stamp": [1]}, {"text": 3}, {"name": ""}, {"odd": 1}, {"auto": "yes"}]
+    wrong: list[Map] = [{"stamp": [1]}, {"text": 3}, {"name": ""}, {"odd": 1}, {"auto": "yes"},
+                        {"text": {"Host": "h" * 9000}}]  # fmt: skip
     for bad in (None, {}, [1], *(good | one for one in wrong)):
         assert not read_edit(bad)
         assert settling.decide(BASE, {"kind": "edit", "body": {"edit": bad}}).answer["status"] == 400
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -5,7 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import cbor2
 import gevent
@@ -25,12 +25,16 @@
 from workbench.events import BROKEN, CRITICAL, ERROR, WARNING, tell
 from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
 
+if TYPE_CHECKING:
+    from vise.drafts import Drafts
+
 STEP_S = 0.15  # longest sleep between two looks at the clock
 SEEK_S = 0.5  # how long an order or a read waits for a leader
 ORDER_S = 5.0  # how long an order may be under way
 READ_S = 2.0
 PAUSE_S = 0.05
 WATCH_MOST_S = 30.0
+MERGE_S = 1.0  # between two attempts to have edits of routes merged
 FLUSH_S = 0.05  # for the last answers to leave before the process ends
 
 
@@ -100,10 +104,14 @@
         self._heard: dict[str, float] = {}  # when a member last answered, or its connection was given up
         methods = ("ballot", "append", "join", "succeed")
         handlers: dict[str, Callable[[Any], Any]] = {method: self._handler(method) for method in methods}
-        handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch}
+        handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch, "drafts": self.drafts}
         self._todo: deque[Effect] = deque()
         self._doing = False
+        self._folder = folder
+        self._drafts: Drafts | None = None
         self._do(self.member.begin(self.clock()))
+        if os.path.exists(os.path.join(folder, "edits-b.dat")):  # the shelf's first generation
+            self._waiting()
         self.server = serve((settings.ip, self.port), handlers)
 
     def run(self) -> None:
@@ -198,6 +206,28 @@
         map = dict(found.chest.map)
         return {"version": map.get("Version"), "objects": map}
 
+    def drafts(self, body: Any) -> Any:
+        """`{add: [edit]}` -> `{edits: [edit]}`: edits of routes that wait here, no part of the map."""
+        return self._waiting().call(body)
+
+    def _waiting(self) -> "Drafts":
+        if self._drafts is None:
+            from vise.drafts import NAME, Drafts  # no route is edited on most systems
+
+            self._drafts = Drafts(Shelf(self._folder, NAME), self._committed)
+            gevent.spawn(self._merge, self._drafts)
+        return self._drafts
+
+    def _committed(self) -> tuple[int, Mapping[str, Any]]:
+        return self.member.news.index, self.member.news.state.chest.map
+
+    def _merge(self, drafts: "Drafts") -> None:
+        """Have what may merge merged, once there is a leader."""
+        while True:
+            gevent.sleep(MERGE_S)
+            order = drafts.order()
+            drafts.answered(self.submit(order) if order else None)
+
     def _led(self, method: str, body: dict[str, Any], event: Callable[[Any], Any], timeout: float) -> Any:
         """Have the leader do it: this process, or the one it knows. Tried again while nothing was begun."""
         until = self.clock() + SEEK_S
--- a/vise/orders.py
+++ b/vise/orders.py
@@ -21,9 +21,18 @@
             return _configured(current, kind, order.get("if_match"), body)
         case "evacuate" | "restore" if isinstance(body, str) and 0 < len(body) <= ZONE_MOST:
             return _emptied(current, kind == "evacuate", EVACUATIONS + body)
+        case "edit" | "confirm" | "reject" | "merge":
+            return _edited(current, order)
     return Settled({"status": 400, "reason": f"no order: {str(kind)[:40]}"})
 
 
+def _edited(current: Mapping[str, Any], order: Any) -> Work | Settled:
+    from mitre import settling  # seldom needed
+
+    made = settling.decide(current, order)
+    return Work(*made) if made.set or made.gone else Settled(made.answer)
+
+
 def _emptied(current: Mapping[str, Any], wanted: bool, key: str) -> Work | Settled:
     if (key in current) == wanted:
         return Settled({"status": 200})
