Commands for tenants: plan, add, status, remove

An operator could not see what a new tenant changes, whether its quota fits its workers, nor which gatekeeper holds it. A core machine knows from each pull which index the gatekeeper holds: GET /status tells it (no byte more on any wire), and the commands ask all core machines.

--- /dev/null
+++ b/pegboard/overview.py
@@ -0,0 +1,29 @@
+"""What one registry knows, for people: `GET /status`. Pure."""
+
+from typing import Any
+
+from pegboard.registry import Registry
+
+
+def overview(registry: Registry, now: float) -> dict[str, Any]:
+    """Of gatekeepers that call here, also the `index` of the operator's word that they hold."""
+    age, word = registry.age(now), registry.word
+    return {
+        "node": registry.me.node,
+        "source": registry.me.source,
+        "leader": registry.leader,
+        "term": registry.term,
+        "index": word.version,
+        "version": word.values.get("Version"),
+        "age": None if age is None else round(age, 3),
+        "members": sorted(registry.members()),
+        "sources": {
+            name: {"version": copy.source.version, "silent": round(now - copy.heard, 3)}
+            for name, copy in sorted(registry.copies.items())
+        },
+        "gatekeepers": [
+            {"node": key, **one.wire(), **registry.held(key, now)}
+            for key, one in sorted(registry.sessions(now).items())
+        ],
+        "workers": [{"id": key, **one.wire(now)} for key, one in sorted(registry.workers().items())],
+    }
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -75,6 +75,7 @@
 
     at: float
     open: int = 0
+    index: int = 0  # of the operator's word that it holds
     adds: dict[str, int] = attrs.field(factory=dict)
     outs: dict[str, int] = attrs.field(factory=dict)  # its requests under way, by worker
 
@@ -159,7 +160,7 @@
     def pull(self, body: Json, now: float) -> Fault | None:
         """A gatekeeper's call has come: its session is renewed, its adds are counted."""
         try:
-            node, adds, _ = body["node"], body.get("adds") or {}, dict(body["have"])
+            node, adds, index = body["node"], body.get("adds") or {}, int(dict(body["have"]).get(WORD, 0))
             ready = bool(body["ready"]) and not body.get("leaving")
             said = Session(body["front"], body["zone"], body["region"], ready, now)
             number, counts = adds.get("number", 0), dict(adds.get("counts") or {})
@@ -169,7 +170,7 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             return Fault(INVALID, f"pull: {error!r}")
         pulls = self._pulls.setdefault(node, Pulls(now))
-        pulls.at, pulls.open = now, pulls.open + 1
+        pulls.at, pulls.open, pulls.index = now, pulls.open + 1, index
         if self.own.values.get(f"g/{node}") != said:
             self._put(f"g/{node}", said)
         self._outs(pulls, outs)
@@ -441,25 +442,12 @@
 
     # ---- for all
 
-    def status(self, now: float) -> Json:
-        """What this registry knows, for people."""
-        age = self.age(now)
-        return {
-            "node": self.me.node,
-            "source": self.me.source,
-            "leader": self.leader,
-            "term": self.term,
-            "index": self.word.version,
-            "version": self.word.values.get("Version"),
-            "age": None if age is None else round(age, 3),
-            "members": sorted(self.members()),
-            "sources": {
-                name: {"version": copy.source.version, "silent": round(now - copy.heard, 3)}
-                for name, copy in sorted(self.copies.items())
-            },
-            "gatekeepers": [{"node": key, **one.wire()} for key, one in sorted(self.sessions(now).items())],
-            "workers": [{"id": key, **one.wire(now)} for key, one in sorted(self.workers().items())],
-        }
+    def held(self, node: str, now: float) -> Json:
+        """Of the operator's word, what a gatekeeper holds that calls here: known to nobody else."""
+        pulls = self._pulls.get(node)
+        if pulls is None or self._late(pulls.at, SESSION_S, now):
+            return {}
+        return {"index": pulls.index, "heard": round(now - pulls.at, 3)}
 
     def _sources(self) -> list[Source]:
         return [self.own, *(copy.source for copy in self.copies.values())]
--- a/pegboard/resources.py
+++ b/pegboard/resources.py
@@ -7,6 +7,7 @@
 from jig.settings import Settings
 from pegboard import events
 from pegboard.door import Answer, Request, Resource, refusal
+from pegboard.overview import overview
 from pegboard.records import read_beat, read_json
 from pegboard.registry import Registry
 from pegboard.store import Store
@@ -144,4 +145,4 @@
         self._registry = registry
 
     def get(self, request: Request) -> Answer:
-        return Answer(200, self._registry.status(time.monotonic()))
+        return Answer(200, overview(self._registry, time.monotonic()))
--- a/toolbox/__init__.py
+++ b/toolbox/__init__.py
@@ -1,1 +1,1 @@
-"""The system's command line: looks at files and at running core machines; `route` commands edit routes."""
+"""The system's command line: looks at files and core machines; `route` and `tenant` commands change some."""
--- a/toolbox/commands.py
+++ b/toolbox/commands.py
@@ -15,8 +15,10 @@
 from toolbox.base import DIFFERENT, Tool, entries
 from toolbox.planning import PlanCapacity, PlanChange, PlanRollout
 from toolbox.routes import COMMANDS
+from toolbox.tenant_commands import TenantAdd, TenantPlan, TenantRemove, TenantStatus
 from workbench.faults import INVALID, Fault
 
+
 class Check(Tool):
     name = "check"
     description = "Check a settings file (TOML) or a configuration (JSON): every fault by place and key."
@@ -116,7 +118,8 @@
 def application() -> Application:
     made = Application("toolbox", __version__)
     looking: list[Tool] = [Check(), Status(), Members(), ConfigShow(), ConfigDiff()]
-    for command in [*looking, PlanCapacity(), PlanRollout(), PlanChange(), *(one() for one in COMMANDS)]:
+    planning: list[Tool] = [PlanCapacity(), PlanRollout(), PlanChange(), *(one() for one in COMMANDS)]
+    for command in [*looking, *planning, TenantPlan(), TenantAdd(), TenantStatus(), TenantRemove()]:
         made.add(command)
     return made
 
--- a/toolbox/sources.py
+++ b/toolbox/sources.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+from collections.abc import Mapping
 from typing import Any, Final
 from urllib.parse import urlsplit
 
@@ -22,14 +23,14 @@
     return host, int(port)
 
 
-def call(address: str, path: str) -> Any | Fault:
+def call(address: str, path: str, wait: float = WAIT_S) -> Any | Fault:
     """The JSON value that `GET path` gives at a `Control` address; 307 is followed twice."""
     for _ in range(REDIRECTS + 1):
         target = parse_address(address)
         if isinstance(target, Fault):
             return target
         asked = f"{address}: GET {path}"
-        answer = _get(target, path, asked)
+        answer = _ask(target, "GET", path, asked, wait=wait)
         if isinstance(answer, Fault):
             return answer
         status, location, data = answer
@@ -38,8 +39,7 @@
             address, path = parts.netloc or address, parts.path or path
             continue
         if status != 200:
-            words = " ".join(data[:200].decode(errors="replace").split())
-            return Fault(REFUSED, f"{asked}: {status} {words}".rstrip())
+            return Fault(REFUSED, f"{asked}: {status} {_words(data)}".rstrip())
         return parse_json(data, asked)
     return Fault(REFUSED, f"{address}: GET {path}: sent on more than {REDIRECTS} times")
 
@@ -47,33 +47,43 @@
 def post(address: str, path: str, body: Any) -> tuple[int, Any] | Fault:
     """The status and the JSON value that `POST path` gives at a `Control` address."""
     target, asked = parse_address(address), f"{address}: POST {path}"
-    answer = target if isinstance(target, Fault) else _post(target, path, asked, json.dumps(body).encode())
+    data = json.dumps(body).encode()
+    answer = target if isinstance(target, Fault) else _ask(target, "POST", path, asked, body=data)
     if isinstance(answer, Fault):
         return answer
     value = parse_json(answer[2], asked)
     return value if isinstance(value, Fault) else (answer[0], value)
 
 
-def _get(target: Address, path: str, asked: str) -> tuple[int, str, bytes] | Fault:
-    """Status, `Location` and body."""
-    return _exchange(target, "GET", path, asked, None)
+def order(
+    address: str, method: str, path: str, if_match: str, body: bytes, wait: float
+) -> tuple[int, str] | Fault:
+    """The status and the words that an order of the operator gets at one core machine; never sent on."""
+    target = parse_address(address)
+    if isinstance(target, Fault):
+        return target
+    headers = {"Content-Type": "application/json", "If-Match": if_match}
+    answer = _ask(target, method, path, f"{address}: {method} {path}", body, headers, wait)
+    return answer if isinstance(answer, Fault) else (answer[0], _words(answer[2]))
 
 
-def _post(target: Address, path: str, asked: str, body: bytes) -> tuple[int, str, bytes] | Fault:
-    return _exchange(target, "POST", path, asked, body)
+def _words(data: bytes) -> str:
+    return " ".join(data[:200].decode(errors="replace").split())
 
 
-def _exchange(
-    target: Address, method: str, path: str, asked: str, body: bytes | None
-) -> tuple[int, str, bytes] | Fault:
-    way = http.client.HTTPConnection(*target, timeout=WAIT_S)
+def _ask(
+    target: Address, method: str, path: str, asked: str,
+    body: bytes | None = None, headers: Mapping[str, str] | None = None, wait: float = WAIT_S,
+) -> tuple[int, str, bytes] | Fault:  # fmt: skip
+    """Status, `Location` and body."""
+    way = http.client.HTTPConnection(*target, timeout=wait)
     try:
         way.connect()
     except OSError as error:
         way.close()
         return Fault(UNREACHED, f"{asked}: no connection: {error}")
     try:
-        way.request(method, path, body)
+        way.request(method, path, body, dict(headers or {}))
         answer = way.getresponse()
         data = answer.read(ANSWER_MOST + 1)
     except (OSError, ValueError, http.client.HTTPException) as error:
--- a/trials/test_cli_toolbox.py
+++ b/trials/test_cli_toolbox.py
@@ -32,13 +32,13 @@
 def run(line: str, answers: dict[str, Any] | None = None) -> tuple[int, str, str]:
     """Exit code, standard output, standard error. `answers`: by `ADDRESS PATH`: (status, location, text)."""
 
-    def get(target: sources.Address, path: str, asked: str) -> Any:
+    def get(target: sources.Address, method: str, path: str, asked: str, **_: Any) -> Any:
         return (answers or {}).get(
             f"{target[0]}:{target[1]} {path}", Fault("unreached", f"{asked}: no connection")
         )
 
     tester = ApplicationTester(application())
-    with patch.object(sources, "_get", get):
+    with patch.object(sources, "_ask", get):
         code = tester.execute(line)
     return code, tester.io.fetch_output(), tester.io.fetch_error()
 
--- a/trials/test_routes.py
+++ b/trials/test_routes.py
@@ -66,13 +66,15 @@
     def run(self, line: str) -> tuple[int, str]:
         """Exit code and all output of a command, its calls taken by this core."""
 
-        def call(target: Any, path: str, asked: str, body: bytes = b"") -> tuple[int, str, bytes]:
-            request = Request("POST" if body else "GET", path, {}, {}, body)
+        def call(
+            target: Any, method: str, path: str, asked: str, body: bytes = b"", **_: Any
+        ) -> tuple[int, str, bytes]:
+            request = Request(method, path, {}, {}, body)
             answer = self.resources[path.split("/")[1]].take(request)
             return answer.status, "", json.dumps(answer.body).encode()
 
         tester = ApplicationTester(application())
-        with patch.object(sources, "_get", call), patch.object(sources, "_post", call):
+        with patch.object(sources, "_ask", call):
             code = tester.execute(f"route {line}")
         return code, tester.io.fetch_output() + tester.io.fetch_error()
 
