Explore a few real members of the store: every trouble at every step, in any order

The agreement was checked by faults at every step of one world of random delays, and by long runs by chance; no count told what was covered. python -m dovetail explore runs the real cores as values (copied at each branch), with messages lost, doubled, late, writes refused or cut short by a kill (missing, half there, there), disks lost, all power lost, members frozen; states that go on alike are met once, what a bound cuts off is counted. Invariants (dovetail.sworn) and the history of calls (dovetail.linear) are checked at each step; the random worlds, moved here from trials, use the same.

--- a/dovetail/__main__.py
+++ b/dovetail/__main__.py
@@ -2,19 +2,24 @@
 
 `python -m dovetail --chance [--seeds N]`: runs by chance. Prints the first breach of each that fails, and the
 shortest schedule found that still fails; the exit status is 1 then.
+
+`python -m dovetail explore [CASE...] [--most N] [--cells N]`: all ways of a few members of the store.
 """
 
 import argparse
 import sys
 import time
 
+from dovetail import explore
 from dovetail.chance import drawn, shrunk
 from dovetail.checks import Breach
 from dovetail.rules import explained
 from dovetail.scene import Play, Scene, read_file
 
 
-def main(arguments: list[str] | None = None) -> int:
+def main(arguments: list[str]) -> int:
+    if arguments[:1] == ["explore"]:
+        return explore.main(arguments[1:])
     parser = argparse.ArgumentParser(
         prog="python -m dovetail", description=__doc__.splitlines()[0] if __doc__ else ""
     )
@@ -56,4 +61,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/trials/vise_sim.py
+++ b/dovetail/members.py
@@ -1,10 +1,8 @@
 """Members of the store in a made world: simulated time, links that lose, double, reorder and cut (one way
 too), disks that fail or are caught in the middle of a write, processes killed, frozen, without power, wiped.
 
-Every world checks, all the time and at its end, the invariants of docs/design/store.md: I1 one leader a
-term, I2 one vote a term and disk, I3 committed maps form one chain, I4 what was acknowledged stays, I5 two
-changes on one base are never both acknowledged, I6 reads are linearizable, I7 the proof of being current is
-true, I8 what is blank does not count.
+Every world checks the invariants of docs/design/store.md: I1, I2, I3, I7 and I8 at every event
+(`dovetail.sworn`), I4, I5 and I6 at its end by the history of all calls (`dovetail.linear`).
 """
 
 import functools
@@ -13,33 +11,33 @@
 from collections.abc import Callable
 from typing import Any
 
+from dovetail.linear import STALE, TAKEN, Call, Change, items, unexplained
+from dovetail.sworn import Sworn, Wrong, decide, history_of
 from vise import events
 from vise.agreement import Member
 from vise.interface import (
-    CALL_S, Answered, Called, Gone, Keep, Kept, Leave, Read, Reply, Send, Settled, State, Submit, Tell, Tick,
-    Vote, Work,
+    CALL_S,
+    Answered,
+    Called,
+    Gone,
+    Keep,
+    Kept,
+    Leave,
+    Read,
+    Reply,
+    Send,
+    State,
+    Submit,
+    Tell,
+    Tick,
+    Vote,
 )  # fmt: skip
 from vise.seat import MEMBERS
-from workbench.faults import UNANSWERED, UNREACHED, Fault
+from workbench.faults import UNANSWERED, UNREACHED, UNREADY, Fault
 
 SEED_MOST = 3
 
 
-def decide(current: Any, order: Any) -> Work | Settled:
-    """An order `(base, name)`: goes on top of exactly `base` changes; the map keeps the whole history."""
-    base, name = order
-    history = current.get("history", [])
-    if name in history:
-        return Settled({"status": 200})
-    if base != len(history):
-        return Settled({"status": 412})
-    return Work({"history": [*history, name], f"k{base % 5}": name}, [f"k{(base + 2) % 5}"], {"status": 200})
-
-
-def history_of(state: State) -> list[str]:
-    return list(state.chest.map.get("history", []))
-
-
 class Op:
     """A client's call: `kind` put or read; `answer` as it came; `begun`, `ended` in world time."""
 
@@ -52,6 +50,20 @@
     def done(self) -> bool:
         return isinstance(self.answer, dict) and self.answer["status"] == 200
 
+    def told(self) -> Call | None:
+        """As the checker of linearizability takes it; None: it tells nothing."""
+        if self.kind == "read":
+            if not isinstance(self.answer, list):
+                return None
+            held = items({str(at): name for at, name in enumerate(self.answer)})
+            return Call(self.begun, self.ended, seen=(len(self.answer), held))
+        change = Change(self.base, self.base + 1, items({str(self.base): self.name}), frozenset())
+        if isinstance(self.answer, dict):
+            return Call(self.begun, self.ended, change, TAKEN if self.done else STALE, name=self.name)
+        if isinstance(self.answer, Fault) and self.answer.reason == UNREADY:
+            return None  # not begun
+        return Call(self.begun, float("inf"), change, name=self.name)
+
 
 class Node:
     def __init__(self, ip: str) -> None:
@@ -83,15 +95,17 @@
         self.at_step: dict[int, Callable[[], None]] = {}
         # (from, to, kind) -> drop, double, late or None
         self.fate: Callable[[str, str, str], str | None] | None = None
-        self.leaders: dict[int, tuple[str, int]] = {}
-        self.votes: dict[tuple[str, int, int], str] = {}
-        self.chain: list[str] = []  # the longest committed history
-        self.known_at: list[float] = []  # when each of the chain's changes was first committed anywhere
+        self.sworn = Sworn()
         self._open: set[tuple[str, int, int]] = set()  # calls still waited for
         self._calls = 0
         for ip in self.ips:
             self.start(ip, bootstrap=True)
 
+    @property
+    def chain(self) -> tuple[str, ...]:
+        """The longest committed history."""
+        return self.sworn.chain
+
     # ---- time
     def later(self, delay: float, action: Callable[[], None]) -> None:
         self._order += 1
@@ -229,8 +243,7 @@
                     done = functools.partial(self._written, node, node.life)
                     self.later(self.chance.uniform(0.002, 0.012), done)
                 case Tell(event=events.LEADS):
-                    term, me = effect.fields["term"], (node.ip, node.life)
-                    assert self.leaders.setdefault(term, me) == me, f"I1: two leaders in term {term}"
+                    self.sworn = self.sworn.led(effect.fields["term"], node.ip, node.life)
                 case Gone():
                     self.kill(node.ip)
                     return self.later(0.5, lambda: self.start(node.ip))
@@ -288,10 +301,7 @@
     def _reply(self, node: Node, reply: Reply) -> None:
         call, send, sent_at = reply.ref
         if send.method == "ballot" and not send.body[4] and isinstance(reply.body, list) and reply.body[1]:
-            key = (node.ip, node.disk_life, send.body[0])
-            assert self.votes.setdefault(key, call[0]) == call[0], f"I2: a second vote {key}"
-            vote = node.vote
-            assert vote is not None and vote.whole and vote.term >= send.body[0], "I2: not durable"
+            self.sworn = self.sworn.voted(node.ip, node.disk_life, send.body[0], call[0], node.vote)
         caller = self.nodes[call[0]]
 
         def arrive() -> None:
@@ -310,38 +320,14 @@
 
     # ---- the invariants
     def _check(self, node: Node) -> None:
-        member = node.member
-        if member is None:
-            return
-        history = history_of(member.news.state)
-        shorter = min(len(history), len(self.chain))
-        assert history[:shorter] == self.chain[:shorter], f"I3: {history} beside {self.chain}"
-        if len(history) > len(self.chain):
-            self.chain = history
-            self.known_at += [self.now] * (len(history) - len(self.known_at))
-        proof = member.news.proof - node.offset
-        due = sum(at < proof for at in self.known_at)
-        assert len(history) >= due, f"I7: {node.ip} proven at {proof:.3f} with {len(history)} of {due}"
-        if member.lead:
-            assert member.vote.whole and node.vote is not None and node.vote.whole, "I8: a blank leader"
+        if node.member is not None:
+            self.sworn = self.sworn.seen(self.now, node.member, node.offset, node.vote)
 
     def judge(self) -> None:
         """The whole history, at the end."""
-        puts = [op for op in self.ops if op.kind == "put" and op.done]
-        for op in puts:
-            assert op.name in self.chain, f"I4: {op.name} was acknowledged and is gone"
-        bases = [op.base for op in puts if self.chain.index(op.name) == op.base]
-        assert len(bases) == len(set(bases)), "I5: two on one base"
-        for op in self.ops:
-            if op.kind == "put" and isinstance(op.answer, dict) and op.answer["status"] == 412:
-                assert op.name not in self.chain, f"I5: {op.name} was turned away and is in force"
-        reads = [op for op in self.ops if op.kind == "read" and isinstance(op.answer, list)]
-        for op in reads:
-            assert op.answer == self.chain[: len(op.answer)], "I6: a read of what never was"
-            for other in puts:
-                assert other.ended > op.begun or other.name in op.answer, f"I6: a read lacks {other.name}"
-            for other in reads:
-                assert other.ended > op.begun or len(other.answer) <= len(op.answer), "I6: reads go back"
+        wrong = unexplained(call for op in self.ops if (call := op.told()) is not None)
+        if wrong is not None:
+            raise Wrong(f"I4 I5 I6: no order of all calls explains {wrong}")
 
     def settle(self, seconds: float = 12.0) -> None:
         """Heal all, find a leader that commits, read back, judge."""
@@ -358,7 +344,7 @@
             self.run(0.6)
             if op.done and isinstance(read.answer, list):
                 return self.judge()
-        raise AssertionError("no agreement though all are well")
+        raise Wrong("no agreement though all are well")
 
 
 def mixed(members: int, seed: int, seconds: float = 40.0) -> World:
--- /dev/null
+++ b/dovetail/sworn.py
@@ -0,0 +1,69 @@
+"""What the store's members have done so far, and the invariants of it (docs/design/store.md). A value.
+
+`dovetail.members` (worlds by chance) and `dovetail.cell` (the explorer) tell it what they see.
+"""
+
+from typing import Any
+
+from attrs import evolve, frozen
+
+from vise.agreement import Member
+from vise.interface import Settled, State, Vote, Work
+
+
+class Wrong(AssertionError):  # noqa: N818  (it is a finding)
+    """An invariant does not hold."""
+
+
+def decide(current: Any, order: Any) -> Work | Settled:
+    """An order `(base, name)`: goes on top of exactly `base` changes; the map keeps the whole history."""
+    base, name = order
+    history = current.get("history", [])
+    if name in history:
+        return Settled({"status": 200})
+    if base != len(history):
+        return Settled({"status": 412})
+    return Work({"history": [*history, name], f"k{base % 5}": name}, [f"k{(base + 2) % 5}"], {"status": 200})
+
+
+def history_of(state: State) -> list[str]:
+    return list(state.chest.map.get("history", []))
+
+
+@frozen
+class Sworn:
+    leaders: frozenset[tuple[int, str, int]] = frozenset()  # term, who, life
+    votes: frozenset[tuple[str, int, int, str]] = frozenset()  # who, disk, term, for whom
+    chain: tuple[str, ...] = ()  # the longest committed history
+    known_at: tuple[float, ...] = ()  # when each of its changes was first committed anywhere
+
+    def led(self, term: int, ip: str, life: int) -> "Sworn":
+        """I1. A life of a process leads a term."""
+        if any(one[0] == term and one[1:] != (ip, life) for one in self.leaders):
+            raise Wrong(f"I1: two leaders in term {term}: {sorted(self.leaders)}")
+        return evolve(self, leaders=self.leaders | {(term, ip, life)})
+
+    def voted(self, ip: str, disk: int, term: int, candidate: str, held: Vote | None) -> "Sworn":
+        """I2. It says yes to a candidate, with this on its disk."""
+        if any(one[:3] == (ip, disk, term) and one[3] != candidate for one in self.votes):
+            raise Wrong(f"I2: {ip} votes a second time in term {term}")
+        if held is None or not held.whole or held.term < term:
+            raise Wrong(f"I2: the vote of {ip} in term {term} is not durable")
+        return evolve(self, votes=self.votes | {(ip, disk, term, candidate)})
+
+    def seen(self, now: float, member: Member, offset: float, held: Vote | None) -> "Sworn":
+        """I3, I7, I8. After each event of a member; its clock is `now + offset`, `held` is on its disk."""
+        if member.lead and not (member.vote.whole and held is not None and held.whole):
+            raise Wrong(f"I8: {member.me} leads, and is blank")
+        history, sworn = tuple(history_of(member.news.state)), self
+        shorter = min(len(history), len(self.chain))
+        if history[:shorter] != self.chain[:shorter]:
+            raise Wrong(f"I3: {member.me} has {history} beside {self.chain}")
+        if len(history) > len(self.chain):
+            known = self.known_at + (now,) * (len(history) - len(self.chain))
+            sworn = evolve(self, chain=history, known_at=known)
+        proof = member.news.proof - offset
+        due = sum(at < proof for at in sworn.known_at)
+        if len(history) < due:
+            raise Wrong(f"I7: {member.me} is proven current at {proof:.3f} with {len(history)} of {due}")
+        return sworn
--- /dev/null
+++ b/trials/mutants.py
@@ -0,0 +1,90 @@
+"""Single lines of the store's core changed so that an invariant breaks: what the explorer must find.
+
+`python -m trials.mutants MOST CELLS [NAME...]` looks for each in all cases.
+"""
+
+import inspect
+import sys
+import textwrap
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from dovetail.explore import CASES, explore
+from vise.agreement import Member
+from vise.leading import Lead
+
+# name: where, what stands there, what stands there instead
+MUTANTS: dict[str, tuple[Any, str, str, str]] = {
+    "elected by one": (Member, "_elected", "quorum(len(attempt.members))", "1"),
+    "committed by one": (Lead, "_count", "quorum(len(members))", "1"),
+    "confirmed by one": (Lead, "_confirm", "quorum(len(answered))", "1"),
+    "a round begun before the read": (Lead, "read", "self.round + 1", "self.round"),
+    "read before a commit of the term": (Lead, "_confirm", "not self.commit or ", ""),
+    "a 412 without a round": (
+        Lead, "_advance", "self.waiting.append((self.round + 1, ref, outcome.answer))",
+        "self.seat.reply(ref, {**outcome.answer, 'index': self.commit})",
+    ),
+    "an older map is voted for": (Member, "_ballot", "(stamp_term, index) >= self.stamp", "True"),
+    "two votes in a term": (Member, "_ballot", "self.vote.voted_for == candidate", "True"),
+    "a vote said though the disk refused": (Member, "_ballot", "if ok else Fault(REFUSED, \"disk\")", ""),
+    "a yes though the disk refused": (Member, "_append", "if not ok:", "if False:"),
+    "a leader goes on though its disk refused": (Lead, "_proposed", "if not ok:", "if False:"),
+    "the leader counts before it has kept": (Lead, "_holds", "self.seat.stamp == self.naming.stamp", "True"),
+    "a blank one is counted": (Lead, "_holds", "peer.blank is None and ", ""),
+    "a blank one confirms": (Lead, "_answered_round", "0 if peer.blank else peer.round", "peer.round"),
+    "a blank one votes": (Member, "_ballot", "if not self.vote.whole:", "if False:"),
+    "a lost disk counts": (Member, "_go_blank", "whole=False", "whole=True"),
+    "made whole without a commit after": (Lead, "_blank", "(incarnation, newest + 1)", "(incarnation, 0)"),
+    "made whole in any life": (
+        Member, "_restored", "== [MADE_WHOLE, self.incarnation]", "[0] == MADE_WHOLE",
+    ),
+    "not mute": (Member, "_go_blank", "self.now + MUTE_S", "self.now"),
+    "late votes count": (
+        Member, "_voted",
+        "self.now - event.sent_at >= CALL_S or self.now - attempt.started >= CALL_S", "False",
+    ),
+    "late yeses count": (Lead, "answered", "or self.seat.now - sent_at >= CALL_S", ""),
+    "an older leader is heard": (Member, "_append", "if term < self.vote.term:", "if False:"),
+    "a delta on another map": (Member, "_received", "(term, index) != self.stamp", "False"),
+    "a digest not compared": (Member, "_received", "chest.digest() == digest", "True"),
+    "proven before it is confirmed": (Member, "_proof", "round_ <= proved and ", ""),
+    "proven without the commit": (Member, "_proof", "commit and stamp >= (self.vote.term, commit)", "True"),
+    "learnt by index alone": (Member, "_learn", "self.stamp == (term, commit)", "self.stamp[1] == commit"),
+    "a proposal before the term's first is committed": (Lead, "_advance", "and self.commit and", "and"),
+    "in doubt told as not begun": (Lead, "end", "Fault(UNANSWERED,", "Fault(UNREADY,"),
+    "two proposals at a time": (Lead, "_advance", "not self.under_way and ", ""),
+}  # fmt: skip
+
+
+@contextmanager
+def mutated(name: str) -> Iterator[None]:
+    """While it lasts, that line is changed."""
+    owner, method, old, new = MUTANTS[name]
+    kept = getattr(owner, method)
+    source = textwrap.dedent(inspect.getsource(kept))
+    assert source.count(old) == 1, f"{name}: the line is not there any more"
+    names: dict[str, Any] = {}
+    exec(source.replace(old, new), kept.__globals__, names)
+    setattr(owner, method, names[method])
+    try:
+        yield
+    finally:
+        setattr(owner, method, kept)
+
+
+def main(most: int, cells: int, names: list[str]) -> None:
+    """Tell of each which case finds it."""
+    for name in names or MUTANTS:
+        told = "not found"
+        with mutated(name):
+            for case, rules in CASES.items():
+                report = explore(rules, min(most, rules.most) if rules.free else most, cells)
+                if report.wrong:
+                    told = f"{case}, {report.cells} cells: {report.wrong[:100]}"
+                    break
+        print(f"{name}: {told}", flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), int(sys.argv[2]), sys.argv[3:])
--- /dev/null
+++ b/trials/test_explore.py
@@ -0,0 +1,47 @@
+"""The store's members explored: nothing is wrong within small bounds, and each broken line is found."""
+
+from attrs import evolve
+from ward import each, test
+
+from dovetail.cell import forked, known
+from dovetail.explore import CASES, explore
+from dovetail.moves import begun, coming, steps
+from trials.mutants import mutated
+
+
+@test("explored, one trouble at every step: {case}")
+def _(case: str = each("change", "closing", "leaders")) -> None:
+    report = explore(CASES[case])
+    assert not report.wrong, "\n".join([report.wrong, *report.way])
+    assert not report.cut and report.ends > 50, str(report)
+
+
+BROKEN = {
+    "elected by one": "change", "committed by one": "closing", "read before a commit of the term": "closing",
+    "confirmed by one": "leaders",
+}  # fmt: skip
+
+
+@test("explored, {broken}: found")
+def _(broken: str = each(*BROKEN)) -> None:
+    with mutated(broken):
+        assert explore(CASES[BROKEN[broken]]).wrong
+
+
+@test("explored, any order of an election's messages")
+def _() -> None:
+    report = explore(CASES["order"], 1, cells=1500)
+    assert not report.wrong, "\n".join([report.wrong, *report.way])
+    assert report.cells >= 1500
+
+
+@test("a member's copy goes on by itself, and a cell is not changed by its steps")
+def _() -> None:
+    cell = evolve(begun(CASES["change"]), most=0)
+    for _ in range(20):
+        key, told = cell.key(), coming(cell)
+        (_, after), *_ = steps(cell)
+        assert cell.key() == key and after.key() != key, told
+        member = cell.places["1"].member
+        assert member is not None and known(forked(member, {}), set()) == known(member, set())
+        cell = after
--- a/trials/test_vise_agreement.py
+++ b/trials/test_vise_agreement.py
@@ -8,8 +8,9 @@
 
 from ward import each, raises, test
 
+from dovetail.members import World, mixed
+from dovetail.sworn import decide
 from trials.vise_scenes import Play, scenes
-from trials.vise_sim import World, decide, mixed
 from vise.agreement import Member
 from vise.interface import (
     BEHIND, CALL_S, DELTA, DRAWERS, MADE_WHOLE, MUTE_S, NOTHING, UNHEARD_S, Answered, Called, Kept, Read,
--- a/trials/vise_scenes.py
+++ b/trials/vise_scenes.py
@@ -1,4 +1,4 @@
-"""Plays text scenes on members of the store (`vise_sim`). One line an event; WHO: numbers, `leader`,
+"""Plays text scenes on members of the store (`dovetail.members`). One line an event; WHO: numbers, `leader`,
 `others`, `all`.
 
     # title of the next scene
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from trials.vise_sim import Op, World
+from dovetail.members import Op, World
 from workbench.faults import Fault
 
 ANSWER_S = 1.0
