--- a/ashlift_lab/system/world.py
+++ b/ashlift_lab/system/world.py
@@ -39,8 +39,15 @@
 SECONDS_MOST = 120.0  # of a scene
 RATE_MOST = 300.0  # requests a second
 ASK_S = 2.0  # for an answer of a core machine
-UNKNOWN_HERE = {"spoil": "disks are the real machine's", "loss": "links lose nothing at random",
-                "closing": "there is no loss of power to play"}  # fmt: skip
+UNKNOWN_HERE = {
+    "spoil": "disks are the real machine's",
+    "loss": "links lose nothing at random",
+    "closing": "there is no loss of power to play",
+    "clock": "the time of day is the real machine's",
+    "edit": "edits of single routes are simulated only",
+    "confirm": "edits of single routes are simulated only",
+    "reject": "edits of single routes are simulated only",
+}
 
 
 def unfit(scene: Scene) -> list[str]:
