Tell a slow write by an event; provoke full disks at every write, state and test the bound of growth

Cause: a disk that hung for seconds left no word in the log, and no test filled the disk at a write (only at a sync). Tests: ENOSPC after every number of writes, in place and anew; 150 writes of random sizes stay within 3 times the records, 64 KB and a block of 512 bytes a record for each generation.

--- a/trials/test_vise_shelf.py
+++ b/trials/test_vise_shelf.py
@@ -1,16 +1,24 @@
 """The store's shelf and what stands on it: torn files, lost power, refusing disks; drawers, news, orders."""
 
+import contextlib
+import dbm.dumb
+import errno
 import gc
 import itertools
 import os
+import random
 import shutil
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+from attrs import evolve
 from ward import each, fixture, raises, test
 
+from jig.settings import Settings
+from vise import daemon as daemons
+from vise import events
 from vise import shelf as shelves
 from vise.daemon import Disk
 from vise.interface import Keep, Settled, State, Vote, Work
@@ -18,7 +26,7 @@
 from vise.orders import TAKEN, TAKEN_MOST, decide
 from vise.ranges import Chest
 from vise.shelf import Shelf
-from workbench.faults import Fault
+from workbench.faults import REFUSED, Fault
 
 SYNCS = 3  # of one write: data, index, folder
 
@@ -28,6 +36,17 @@
     os.close(os.open(path, os.O_RDONLY))
 
 
+@contextlib.contextmanager
+def instead(module: Any, **names: Any) -> Iterator[None]:
+    """These names of a module, for a while."""
+    before = {name: vars(module)[name] for name in names}
+    vars(module).update(names)
+    try:
+        yield
+    finally:
+        vars(module).update(before)
+
+
 @fixture
 def folder() -> Iterator[Path]:
     with tempfile.TemporaryDirectory() as name:
@@ -189,6 +208,89 @@
         assert shelf.write(records(5)) is None and Shelf(str(folder), "map").read() == records(5)
 
 
+class Full:
+    """Stands in for `io` under `dbm.dumb`: after so many writes the disk takes half of one, and no more."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+
+    def open(self, *args: Any, **named: Any) -> Any:
+        file = open(*args, **named)  # noqa: SIM115
+        write = file.write
+
+        def limited(data: Any) -> Any:
+            self.room -= 1
+            if self.room < 0:
+                write(data[: len(data) // 2] if self.room == -1 else data[:0])
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return write(data)
+
+        file.write = limited
+        return file
+
+
+@test("a disk that is full at any write is a fault; what was confirmed stays, and with room it goes on")
+def _(folder: Path = unsynced) -> None:
+    refused = 0
+    for anew in (False, True):  # in place, and a generation made anew, as after a start
+        for room in itertools.count():
+            shutil.rmtree(folder, ignore_errors=True)
+            shelf = written(folder, 4)
+            if anew:
+                shelf = Shelf(str(folder), "map")
+                shelf.read()
+            with instead(dbm.dumb, _io=Full(room)):
+                fault = shelf.write(records(5))
+            gc.collect()
+            held = Shelf(str(folder), "map").read()
+            if fault is None:
+                assert held == records(5)
+                break
+            refused += 1
+            assert held in (records(4), records(5)), (room, held)
+            assert shelf.write(records(6)) is None and Shelf(str(folder), "map").read() == records(6)
+    assert refused > 10
+
+
+@test("a shelf grows no further than 3 times its records and 64 KB a generation, whatever is written")
+def _(folder: Path = unsynced) -> None:
+    chance, shelf, sizes = random.Random(7), Shelf(str(folder), "map"), [0]
+    assert shelf.read() is None
+    for _ in range(150):
+        names = chance.sample([f"{number:02}" for number in range(64)], chance.randint(1, 64))
+        written_ = {name: b"x" * chance.randint(0, chance.choice([100, 9000])) for name in names}
+        assert shelf.write(written_) is None
+        blocks = 512 * (len(written_) + 1)
+        sizes.append(3 * sum(map(len, written_.values())) + shelves.SPARE + blocks)
+        there = sum(path.stat().st_size for path in folder.glob("*.dat"))
+        assert there <= sizes[-1] + sizes[-2], (there, sizes[-2:])
+        assert sum(path.stat().st_size for path in folder.glob("*.dir")) < 2 * 65 * 40
+
+
+@test("a write that takes long is told with its seconds, and one that is refused with its fault")
+def _(folder: Path = unsynced) -> None:
+    told: list[tuple[Any, Any]] = []
+    now = [100.0]
+    settings = Settings(node_name="n", ip="127.0.0.1", internal_ports=(0, 0), seeds=(("127.0.0.1", 1),))
+    for took, fault in ((0.1, None), (2.0, None), (3.0, Fault(REFUSED, "full"))):
+
+        class Slow(Disk):
+            def keep(self, keep: Keep, took: float = took, fault: Fault | None = fault) -> Fault | None:
+                now[0] += took
+                return super().keep(keep) if fault is None else fault
+
+        def tell(event: Any, level: Any = None, **fields: Any) -> None:
+            told.extend((event, value) for value in fields.values())
+
+        shutil.rmtree(folder, ignore_errors=True)
+        with instead(daemons, Disk=Slow, tell=tell):
+            daemon = daemons.Daemon(evolve(settings, bootstrap=True), str(folder), lambda: now[0])
+        daemon.server.stop()
+        assert daemon.member.vote.whole == (fault is None)
+    assert [value for event, value in told if event == events.DISK_SLOW] == [2.0, 3.0]
+    assert [value.detail for event, value in told if event == events.DISK_FAULT] == ["full"]
+
+
 @test("a generation that wastes too much is written anew, and a member's state comes back as it was")
 def _(folder: Path = unsynced) -> None:
     disk, chest = Disk(str(folder)), Chest({"Members/1": {}})
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -35,6 +35,7 @@
 PAUSE_S = 0.05
 WATCH_MOST_S = 30.0
 MERGE_S = 1.0  # between two attempts to have edits of routes merged
+SLOW_S = 0.5  # a write that took so long is told: the whole process has stood still
 FLUSH_S = 0.05  # for the last answers to leave before the process ends
 
 
@@ -150,7 +151,11 @@
             case Reply():
                 effect.ref.set(effect.body)
             case Keep():
+                began = self.clock()
                 fault = self.disk.keep(effect)
+                took = self.clock() - began
+                if took >= SLOW_S:
+                    tell(events.DISK_SLOW, level=WARNING, seconds=round(took, 1))
                 if fault is not None:
                     tell(events.DISK_FAULT, level=WARNING, fault=fault)
                 self._todo.extend(self.member.handle(self.clock(), Kept(fault is None)))
