--- a/dovetail/__main__.py
+++ b/dovetail/__main__.py
@@ -5,6 +5,7 @@
 
 `python -m dovetail explore [CASE...] [--most N] [--cells N]`: all ways of a few members of the store.
 `python -m dovetail members SIZE... [--seeds N]`: many of them in long worlds by chance.
+`python -m dovetail --figures failover|repair [--seeds N] [--jobs N]`: a table, least, median, most.
 """
 
 import argparse
@@ -14,6 +15,7 @@
 from dovetail import explore, members
 from dovetail.chance import drawn, shrunk
 from dovetail.checks import Breach
+from dovetail.figures import TABLES
 from dovetail.rules import explained
 from dovetail.scene import Play, Scene, read_file
 
@@ -28,13 +30,19 @@
     )
     parser.add_argument("scenes", nargs="*", metavar="SCENE", help="files of scenes")
     parser.add_argument("--chance", action="store_true", help="faults by chance instead of a file")
+    parser.add_argument("--figures", choices=[*TABLES], help="print a table of times")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--jobs", type=int, default=1, help="processes that reckon figures")
     parser.add_argument("--first", type=int, default=None, help="the first seed")
     parser.add_argument("--edge", type=int, default=11, help="gatekeepers of runs by chance")
     parser.add_argument("--until", type=float, default=30.0, help="s of runs by chance")
     parser.add_argument("--shrink", action="store_true", help="shorten what fails")
     told = parser.parse_args(arguments)
     failed = 0
+    if told.figures:
+        begin = told.first or 1
+        for line in TABLES[told.figures](range(begin, begin + told.seeds), told.jobs):
+            print(line, flush=True)
     if told.chance:
         begin = told.first or 1
         for seed in range(begin, begin + told.seeds):
--- a/trials/test_system_scenes.py
+++ b/trials/test_system_scenes.py
@@ -1,10 +1,13 @@
 """The whole system by text scenes (scenes/system_*.txt) and by chance, with every checker."""
 
+from math import inf
 from pathlib import Path
 
 from ward import each, raises, test
 
 from dovetail.chance import drawn, shrunk
+from dovetail.figures import failed_over, served_again
+from dovetail.people import Errand, Want
 from dovetail.scene import Line, Play, read, read_file
 
 FOLDER = Path(__file__).parent / "scenes"
@@ -46,3 +49,17 @@
     assert read(short.text())[0].lines == short.lines
     with raises(ValueError):
         read("# none\nwhatever 3\n")
+
+
+@test("figures: how long an order waits for another leader, and since when all is served again")
+def _() -> None:
+    served, acked = failed_over(["power leader"], 3)
+    assert 0.3 < acked < 3.0 and served < 2.0
+    want = Want("/x", True, "k", 1.0)
+    errands = [
+        Errand(want, 10.0 + number / 100 + want.deadline, served=not 300 <= number < 400)
+        for number in range(-200, 900)
+    ]
+    assert 3.9 < served_again(errands, 10.0) < 4.0 and served_again(errands, 12.0) < 2.0
+    lost = [Errand(want, one.until, served=one.until < 14.0) for one in errands]
+    assert served_again(lost, 10.5) == inf
