Refuse to take the older generation while the disk does not give the newest one's bytes

Cause: a passing EIO (or no descriptors) on the newest generation at a start was taken for a torn write: the older one was relied on, so a vote or an accepted change was forgotten, and the member voted. Change: such a read is a Fault (blank, no vote), and what could not be read is taken away before the next write. Test fails without either half.

--- a/trials/test_vise_shelf.py
+++ b/trials/test_vise_shelf.py
@@ -252,6 +252,23 @@
     assert refused > 10
 
 
+@test("a disk that does not give the bytes of a generation is a refusal: the other one might be the older")
+def _(folder: Path = unsynced, which: str = each("a", "b")) -> None:
+    written(folder, 4)
+    whole = dbm.dumb.open
+
+    def refusing(path: str, flag: str) -> Any:
+        if path.endswith(which):
+            raise OSError(errno.EIO, "Input/output error")
+        return whole(path, flag)
+
+    with instead(dbm.dumb, open=refusing):
+        shelf = Shelf(str(folder), "map")
+        held = shelf.read()
+    assert isinstance(held, Fault) and held.reason == REFUSED
+    assert shelf.write(records(9)) is None and Shelf(str(folder), "map").read() == records(9)
+
+
 @test("a shelf grows no further than 3 times its records and 64 KB a generation, whatever is written")
 def _(folder: Path = unsynced) -> None:
     chance, shelf, sizes = random.Random(7), Shelf(str(folder), "map"), [0]
--- a/vise/shelf.py
+++ b/vise/shelf.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import dbm.dumb
+import errno
 import hashlib
 import os
 from collections.abc import Mapping
@@ -19,6 +20,7 @@
 
 _HEAD: Final = "head"  # the record with `[number, digest]`
 _NAMES: Final = ("a", "b")
+_TORN: Final = (errno.ENOENT, errno.EINVAL)  # of a lost name, and of an index that points nowhere
 SPARE: Final = 64 << 10  # bytes a generation may waste, beyond twice its records, before it is written anew
 
 
@@ -39,14 +41,19 @@
 
 
 def _read_whole(path: str) -> tuple[int, dict[str, bytes]] | None:
-    """A generation's number and records, or None where it is absent, torn or mixed."""
+    """A generation's number and records, or None where it is absent, torn or mixed.
+
+    Raises OSError where the disk does not give its bytes: it may be the newest, an older one is a guess.
+    """
     base = None
     try:
         base = dbm.dumb.open(path, "r")  # noqa: SIM115  (its index alone may fail)
         found = {str(name, "utf-8"): base[name] for name in cast("list[bytes]", list(base))}
         number, digest = cbor2.loads(found.pop(_HEAD))
         return (number, found) if digest == _digest(number, found) else None
-    except Exception:  # a torn index can hold anything: whatever it raises, it does not read whole
+    except Exception as error:  # a torn index can hold anything: whatever it raises, it does not read whole
+        if isinstance(error, OSError) and error.errno not in _TORN:
+            raise
         return None
     finally:
         if base is not None:
@@ -59,6 +66,7 @@
     def __init__(self, folder: str, name: str) -> None:
         self._folder, self._path = folder, os.path.join(folder, name)
         self._number = 0
+        self._unread = False  # something is there of which nobody knows how new it is
         self._held: list[dict[str, bytes] | None] = [None, None]  # what each generation is known to hold
 
     def read(self) -> dict[str, bytes] | Fault | None:
@@ -68,11 +76,15 @@
             there = os.listdir(self._folder)
         except OSError as error:
             return Fault(REFUSED, str(error))
-        found = [_read_whole(f"{self._path}-{name}") for name in _NAMES]
+        try:
+            found = [_read_whole(f"{self._path}-{name}") for name in _NAMES]
+        except OSError as error:
+            self._unread = True
+            return Fault(REFUSED, str(error))
         whole = [one for one in found if one is not None]
         if not whole:
-            mine = os.path.basename(self._path) + "-"
-            return Fault(INVALID, self._path) if any(file.startswith(mine) for file in there) else None
+            self._unread = any(self._mine(file) for file in there)
+            return Fault(INVALID, self._path) if self._unread else None
         self._number, records = max(whole, key=lambda one: one[0])
         try:  # a killed process may have left it whole, not durable; the next write goes over the other one
             self._settle(f"{self._path}-{_NAMES[self._number % 2]}")
@@ -87,6 +99,8 @@
         path = f"{self._path}-{_NAMES[which]}"
         held, self._held[which] = self._held[which], None
         try:
+            if self._unread:
+                self._clear()
             known = self._usable(path, held, records)
             # Closed at once: one left open would write its index again, unsynced, when the process ends.
             with contextlib.closing(dbm.dumb.open(path, "n" if known is None else "w")) as base:
@@ -102,6 +116,17 @@
         self._held[which], self._number = dict(records), number
         return None
 
+    def _mine(self, file: str) -> bool:
+        return file.startswith(os.path.basename(self._path) + "-")
+
+    def _clear(self) -> None:
+        """Away with what could not be read: read another day, its number might be the higher one."""
+        for file in os.listdir(self._folder):
+            if self._mine(file):
+                os.remove(os.path.join(self._folder, file))
+        _sync(self._folder)
+        self._unread = False
+
     def _settle(self, path: str) -> None:
         _sync(path + ".dat")
         _sync(path + ".dir")
