Use no connection to a worker that rested longer than a reset one has shown to be sure

Workers that silently forget idle connections reset the next request there, and with thin traffic nearly every kept connection has rested for seconds. A reset within a round trip on a kept connection now bounds the rest of all kept ones, at half of it, 8 s for repeatable requests and 16 s for others, so that repeatable ones try old connections first; the worker is not left out for it.

--- a/dovetail/keeper.py
+++ b/dovetail/keeper.py
@@ -15,6 +15,7 @@
 from lathe.links import IDLE_EACH, IDLE_S, Ended, Outcome
 from lathe.news import PAUSE_S
 from lathe.pulling import ANSWER_S, WAIT_S, Pulling
+from lathe.rests import Rests
 
 KIND = "lathe"
 TURN_S = 0.001  # a turn of the processor: what is tried again without waiting takes at least this
@@ -42,11 +43,11 @@
 class Try:
     """One try under way at a worker. Times are the world's."""
 
-    __slots__ = ("begun", "cancelled", "case", "ended", "left", "life", "sent", "view")
+    __slots__ = ("begun", "cancelled", "case", "ended", "left", "life", "rested", "sent", "view")
 
     def __init__(self, case: "Case", view: View, left: float) -> None:
         self.case, self.view, self.left = case, view, left
-        self.life, self.begun = case.keeper.life, 0.0
+        self.life, self.begun, self.rested = case.keeper.life, 0.0, 0.0
         self.cancelled = self.sent = self.ended = False
 
     @property
@@ -190,7 +191,8 @@
         self.pulling = Pulling(settings, self.gate, f"{rng.getrandbits(32):08x}", rng)
         self.cases = {}
         self.held: list[Case] = []  # wait for news
-        self.idle: dict[str, list[float]] = {}  # by worker: until when each connection may be used
+        self.idle: dict[str, list[float]] = {}  # by worker: since when each connection rests
+        self.rests = Rests()
         self.open: dict[str, int] = {}
         self.spawn(self._news())
 
@@ -236,10 +238,12 @@
 
     # ---- connections to workers (lathe.links)
     def exchange(self, one: Try) -> None:
-        worker = one.view.worker
+        worker, live = one.view.worker, one.case.live
         kept, now = self.idle.get(worker.id), self.clock()
+        most = min(IDLE_S, self.rests.most(now, live is not None and live.route.repeatable))
         while kept:
-            if kept.pop() > now:
+            one.rested = now - kept.pop()
+            if one.rested < most:
                 self.later(max(0.0, one.left), self._late, one)
                 return self.yard.carry(one, True, 0.0)
             self.open[worker.id] -= 1
@@ -251,12 +255,18 @@
         self.later(max(0.0, one.left), self._late, one)
         self.yard.carry(one, False, min(self.gate.dial(one.view), one.left))
 
+    def forgotten(self, one: Try) -> None:
+        """Its connection, kept from before, was reset."""
+        waited = self.loop.now - one.begun
+        rested = self.rests.broke(self.clock(), one.rested, waited)
+        one.end(Outcome(Ended.LOST, None, waited, rested))
+
     def _late(self, one: Try) -> None:
         one.end(Outcome(Ended.LATE if one.sent else Ended.UNREACHED, None, one.left))
 
     def release(self, worker: str, keep: bool) -> None:
         idle = self.idle.setdefault(worker, [])
         if keep and len(idle) < IDLE_EACH:
-            idle.append(self.clock() + IDLE_S)
+            idle.append(self.clock())
         else:
             self.open[worker] -= 1
--- a/dovetail/scene.py
+++ b/dovetail/scene.py
@@ -14,6 +14,7 @@
 at 5 put|patch 2 [on 1] [by B] [at core-2] look=desk k-t1-a ...  the operator (people.edited)
 at 5 evacuate z1 [at core-2] | restore z1 | read
 at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
+at 5 grey fleet-1 0.3 | forget fleet-1 0.3    share of 500; s of rest after which a connection is forgotten
 at 5 seeds core-4 core-5
 at 5 edit ID hold=bill|r+NAME=SERVICE|r-NAME at core-2 [by B]     one route (clerks); clock core-4 3
 at 5 confirm|reject ID [over] at core-2 [by B]                    the operator's word on it
@@ -256,7 +257,7 @@
             case "add":
                 address = world.yard.workers[told["as"]].address if "as" in told else None
                 world.worker(rest[0], rest[1], float(told.get("cold", 0.0)), address)
-            case "crash" | "drain" | "chill" | "sick":
+            case "crash" | "drain" | "chill" | "sick" | "grey" | "forget":
                 self._worker(word, rest)
             case "expect":
                 what = self._expect(rest, told)
@@ -303,6 +304,10 @@
                 worker.chill(float(rest[1]))
             case "sick":
                 worker.lost = float(rest[1])
+            case "grey":
+                worker.failing = float(rest[1])
+            case "forget":
+                worker.forgets = float(rest[1])
 
     # ---- expectations: what is wrong, or ""
     def _expect(self, rest: list[str], told: dict[str, str]) -> str:
--- a/dovetail/workers.py
+++ b/dovetail/workers.py
@@ -38,6 +38,7 @@
         self.queue: deque[tuple[Try, float]] = deque()
         self.lost = 0.0  # share of answers that are lost
         self.failing = 0.0  # share of 500
+        self.forgets = math.inf  # s of rest after which it has silently dropped a connection
         address = yard.address()
         self.record = WorkerLife(self.id, service, machine.zone, machine.region, address, loop.now)
         if cold_s:
@@ -249,6 +250,8 @@
             return self.carry(one, False, 0.25)  # it is seen that the connection is closed
         if kept:
             one.sent = True
+            if target is not None and one.rested > target.forgets:
+                return keeper.later(2 * there, keeper.forgotten, one)
             return self.loop.later(there, self._arrive, one, target, known.id)
         back = self.net.delay(place.machine, keeper.machine)
 
--- a/lathe/desk.py
+++ b/lathe/desk.py
@@ -131,7 +131,8 @@
         left = live.deadline - time.monotonic()
         request, worker = _request(asked, live, view, left), view.worker
         most, dial = self.gate.connections(view), self.gate.dial(view)
-        outcome = self.links.exchange(one, worker.id, worker.address, request, attempt, most, dial, left)
+        outcome = self.links.exchange(one, worker.id, worker.address, request, attempt, most, dial, left,
+                                      live.route.repeatable)  # fmt: skip
         del case.out[one]
         if case.closed:
             self.gate.ended(time.monotonic(), live, view, outcome, True)
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -249,7 +249,7 @@
                 self.crew.failed(now, view)
             case Ended.LOST | Ended.LATE:
                 live.arrived = live.may_run = True
-                if not cancelled:
+                if not cancelled and not outcome.rested:
                     self.crew.failed(now, view)
             case Ended.FULL:
                 live.tried.remove(view.worker.id)
--- a/lathe/links.py
+++ b/lathe/links.py
@@ -11,6 +11,7 @@
 from ashlift.net.links import quiet
 from ashlift.net.replies import SpoiltAnswerError
 from lathe.answering import ATTEMPT, WorkerReply
+from lathe.rests import Rests
 from workbench.bench import Address
 
 IDLE_S = 4.0  # an idle connection is used again for so long, or as long as `Keep-Alive` says, less a second
@@ -33,12 +34,14 @@
     ended: Ended
     reply: WorkerReply | None = None
     waited: float = 0.0  # s
+    rested: bool = False  # lost because its connection had rested too long: this tells nothing of the worker
 
 
 @dataclass(slots=True, eq=False)
 class Link:
     sock: socket.socket
     usable_until: float = 0.0
+    since: float = 0.0  # resting
 
 
 class Try:
@@ -60,18 +63,22 @@
     def __init__(self) -> None:
         self._idle: dict[str, deque[Link]] = {}
         self._open: dict[str, int] = {}
+        self._rests = Rests()
 
     def exchange(self, one: Try, worker: str, address: Address, request: bytes, attempt: bytes, most: int,
-                 dial: float, left: float) -> Outcome:  # fmt: skip
+                 dial: float, left: float, repeatable: bool) -> Outcome:  # fmt: skip
         """Send a request and read its answer. `dial`, `left`: s; `most`: connections to this worker."""
         began = time.monotonic()
+        rested = 0.0
         timer = gevent.Timeout(left)
         timer.start()
         link: Link | None = None
         keep_s = 0.0
         try:
-            link = self._take(worker)
-            if link is None:
+            link = self._take(worker, self._rests.most(began, repeatable))
+            if link is not None:
+                rested = began - link.since
+            else:
                 if self._open.get(worker, 0) >= most:
                     return Outcome(Ended.FULL)
                 link = self._dial(worker, address, min(dial, left))
@@ -89,8 +96,10 @@
             if over is not timer:
                 raise
             return Outcome(Ended.LATE if one.sent else Ended.UNREACHED, None, time.monotonic() - began)
-        except (OSError, SpoiltAnswerError):
-            return Outcome(Ended.LOST if one.sent else Ended.UNREACHED, None, time.monotonic() - began)
+        except (OSError, SpoiltAnswerError) as error:
+            now = time.monotonic()
+            forgotten = isinstance(error, ConnectionError) and self._rests.broke(now, rested, now - began)
+            return Outcome(Ended.LOST if one.sent else Ended.UNREACHED, None, now - began, forgotten)
         finally:
             timer.close()
             one.sock = None
@@ -122,12 +131,13 @@
         seconds = told.partition(b"timeout=")[2].split(b",")[0].strip()
         return reply, min(IDLE_S, int(seconds) - 1.0) if seconds.isdigit() else IDLE_S
 
-    def _take(self, worker: str) -> Link | None:
-        """The connection used last that still stands and on which nothing lies unread."""
+    def _take(self, worker: str, rest: float) -> Link | None:
+        """The connection used last that still stands, on which nothing lies unread, and that has rested for
+        no more than `rest` s."""
         links, now = self._idle.get(worker), time.monotonic()
         while links:
             link = links.pop()
-            if now < link.usable_until and quiet(link.sock):
+            if now < link.usable_until and now - link.since <= rest and quiet(link.sock):
                 return link
             self._close(worker, link)
         return None
@@ -148,7 +158,8 @@
     def _give(self, worker: str, link: Link, keep_s: float) -> None:
         if keep_s <= 0:
             return self._close(worker, link)
-        link.usable_until = time.monotonic() + keep_s
+        link.since = time.monotonic()
+        link.usable_until = link.since + keep_s
         links = self._idle.setdefault(worker, deque())
         links.append(link)
         if len(links) > IDLE_EACH:
