Judge workers by what all gatekeepers have seen of them together

At 6 requests a second a worker and 84 gatekeepers, one sends a worker a request in 14 s and learns of its failures too late; a worker that answered 500 was never left at all. Failures and requests by worker (fading in 4 s) now go with pulls, are summed by the registry like requests under way (f/ID), and are judged in gauge.jury: two reporters, a fifth of a service's workers in a region at most, none where the rest would be full, 5 to 20 s. Ruled out: own evidence alone; health probes (priced, and false here). Sums of registry moved to pegboard.tallies.

--- a/lathe/crew.py
+++ b/lathe/crew.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from gauge.jury import Jury
 from jig.tables import Route
 from lathe.ledger import Worker
 from lathe.spill import Spill
@@ -18,6 +19,9 @@
 NEXT_REGION = 1e3  # a region goes after all those that cost less
 LOOKED_AT = 2  # workers of a region are drawn for a request, whatever their number: news of them are old
 LOOKED_PAST = 1e2  # a worker that is not drawn goes after those of its region that are
+OUT_KEPT_S = 0.1  # who is out is looked up again so often
+HALF_FULL = 0.5  # x capacity: a worker with fewer requests has room, as far as known
+SILENT = 0.5  # of a failure is a silence until another worker has answered
 LAST_RESORT = 1e6  # a worker that is left out goes after all others
 
 
@@ -46,6 +50,8 @@
         self.by_service: dict[str, list[View]] = {}
         self.spill = Spill(self._region, rng)
         self.evacuated: frozenset[str] = frozenset()
+        self.jury, self.members = Jury(), 1
+        self._out: dict[str, tuple[float, set[str]]] = {}  # by service: when it was looked up, who is out
 
     def know(self, workers: Iterable[Worker]) -> None:
         """Take the list as it is now."""
@@ -59,6 +65,7 @@
             views[worker.id] = view
             self.by_service.setdefault(worker.service, []).append(view)
         self.views = views
+        self.jury.keep(views)
 
     def evacuate(self, now: float, zones: frozenset[str], cold_s: float) -> None:
         """Zones that get nothing from now on; the workers of zones taken back count as cold for `cold_s`."""
@@ -114,12 +121,32 @@
         ranks = {region: at * NEXT_REGION for at, region in enumerate(regions)}
         # All hear the same of the others, and late: were all looked at, everybody would turn to the same one.
         random, left_out = self._rng.random, set[str]()
+        bad = self._bad(now, service)
         for region in ranks:
             ids = [view.worker.id for view in views if self.region(view) == region]
+            ids = [one for one in ids if one not in bad]
             ids.sort(key=lambda _: random())
             left_out.update(ids[LOOKED_AT:])
         return sorted(views, key=lambda view: ranks[self.region(view)] + self._cost(now, view, usual)
-                      + LOOKED_PAST * (view.worker.id in left_out))  # fmt: skip
+                      + LOOKED_PAST * (view.worker.id in left_out)
+                      + LAST_RESORT * (view.worker.id in bad))  # fmt: skip
+
+    def _bad(self, now: float, service: str) -> set[str]:
+        """The workers of a service that fail too often; they go after all others."""
+        at, found = self._out.get(service, (-math.inf, set[str]()))
+        if now - at < OUT_KEPT_S:
+            return found
+        found, doubts = set[str](), self.jury.doubts()
+        if doubts:
+            groups: dict[str, dict[str, tuple[int, float]]] = {}
+            for view in self.by_service.get(service, ()):
+                if view.worker.ready and view.worker.zone not in self.evacuated:
+                    group = groups.setdefault(self.region(view), {})
+                    group[view.worker.id] = max(1, view.worker.capacity), view.out + view.others
+            for group in groups.values():
+                found |= self.jury.out(now, group, self.members)
+        self._out[service] = now, found
+        return found
 
     def _cost(self, now: float, view: View, usual: float) -> float:
         capacity = max(1, view.worker.capacity)
@@ -144,6 +171,7 @@
         usual = self.usual(route)
         view.ratio += GAIN * (min(5.0, waited / max(0.001, usual)) - view.ratio)
         view.judged, view.fails, view.shunned_until = now, 0, -math.inf
+        self.jury.saw(now, view.worker.id, 0.0)
         service, region = view.worker.service, self.region(view)
         self.spill.answered(now, service, region, route.name, route.aim, waited, size)
 
@@ -151,8 +179,26 @@
         """Leave it out for a while: after a connection that did not come up, a reset, a silence."""
         view.shunned_until = now + min(SHUN_MOST_S, SHUN_S * 2**view.fails)
         view.fails += 1
+        self.erred(now, view)
+
+    def erred(self, now: float, view: View, fault: float = 1.0) -> None:
+        """It answered with a failure, or (a smaller `fault`) seems to."""
+        self.jury.saw(now, view.worker.id, fault)
+
+    def silent(self, now: float, view: View) -> None:
+        """Another worker answered a request that it had been given long before."""
+        if self._room(view):
+            self.erred(now, view, SILENT)
+
+    def _room(self, view: View) -> bool:
+        return view.out + view.others < HALF_FULL * view.worker.capacity
+
+    def refused(self, now: float, view: View) -> None:
+        """It says that it has not run a request: with room, as far as known, that is a failure."""
+        if self._room(view):
+            self.erred(now, view)
 
     def busy(self, now: float, view: View) -> None:
-        """It turned a request away."""
+        """It takes no more now."""
         view.ratio = min(5.0, view.ratio + 1.0)
         view.judged = now
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -28,6 +28,7 @@
 DIAL_NEAR_S, DIAL_FAR_S = 0.25, 0.4
 COLD_OWNERS = 2
 BEAT_LATE = 1.2  # x heartbeat: so old may be what a worker last told of its warmth
+DEADLINE = 504  # a worker's answer when the time is up: this tells nothing of it
 EDGE_S = 0.02  # before a deadline, the answer must be on its way
 HEDGE_LEAST, HEDGE_BEFORE = 1.8, 1.6  # x usual latency: after so long a silence; so long before the aim
 
@@ -92,6 +93,7 @@
             self.crew.know(ledger.workers.values())
             self.pace.keep(ledger.workers)
         if change.members:
+            self.crew.members = max(1, len(ledger.members))
             self.limiter.set_members(now, max(1, len(ledger.members)))
             self.limiter.keep_sources(now, ledger.sources)
 
@@ -241,16 +243,22 @@
                 if reply.status < 500:
                     self.crew.answered(now, view, live.route, outcome.waited, live.size + reply.size)
                     return True
+                if reply.status != DEADLINE:
+                    self.crew.erred(now, view)
                 return not live.route.repeatable or len(live.tried) >= live.route.attempts
             case Ended.NOT_RUN:
-                live.arrived |= outcome.reply is not None
                 self.crew.busy(now, view)
+                if outcome.reply is not None:
+                    live.arrived = True
+                    self.crew.refused(now, view)
             case Ended.UNREACHED:
                 self.crew.failed(now, view)
             case Ended.LOST | Ended.LATE:
                 live.arrived = live.may_run = True
                 if not cancelled and not outcome.rested:
                     self.crew.failed(now, view)
+                elif cancelled and outcome.waited > HEDGE_LEAST * self.crew.usual(live.route):
+                    self.crew.silent(now, view)
             case Ended.FULL:
                 live.tried.remove(view.worker.id)
                 self.crew.busy(now, view)
--- a/lathe/ledger.py
+++ b/lathe/ledger.py
@@ -163,6 +163,17 @@
                     outs[key[2:]] = outs.get(key[2:], 0) + value
         return outs
 
+    def faults(self, near: str | None = None) -> dict[str, tuple[int, int, int]]:
+        """Failures of late by worker, and requests, in tenths, and how many gatekeepers saw failures: of all,
+        or those told to the registry `near` alone."""
+        found: dict[str, tuple[int, int, int]] = {}
+        for name, source in self.sources.items():
+            for key, value in source.records.items() if near in (None, name) else ():
+                if key[0] == "f":
+                    one = found.get(key[2:], (0, 0, 0))
+                    found[key[2:]] = one[0] + value[0], one[1] + value[1], one[2] + value[2]
+        return found
+
     def sums(self) -> dict[str, dict[str, tuple[int, int]]]:
         """Cumulative counts, total and declined, by source and tenant."""
         return {
--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -86,7 +86,8 @@
             "region": settings.region, "front": f"{front[0]}:{front[1]}" if front else "",
             "ready": gate.ready(now),
             "have": gate.ledger.have(), "wait": 0.0 if gate.ledger.table is None else WAIT_S,
-            "outs": gate.crew.outs(), "packs": True, "eager": gate.ledger.age(now) > EAGER_S,
+            "outs": gate.crew.outs(), "faults": gate.crew.jury.fresh(now),
+            "packs": True, "eager": gate.ledger.age(now) > EAGER_S,
             "adds": {"number": self._number, "counts": gate.limiter.fresh()},
         }  # fmt: skip
         return Pull(ip, now, body, self._dial)
@@ -109,6 +110,9 @@
         change = gate.ledger.take(pull.sent, now, {**answer, "sources": unpacked(answer["sources"])})
         gate.news(now, change)
         gate.crew.heard(gate.ledger.outs(), pull.body["outs"])
+        teller = next(iter(answer["alive"]), None)  # the registry itself comes first
+        near = gate.ledger.faults(teller) if teller else {}
+        gate.crew.jury.heard(now, gate.ledger.faults(), near, pull.body["faults"])
         gate.limiter.heard(now, gate.ledger.sums())
         if answer.get("age") is None or answer["age"] > STALE_S:
             self._avoid[pull.ip] = now + AVOID_S
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -13,7 +13,8 @@
 
 from pegboard.lookup import Looks
 from pegboard.records import GONE, GONE_SEQ, Session, Worker, worker
-from pegboard.source import OUT, SUM, Difference, Source
+from pegboard.source import SUM, Difference, Source
+from pegboard.tallies import Said, Tallies
 from workbench.faults import INVALID, UNREADY, Fault
 
 WORD: Final = "vise"  # the source of the operator's word
@@ -24,7 +25,6 @@
 NAMED_S: Final = 1.0  # a source heard within this is named as alive: askers count its silence from then on
 EAGER_S: Final = 1.0  # a proof not older than this ends the wait of one that has none
 PROOF_S: Final = 10.0  # an older proof says nothing
-OUT_GRAIN, OUT_LEAST = 0.3, 2.0  # x capacity, and requests: so far off may those told to be under way be
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
 PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
 ALONE_S: Final = 1.5  # others unheard for so long are out of reach
@@ -77,7 +77,6 @@
     open: int = 0
     index: int = 0  # of the operator's word that it holds
     adds: dict[str, int] = attrs.field(factory=dict)
-    outs: dict[str, int] = attrs.field(factory=dict)  # its requests under way, by worker
 
 
 class Registry:
@@ -96,6 +95,7 @@
         self._beats: dict[str, Beats] = {}
         self._graves: dict[str, float] = {}
         self._pulls: dict[str, Pulls] = {}
+        self._tallies = Tallies(self.own, self._slots)
         self._looks = Looks(self.sessions)
         self._counted = -1, 0  # at which news, gatekeepers
         self._pack: tuple[tuple[int | None, int], bytes | None] = (None, -1), None
@@ -130,6 +130,10 @@
                 found = other
         return found
 
+    def _slots(self, key: str) -> int | None:
+        known = self._newest(f"w/{key}")
+        return known.capacity if known is not None else None
+
     def workers(self) -> dict[str, Worker]:
         """All that are known, each as it last said."""
         found: dict[str, Worker] = {}
@@ -165,7 +169,7 @@
             said = Session(body["front"], body["zone"], body["region"], ready, now)
             number, counts = adds.get("number", 0), dict(adds.get("counts") or {})
             incarnation = body["incarnation"]
-            outs = {str(key): int(count) for key, count in dict(body.get("outs") or {}).items()}
+            figures = Said.read(body)
             fresh = [(tenant, int(total), int(declined)) for tenant, (total, declined) in counts.items()]
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             return Fault(INVALID, f"pull: {error!r}")
@@ -173,7 +177,7 @@
         pulls.at, pulls.open, pulls.index = now, pulls.open + 1, index
         if self.own.values.get(f"g/{node}") != said:
             self._put(f"g/{node}", said)
-        self._outs(pulls, outs)
+        self._tallies.said(node, figures)
         if number > pulls.adds.get(incarnation, -1):
             pulls.adds[incarnation] = number
             for tenant, total, declined in fresh:
@@ -238,18 +242,6 @@
         pack = self._pack[1]
         return {"version": told["version"], "full": told["full"], "pack": pack} if pack else told
 
-    def _outs(self, pulls: Pulls, outs: dict[str, int]) -> None:
-        """A gatekeeper's requests under way have changed: sums that moved enough are told."""
-        changed = [key for key in outs.keys() | pulls.outs.keys() if outs.get(key) != pulls.outs.get(key)]
-        pulls.outs = outs
-        for key in changed:
-            total = sum(one.outs.get(key, 0) for one in self._pulls.values())
-            told, known = self.own.values.get(OUT + key, 0), self._newest(f"w/{key}")
-            if not total or known is None:
-                self.own.drop(OUT + key)
-            elif abs(total - told) >= max(OUT_LEAST, OUT_GRAIN * known.capacity):
-                self.own.put(OUT + key, total)
-
     def sessions(self, now: float) -> dict[str, Session]:
         """Gatekeepers whose leases stand, each as it was last heard."""
         found: dict[str, Session] = {}
@@ -381,7 +373,7 @@
             pulls = self._pulls.get(key[2:]) if key[0] == "g" else None
             if pulls and not pulls.open:
                 self._drop(key)
-                self._outs(pulls, {})
+                self._tallies.said(key[2:], Said())
 
     # ---- the operator's word
 
@@ -425,7 +417,7 @@
         for node, pulls in list(self._pulls.items()):
             if self._late(pulls.at, SESSION_S, now):
                 self._drop(f"g/{node}")
-                self._outs(pulls, {})
+                self._tallies.said(node, Said())
                 if now - pulls.at > GRAVE_S and not pulls.open:
                     del self._pulls[node]
         silent = [name for name, copy in self.copies.items() if self._late(copy.heard, SILENT_S, now)]
--- a/pegboard/source.py
+++ b/pegboard/source.py
@@ -1,7 +1,7 @@
 """Records of one origin with a version that rises with every change, told to others as differences.
 
-A key starting with `c/` or `o/` is a sum: its changes count as versions but are no news that anybody is woken
-for.
+A key starting with `c/`, `o/` or `f/` is a sum: its changes count as versions but are no news that anybody is
+woken for.
 """
 
 from collections.abc import Iterable, Mapping
@@ -9,7 +9,7 @@
 
 import attrs
 
-SUM, OUT = "c/", "o/"
+SUM, OUT, FAULT = "c/", "o/", "f/"
 TOMBS = 1000  # keys gone that are remembered, so that differences can name them
 
 
@@ -93,5 +93,5 @@
     def _mark(self, key: str, version: int) -> None:
         self._at.pop(key, None)
         self._at[key] = version
-        if not key.startswith((SUM, OUT)):
+        if not key.startswith((SUM, OUT, FAULT)):
             self.solid = version
