--- a/dovetail/cell.py
+++ b/dovetail/cell.py
@@ -19,7 +19,7 @@
 from vise.interface import Read, State, Submit, Vote
 from vise.leading import Lead, Peer
 from vise.news import News
-from vise.ranges import Chest
+from vise.ranges import RangedMap
 from vise.seat import MEMBERS
 
 PAUSE_S = 0.1  # between two ends of one timer at least
@@ -78,7 +78,7 @@
             return None
         seen.add(id(one))
         return tuple([known(getattr(one, name), seen) for name in _names(one) if name not in IDLE])
-    if kind is Chest:
+    if kind is RangedMap:
         return one.digest()
     if kind is dict:
         return tuple([(key, known(value, seen)) for key, value in one.items()])
@@ -162,10 +162,10 @@
     most: int = 1
     script: tuple[str, ...] = ()  # `put BASE NAME...` (at once), `read`: at all that lead, one after another
     span: float = 0.1  # s in which trouble comes; then the cell must agree (`AGREE`)
-    first: bool = False  # from the very first start; else from a leader with all members whole
+    first: bool = False  # from the very first start; else from a leader with all members voting
     turned: bool = False  # a process that starts again is told other seeds: the last ones
     free: bool = False
-    wiped: int = 1  # disks that may be blank at a time
+    wiped: int = 1  # disks that may be lost, their members learners, at a time
 
 
 @frozen(eq=False)
@@ -209,10 +209,10 @@
         """No trouble can come any more."""
         return not self.most or self.now >= self.calm_at
 
-    def blanks(self) -> int:
+    def learners(self) -> int:
         """Members by the newest map on a disk that do not count."""
         states = [one.state for one in self.places.values() if one.state]
-        newest = max(states, key=lambda state: state.stamp, default=None)
-        names = [ip for ip in self.places if newest and MEMBERS + ip in newest.chest.map]
+        newest = max(states, key=lambda state: state.term_index, default=None)
+        names = [ip for ip in self.places if newest and MEMBERS + ip in newest.entries.map]
         begun = [self.places[ip] for ip in names if self.places[ip].life]
-        return sum(one.vote is None or not one.vote.whole for one in begun)
+        return sum(one.vote is None or not one.vote.voter for one in begun)
--- a/dovetail/figures.py
+++ b/dovetail/figures.py
@@ -154,7 +154,7 @@
 
 
 def _stamp(state: State) -> tuple[int, int]:
-    return state.stamp
+    return state.term_index
 
 
 def repaired(core: int, routes: int, cut: bool, seed: int) -> tuple[float, float, int]:
@@ -185,7 +185,7 @@
             begun = min(begun, world.loop.now)
         member = process.member if isinstance(process, store.Store) else None
         newest = max((other.member.news.state for other in world.stores() if other.member), key=_stamp)
-        if member and member.vote.whole and member.news.state.stamp == newest.stamp:
+        if member and member.vote.voter and member.news.state.term_index == newest.term_index:
             return world.loop.now - begun, counted.bytes / 1000, counted.calls
     return math.inf, math.inf, 0
 
--- a/dovetail/members.py
+++ b/dovetail/members.py
@@ -182,14 +182,14 @@
                 self.thaw(ip)
             self.start(ip)
 
-    def blanks(self) -> int:
-        return sum(node.vote is None or not node.vote.whole for node in self.nodes.values())
+    def learners(self) -> int:
+        return sum(node.vote is None or not node.vote.voter for node in self.nodes.values())
 
     def count(self) -> int:
         """Members by the newest map on a disk."""
         states = [node.state for node in self.nodes.values() if node.state]
-        newest = max(states, key=lambda state: state.stamp, default=None)
-        return sum(key.startswith(MEMBERS) for key in newest.chest.map) if newest else 0
+        newest = max(states, key=lambda state: state.term_index, default=None)
+        return sum(key.startswith(MEMBERS) for key in newest.entries.map) if newest else 0
 
     def leader(self) -> str | None:
         """One that believes that it leads; of several the newest."""
@@ -302,7 +302,8 @@
 
     def _reply(self, node: Node, reply: Reply) -> None:
         call, send, sent_at = reply.ref
-        if send.method == "ballot" and not send.body[4] and isinstance(reply.body, list) and reply.body[1]:
+        asked = send.method == "request_vote" and not send.body[4]
+        if asked and isinstance(reply.body, list) and reply.body[1]:
             self.sworn = self.sworn.voted(node.ip, node.disk_life, send.body[0], call[0], node.vote)
         caller = self.nodes[call[0]]
 
@@ -350,7 +351,7 @@
 
 
 def mixed(members: int, seed: int, seconds: float = 40.0) -> World:
-    """A long run of troubles by chance, at most a minority of members blank at a time; settled and judged."""
+    """A long run of troubles by chance, at most a minority of members learners at a time; judged."""
     chance = random.Random(seed * 7 + members)
     rates = chance.choice([0, 0.02, 0.15]), chance.choice([0, 0.1]), chance.choice([0, 0.05])
     world = World(members, seed, *rates)
@@ -360,7 +361,7 @@
         ip, other = chance.sample(world.ips, 2)
         node = world.nodes[ip]
         count = world.count()
-        may_wipe = world.blanks() < (count - 1) // 2
+        may_wipe = world.learners() < (count - 1) // 2
         match chance.choices(range(14), [30, 15, 7, 12, 5, 10, 9, 4, 3, 2, 2, 2, 5, 3])[0]:
             case 0 | 1 as kind:
                 for one in world.ips:
@@ -392,7 +393,7 @@
                 if leader:
                     world.put(leader)
                     world.run(chance.uniform(0, 0.06))
-                    if world.blanks() < (world.count() - 1) // 2:
+                    if world.learners() < (world.count() - 1) // 2:
                         world.wipe(chance.choice([leader, ip]))
                 for one in world.ips:
                     world.kill(one)
--- a/dovetail/moves.py
+++ b/dovetail/moves.py
@@ -52,13 +52,13 @@
 
 
 def _ready(cell: Cell) -> bool:
-    """A leader has committed, all are members and whole, and all know it."""
+    """A leader has committed, all are members and vote, and all know it."""
     for place in cell.places.values():
         member = place.member
-        if member is None or not member.vote.whole or len(member.members()) < len(cell.places):
+        if member is None or not member.vote.voter or len(member.members()) < len(cell.places):
             return False
-    stamps = {place.member.news.stamp for place in cell.places.values() if place.member}
-    return len(stamps) == 1 and (0, 0) not in stamps
+    term_indexes = {place.member.news.term_index for place in cell.places.values() if place.member}
+    return len(term_indexes) == 1 and (0, 0) not in term_indexes
 
 
 def coming(cell: Cell) -> Mail | str:
@@ -121,7 +121,7 @@
             if mail.kind in ("call", "answer"):
                 again = evolve(mail, order=cell.count)
                 yield f"doubled: {mail}", evolve(spent, mail=(*cell.mail, again), count=cell.count + 1)
-    blank = cell.blanks()
+    learners = cell.learners()
     for ip, place in cell.places.items():
         if place.member and (spent := _spent(cell, "crash")):
             yield f"{ip} is killed", Work(spent).kill(ip).done()
@@ -129,12 +129,12 @@
             for turned in (False, True):
                 how = ", then hears its clients first" if turned else ""
                 yield f"{ip} is frozen{how}", Work(spent).freeze(ip, turned).done()
-        if blank < cell.rules.wiped and (spent := _spent(cell, "wipe")):
+        if learners < cell.rules.wiped and (spent := _spent(cell, "wipe")):
             yield f"{ip} loses its disk", Work(spent).wipe(ip).done()
         idle = place.member and not place.member.lead and place.frozen <= cell.now
         if idle and (spent := _spent(cell, "early")):
             yield f"the timer of {ip} ends early", Work(spent).early(ip).done()
-        if blank < cell.rules.wiped and (spent := _spent(cell, "power")):
+        if learners < cell.rules.wiped and (spent := _spent(cell, "power")):
             work = Work(spent).wipe(ip)
             for other in cell.places:
                 work.kill(other)
@@ -156,7 +156,7 @@
                 continue
             other = Work(spent, number, fate)
             other.take(what)
-            if (struck := other.done()).blanks() <= cell.rules.wiped:
+            if (struck := other.done()).learners() <= cell.rules.wiped:
                 yield f"{told}; its write {number + 1}: {fate}", struck
 
 
@@ -319,7 +319,7 @@
 
     def _answer(self, ip: str, reply: Reply) -> None:
         number, caller, _, method, _, (_, context) = reply.ref
-        if method == "ballot" and not context[1] and isinstance(reply.body, list) and reply.body[1]:
+        if method == "request_vote" and not context[1] and isinstance(reply.body, list) and reply.body[1]:
             place = self.places[ip]
             self.sworn = self.sworn.voted(ip, place.disk, context[0], caller, place.vote)
         if number in self.open:
--- a/dovetail/store.py
+++ b/dovetail/store.py
@@ -58,7 +58,8 @@
         self.member: Member | None = None
         self.writing: Keep | None = None
         self._held: list[tuple[Callable[..., None], tuple[Any, ...]]] = []  # until the write is done
-        self.handlers = {method: self._handler(method) for method in ("ballot", "append", "join", "succeed")}
+        calls = ("request_vote", "append", "join", "succeed")
+        self.handlers = {method: self._handler(method) for method in calls}
         self.handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch, "drafts": self._add}
         self.drafts: Drafts | None = None
 
@@ -172,7 +173,7 @@
         found = yield from self._led("read", body, Read, READ_S)
         if not isinstance(found, State):
             return found
-        map = dict(found.chest.map)
+        map = dict(found.entries.map)
         return {"version": map.get("Version"), "objects": map}
 
     def _add(self, body: Any) -> Any:
@@ -186,7 +187,7 @@
 
     def _committed(self) -> tuple[int, Mapping[str, Any]]:
         assert self.member is not None
-        return self.member.news.index, self.member.news.state.chest.map
+        return self.member.news.index, self.member.news.state.entries.map
 
     def _merge(self, drafts: Drafts) -> Steps:
         while True:
@@ -220,6 +221,6 @@
         have, until = body["have"], self.clock() + min(body["wait"], WATCH_MOST_S)
         while member.news.index <= have and self.clock() < until:
             yield self._news.wait(until - self.clock())
-        age = self.clock() - member.news.proof
+        age = self.clock() - member.news.lease
         known = age if age != float("inf") else None
         return {**member.news.since(have), "age": known, "term": member.vote.term, "leader": member.leader}
--- a/dovetail/sworn.py
+++ b/dovetail/sworn.py
@@ -27,7 +27,7 @@
 
 
 def history_of(state: State) -> list[str]:
-    return list(state.chest.map.get("history", []))
+    return list(state.entries.map.get("history", []))
 
 
 @frozen
@@ -47,14 +47,14 @@
         """I2. It says yes to a candidate, with this on its disk."""
         if any(one[:3] == (ip, disk, term) and one[3] != candidate for one in self.votes):
             raise Wrong(f"I2: {ip} votes a second time in term {term}")
-        if held is None or not held.whole or held.term < term:
+        if held is None or not held.voter or held.term < term:
             raise Wrong(f"I2: the vote of {ip} in term {term} is not durable")
         return evolve(self, votes=self.votes | {(ip, disk, term, candidate)})
 
     def seen(self, now: float, member: Member, offset: float, held: Vote | None) -> "Sworn":
         """I3, I7, I8. After each event of a member; its clock is `now + offset`, `held` is on its disk."""
-        if member.lead and not (member.vote.whole and held is not None and held.whole):
-            raise Wrong(f"I8: {member.me} leads, and is blank")
+        if member.lead and not (member.vote.voter and held is not None and held.voter):
+            raise Wrong(f"I8: {member.me} leads, and is a learner")
         history, sworn = tuple(history_of(member.news.state)), self
         shorter = min(len(history), len(self.chain))
         if history[:shorter] != self.chain[:shorter]:
@@ -62,7 +62,7 @@
         if len(history) > len(self.chain):
             known = self.known_at + (now,) * (len(history) - len(self.chain))
             sworn = evolve(self, chain=history, known_at=known)
-        proof = member.news.proof - offset
+        proof = member.news.lease - offset
         due = sum(at < proof for at in sworn.known_at)
         if len(history) < due:
             raise Wrong(f"I7: {member.me} is proven current at {proof:.3f} with {len(history)} of {due}")
--- a/trials/test_vise_agreement.py
+++ b/trials/test_vise_agreement.py
@@ -13,10 +13,10 @@
 from trials.vise_scenes import Play, scenes
 from vise.agreement import Member
 from vise.interface import (
-    BEHIND, CALL_S, DELTA, DRAWERS, MADE_WHOLE, MUTE_S, NOTHING, UNHEARD_S, Answered, Called, Kept, Read,
+    BEHIND, CALL_S, DELTA, RANGES, PROMOTE, MUTE_S, LEARNER, UNHEARD_S, Answered, Called, Kept, Read,
     Reply, Send, State, Submit, Tick, Vote,
 )  # fmt: skip
-from vise.ranges import Chest
+from vise.ranges import RangedMap
 from vise.seat import Broken, pack, unpack
 from workbench.faults import Fault
 
@@ -92,10 +92,10 @@
         world.run(0.3)
         world.settle()
 
-        def whole(world: World = world) -> bool:
-            return world.blanks() == 0
+        def voting(world: World = world) -> bool:
+            return world.learners() == 0
 
-        assert whole() or world.run(5, whole)
+        assert voting() or world.run(5, voting)
 
 
 def in_turn(fates: Iterable[str | None]) -> Callable[[str, str, str], str | None]:
@@ -145,7 +145,7 @@
 
 
 def held(index: int = 3, members: str = "123") -> State:
-    return State((1, index), Chest({f"Members/{ip}": {} for ip in members}))
+    return State((1, index), RangedMap({f"Members/{ip}": {} for ip in members}))
 
 
 def elected(members: str = "12345") -> Member:
@@ -153,64 +153,64 @@
     one = member(Vote(1, None, True), held(members=members), members=members)
     effects = feed(one, 2.0, Tick())
     for term in (1, 2):  # asked beforehand, then voted
-        asked, effects = sends(effects, "ballot"), []
+        asked, effects = sends(effects, "request_vote"), []
         for send in asked[: len(members) // 2]:
-            effects += feed(one, 2.0, Answered(send.peer, "ballot", 2.0, send.context, [term, True]))
+            effects += feed(one, 2.0, Answered(send.peer, "request_vote", 2.0, send.context, [term, True]))
     assert one.lead is not None and one.vote == Vote(2, "1", True)
     return one
 
 
-@test("I8: a blank member is mute, then says that it is blank, and never votes")
+@test("I8: a learner is mute, then says that it is one, and never votes")
 def _() -> None:
     one = member(None, None)
-    ballot = Called("r", "ballot", [5, "2", 9, 9, False])
+    request_vote = Called("r", "request_vote", [5, "2", 9, 9, False])
     append = Called("r", "append", [5, "2", 1, 3, 0, 0, 0, True])
     assert all(isinstance(body, Fault) for body in replies(feed(one, MUTE_S - 0.01, append)))
-    assert replies(feed(one, MUTE_S + 0.01, append))[0][1] == NOTHING
-    assert isinstance(replies(feed(one, MUTE_S + 0.02, ballot))[0], Fault)
+    assert replies(feed(one, MUTE_S + 0.01, append))[0][1] == LEARNER
+    assert isinstance(replies(feed(one, MUTE_S + 0.02, request_vote))[0], Fault)
     feed(one, 60.0, Tick())
-    assert one.attempt is None and not one.vote.whole
+    assert one.attempt is None and not one.vote.voter
 
 
 @test("I2: a vote counts only within the call's time-out, and only from a member")
 def _() -> None:
     one = member(Vote(1, None, True), held())
-    ask = sends(feed(one, 2.0, Tick()), "ballot")[0]
-    feed(one, 2.1, Answered("9", "ballot", 2.0, ask.context, [1, True]))
-    feed(one, 2.01 + CALL_S, Answered("2", "ballot", 2.0, ask.context, [1, True]))
+    ask = sends(feed(one, 2.0, Tick()), "request_vote")[0]
+    feed(one, 2.1, Answered("9", "request_vote", 2.0, ask.context, [1, True]))
+    feed(one, 2.01 + CALL_S, Answered("2", "request_vote", 2.0, ask.context, [1, True]))
     assert one.attempt is not None and one.attempt.pre and one.vote.term == 1
 
 
-@test("I8: a blank life is made whole only by a commit after the leader heard of it, without its own yes")
+@test("I8: a learner is promoted only by a commit after the leader heard of that life, without its own yes")
 def _() -> None:
     one = elected()
-    index = one.state.stamp[1]
+    index = one.state.term_index[1]
     for peer in "23":  # a majority, with 2, commits
         feed(one, 2.0, Answered(peer, "append", 2.0, (2, 1, index, True), [2, 1, 5]))
     assert one.lead is not None and one.lead.commit == index
-    told = feed(one, 2.1, Answered("2", "append", 2.1, (2, 2, index, False), [2, NOTHING, 6, 77, True, None]))
+    told = feed(one, 2.1, Answered("2", "append", 2.1, (2, 2, index, False), [2, LEARNER, 6, 77, True, None]))
     payloads = [unpack(send.body[7]) for send in sends(told, "append") if isinstance(send.body[7], bytes)]
     assert payloads and all(payload[0] == DELTA for payload in payloads)
-    assert one.lead.naming.stamp == (2, index + 1), "nothing was proposed after hearing of the blank life"
-    blank = Answered("2", "append", 2.15, (2, 3, index + 1, True), [2, NOTHING, 7, 77, True, None])
+    assert one.lead.naming.term_index == (2, index + 1), "nothing was proposed after hearing of the new life"
+    learner = Answered("2", "append", 2.15, (2, 3, index + 1, True), [2, LEARNER, 7, 77, True, None])
     feed(one, 2.2, Answered("3", "append", 2.15, (2, 3, index + 1, True), [2, 1, 6]))
-    feed(one, 2.2, blank)
-    assert one.lead.commit == index, "a blank member was counted"
+    feed(one, 2.2, learner)
+    assert one.lead.commit == index, "a learner was counted"
     feed(one, 2.2, Answered("4", "append", 2.15, (2, 3, index + 1, True), [2, 1, 6]))
     assert one.lead.commit == index + 1
-    whole = [unpack(send.body[7]) for send in sends(feed(one, 2.2, blank), "append") if send.peer == "2"]
-    assert whole == [[3, 77]]
+    promoted = [unpack(send.body[7]) for send in sends(feed(one, 2.2, learner), "append") if send.peer == "2"]
+    assert promoted == [[3, 77]]
 
 
-@test("I6 I8: nothing is read by answers that are late, blank or to a round begun before the call")
+@test("I6 I8: nothing is read by answers that are late, of a learner or to a round begun before the call")
 def _() -> None:
     one = elected()
-    index = one.state.stamp[1]
+    index = one.state.term_index[1]
     for peer in "23":
         feed(one, 2.0, Answered(peer, "append", 2.0, (2, 1, index, True), [2, 1, 5]))
     asked = feed(one, 2.1, Read("read")) + feed(one, 2.1, Submit("stale", (9, "x")))
     assert not replies(asked), "answered without a round"
-    for peer, at, body in (("2", 1.2, [2, 1, 6]), ("4", 2.1, [2, NOTHING, 6, 77, False, None])):
+    for peer, at, body in (("2", 1.2, [2, 1, 6]), ("4", 2.1, [2, LEARNER, 6, 77, False, None])):
         assert not replies(feed(one, 2.1, Answered(peer, "append", at, (2, 4, index, False), body)))
     for peer, number in (("3", 4), ("5", 2)):
         yes = Answered(peer, "append", 2.1, (2, number, index, False), [2, 1, 6])
@@ -221,41 +221,41 @@
     assert one.lead is None, "it leads on though it hears nobody"
 
 
-@test("I2 I4: a member says yes only to what it holds durably and whole, and is made whole only in this life")
+@test("I2 I4: a member says yes only to what it holds durably and whole, and is promoted only in this life")
 def _() -> None:
     one = member(Vote(2, "2", True), held())
-    for prev, digest in ((2, held().chest.digest()), (3, b"no")):
+    for prev, digest in ((2, held().entries.digest()), (3, b"no")):
         body = [2, "2", 1, 4, 0, 0, 0, pack([DELTA, 1, prev, {}, [], digest])]
         assert replies(feed(one, 5.0, Called("r", "append", body)))[0][1] == BEHIND
-    good = [2, "2", 1, 4, 0, 0, 0, pack([DELTA, 1, 3, {}, [], held().chest.digest()])]
+    good = [2, "2", 1, 4, 0, 0, 0, pack([DELTA, 1, 3, {}, [], held().entries.digest()])]
     assert not replies(one.handle(5.0, Called("r", "append", good))), "answered before the write"
-    assert isinstance(replies(one.handle(5.0, Kept(False)))[0], Fault) and one.stamp == (1, 3)
+    assert isinstance(replies(one.handle(5.0, Kept(False)))[0], Fault) and one.term_index == (1, 3)
     lost = member(None, held())
-    assert not lost.vote.whole, "a member without its vote counts"
-    drawers = pack([DRAWERS, {}, held().chest.digest()])
-    for payload in (pack([MADE_WHOLE, lost.incarnation]), drawers, pack([MADE_WHOLE, lost.incarnation + 1])):
+    assert not lost.vote.voter, "a member without its vote counts"
+    ranges = pack([RANGES, {}, held().entries.digest()])
+    for payload in (pack([PROMOTE, lost.incarnation]), ranges, pack([PROMOTE, lost.incarnation + 1])):
         feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, payload]))
-        assert not lost.vote.whole
-    feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, pack([MADE_WHOLE, lost.incarnation])]))
-    assert lost.vote == Vote(2, "2", True) and lost.stamp == (2, 4)
+        assert not lost.vote.voter
+    feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, pack([PROMOTE, lost.incarnation])]))
+    assert lost.vote == Vote(2, "2", True) and lost.term_index == (2, 4)
 
 
 @test("I7: an echoed time proves nothing before its round is confirmed, nor while its commit is not held")
 def _() -> None:
     one = member(Vote(1, None, True), held())
-    chest = held().chest
-    delta = pack([1, 1, 3, {}, [], chest.digest()])
+    entries = held().entries
+    delta = pack([1, 1, 3, {}, [], entries.digest()])
     first = replies(feed(one, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, delta])))[0]
     token = first[2]
     feed(one, 5.2, Called("r", "append", [2, "2", 2, 4, 5, token, 1, None]))  # commit 5 is not held
-    assert one.news.proof == float("-inf")
+    assert one.news.lease == float("-inf")
     feed(one, 5.3, Called("r", "append", [2, "2", 3, 4, 4, token, 1, None]))
-    assert one.news.index == 4 and one.news.proof == float("-inf")
+    assert one.news.index == 4 and one.news.lease == float("-inf")
     feed(one, 5.4, Called("r", "append", [2, "2", 4, 4, 4, 0, 3, None]))
-    assert one.news.proof == 5.0
+    assert one.news.lease == 5.0
 
 
-@test("broken invariants stop: a second vote, an older stamp, two leaders in a term")
+@test("broken invariants stop: a second vote, an older term_index, two leaders in a term")
 def _() -> None:
     one = member(Vote(1, "2", True), held())
     with raises(Broken):
--- a/trials/test_vise_shelf.py
+++ b/trials/test_vise_shelf.py
@@ -1,4 +1,4 @@
-"""The store's shelf and what stands on it: torn files, lost power, refusing disks; drawers, news, orders."""
+"""The store's shelf and what stands on it: torn files, lost power, refusing disks; ranges, news, orders."""
 
 import contextlib
 import dbm.dumb
@@ -24,7 +24,7 @@
 from vise.interface import Keep, Settled, State, Vote, Work
 from vise.news import News
 from vise.orders import TAKEN, TAKEN_MOST, decide
-from vise.ranges import Chest
+from vise.ranges import RangedMap
 from vise.shelf import Shelf
 from workbench.faults import REFUSED, Fault
 
@@ -303,46 +303,47 @@
         with instead(daemons, Disk=Slow, tell=tell):
             daemon = daemons.Daemon(evolve(settings, bootstrap=True), str(folder), lambda: now[0])
         daemon.server.stop()
-        assert daemon.member.vote.whole == (fault is None)
+        assert daemon.member.vote.voter == (fault is None)
     assert [value for event, value in told if event == events.DISK_SLOW] == [2.0, 3.0]
     assert [value.detail for event, value in told if event == events.DISK_FAULT] == ["full"]
 
 
 @test("a generation that wastes too much is written anew, and a member's state comes back as it was")
 def _(folder: Path = unsynced) -> None:
-    disk, chest = Disk(str(folder)), Chest({"Members/1": {}})
+    disk, entries = Disk(str(folder)), RangedMap({"Members/1": {}})
     assert disk.read() == (None, None)
     for number in range(1, 60):
-        chest = chest.changed({"k": "x" * 700 * number}, [])
+        entries = entries.changed({"k": "x" * 700 * number}, [])
         vote = Vote(number, "1", True)
-        assert disk.keep(Keep(vote, State((number, number), chest))) is None
+        assert disk.keep(Keep(vote, State((number, number), entries))) is None
     assert sum(path.stat().st_size for path in folder.iterdir()) < 5 * 700 * 60 + 3 * shelves.SPARE
     held_vote, held = Disk(str(folder)).read()
-    assert held_vote == vote and isinstance(held, State) and held.stamp == (59, 59)
-    assert held.chest.map == chest.map and held.chest.digest() == chest.digest()
+    assert held_vote == vote and isinstance(held, State) and held.term_index == (59, 59)
+    assert held.entries.map == entries.map and held.entries.digest() == entries.digest()
 
 
-@test("drawers: the digest is of the content however it came about; exchanged drawers make chests alike")
+@test("ranges: the digest is of the content however it came about; exchanged ranges make maps alike")
 def _() -> None:
     map = {f"Routes/{number}": {"n": number} for number in range(300)}
-    base = Chest(map)
+    base = RangedMap(map)
     base.digest()
     one = base.changed({"Routes/7": 7, "new": 1}, ["Routes/8", "none"])
-    other = Chest({**{key: map[key] for key in reversed(map) if key != "Routes/8"}, "Routes/7": 7, "new": 1})
-    assert one.map == other.map and one.digest() == other.digest() != Chest(map).digest()
-    differing = one.differing(Chest(map).digests())
+    kept = {key: map[key] for key in reversed(map) if key != "Routes/8"}
+    other = RangedMap({**kept, "Routes/7": 7, "new": 1})
+    assert one.map == other.map and one.digest() == other.digest() != RangedMap(map).digest()
+    differing = one.differing(RangedMap(map).digests())
     assert 1 <= len(differing) <= 3
-    mended = Chest(map).replaced({number: one.packed(number) for number in differing})
+    mended = RangedMap(map).replaced({number: one.packed(number) for number in differing})
     assert mended.map == one.map and mended.digest() == one.digest()
 
 
 @test("news: what changed since an index, gone keys too; all of it to one who has less than this life knows")
 def _() -> None:
-    news, chest = News(), Chest({"a": 1, "b": 1})
+    news, entries = News(), RangedMap({"a": 1, "b": 1})
     assert news.since(0) == {"index": 0, "set": {}, "gone": [], "full": False}
-    news.advance(State((1, 4), chest))
-    news.advance(State((1, 5), chest.changed({"a": 2, "c": 1}, ["b"])))
-    assert not news.advance(State((1, 4), chest))
+    news.advance(State((1, 4), entries))
+    news.advance(State((1, 5), entries.changed({"a": 2, "c": 1}, ["b"])))
+    assert not news.advance(State((1, 4), entries))
     assert news.since(4) == {"index": 5, "set": {"a": 2, "c": 1}, "gone": ["b"], "full": False}
     assert news.since(3)["full"] and news.since(3)["set"] == {"a": 2, "c": 1}
     assert news.since(5)["set"] == {} and news.since(9)["index"] == 5
--- a/trials/vise_scenes.py
+++ b/trials/vise_scenes.py
@@ -10,7 +10,7 @@
     kill WHO, wipe WHO, start WHO, freeze WHO, thaw WHO, leave WHO, break WHO (the disk refuses)
     cut A B, oneway A B, join     links: none both ways, none from A to B, all
     leader in 2                   one that has committed in its term, within so many s
-    blank 0                       how many disks do not count
+    learners 0                    how many disks do not count
     settle                        all well again: agreement, then all invariants
 """
 
@@ -94,8 +94,8 @@
                 world.cuts.clear()
             case "leader":
                 assert world.run(float(rest[1]), self.leads), text
-            case "blank":
-                assert world.blanks() == int(rest[0]), f"{text}: {world.blanks()}"
+            case "learners":
+                assert world.learners() == int(rest[0]), f"{text}: {world.learners()}"
             case "settle":
                 world.settle()
             case _:
--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -1,8 +1,8 @@
 """One member of the store: events in, effects out. Invariants and their tests: docs/design/store.md.
 
-A member is blank (nothing of it counts), or follows, tries to be elected, or leads (`vise.leading`). Its
-durable state is `vote` and `state`; `Seat.keep` makes a change durable and only then goes on. While a Keep is
-out, events wait.
+A member is a non-voting learner (nothing of it counts), or follows, tries to be elected, or leads
+(`vise.leading`). Its durable state is `vote` and `state`; `Seat.keep` makes a change durable and only
+then goes on. While a Keep is out, events wait.
 """
 
 import random
@@ -13,11 +13,11 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, DELTA, DRAWERS, ELECTION_S, FIRST_S, HANDING_S, MADE_WHOLE, MUTE_S, NOTHING, OLD,
+    BEHIND, CALL_S, DELTA, RANGES, ELECTION_S, FIRST_S, HANDING_S, PROMOTE, MUTE_S, LEARNER, OLD,
     UNHEARD_S, YES, Answered, Called, Effect, Event, Gone, Keep, Kept, Leave, Read, State, Submit, Tick, Vote,
 )  # fmt: skip
 from vise.leading import Decide, Lead
-from vise.ranges import Chest
+from vise.ranges import RangedMap
 from vise.seat import MEMBERS, Broken, Seat, quorum, unpack
 from workbench.faults import INVALID, REFUSED, UNREADY, Fault
 
@@ -46,19 +46,19 @@
         state: State | Fault | None, decide: Decide, chance: random.Random,
     ) -> None:  # fmt: skip
         held_vote = vote if isinstance(vote, Vote) else Vote(0, None, False)
-        held = state if isinstance(state, State) else State((0, 0), Chest())
-        whole = held_vote.whole and isinstance(state, State)
-        term = max(held_vote.term, held.stamp[0])
+        held = state if isinstance(state, State) else State((0, 0), RangedMap())
+        voter = held_vote.voter and isinstance(state, State)
+        term = max(held_vote.term, held.term_index[0])
         self._first = vote is None and state is None and bootstrap and me in seeds
-        self._was_whole = held_vote.whole and not whole  # on the disk: to be taken back
+        self._was_voter = held_vote.voter and not voter  # on the disk: to be taken back
         voted = held_vote.voted_for if term == held_vote.term else None
-        super().__init__(me, chance, Vote(term, voted, whole), held if whole else State((0, 0), Chest()))
+        super().__init__(me, chance, Vote(term, voted, voter), held if voter else State((0, 0), RangedMap()))
         self.seeds, self.decide = seeds, decide
         self.incarnation = chance.getrandbits(31)
         self.leader: str | None = None
         self.lead: Lead | None = None
         self.attempt: Attempt | None = None
-        self.staged: Chest | None = None if whole else held.chest  # what a repair has brought together so far
+        self.staged: RangedMap | None = None if voter else held.entries  # of a repair, so far
         self.mute_until = self.heard_at = self.deadline = self.join_at = 0.0
         self.calm_from = 0.0  # after a vote its candidate is given the time to lead before another may stand
         self.leaving: float | None = None
@@ -74,23 +74,23 @@
         self.heard_at = now - UNHEARD_S
         if self._first:
             members: dict[str, Any] = {MEMBERS + ip: {} for ip in self.seeds}
-            state = State((0, 0), Chest(members))
+            state = State((0, 0), RangedMap(members))
             self.tell(events.BEGUN, members=len(members))
             self.keep(Vote(0, None, True), state, self._begun)
-        elif not self.vote.whole:
-            self._go_blank()
-            if self._was_whole:
+        elif not self.vote.voter:
+            self._become_learner()
+            if self._was_voter:
                 self.keep(self.vote, None, lambda ok: None)
         return self._done()
 
     def _begun(self, ok: bool) -> None:
         if not ok:
-            self._go_blank()
+            self._become_learner()
 
-    def _go_blank(self) -> None:
-        self.vote = self.vote._replace(whole=False)
+    def _become_learner(self) -> None:
+        self.vote = self.vote._replace(voter=False)
         self.mute_until = self.now + MUTE_S
-        self.tell(events.BLANK, incarnation=self.incarnation)
+        self.tell(events.LEARNS, incarnation=self.incarnation)
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         """Take one event; do the effects in order. Raises Broken: stop the process."""
@@ -123,7 +123,7 @@
                 self._called(event)
             case Answered(method="append") if self.lead:
                 self.lead.answered(event.peer, event.sent_at, event.context, event.body)
-            case Answered(method="ballot"):
+            case Answered(method="request_vote"):
                 self._voted(event)
             case Answered(method="join", body=[str(leader)]) if leader != event.peer:
                 self.send(leader, "join", [self.me, self.incarnation], None)
@@ -157,21 +157,21 @@
 
     def _stands(self) -> bool:
         """Whether this member may stand for election."""
-        return self.vote.whole and MEMBERS + self.me in self.state.chest.map
+        return self.vote.voter and MEMBERS + self.me in self.state.entries.map
 
     def _put_off(self, span: tuple[float, float] = ELECTION_S) -> None:
         slow = 2 * self.write_s if span is AGAIN_S else 0.0  # votes are written before they are given
         self.deadline = self.now + self.chance.uniform(*span) + slow
 
     def _called(self, event: Called) -> None:
-        if not self.vote.whole and self.now < self.mute_until:
+        if not self.vote.voter and self.now < self.mute_until:
             return self.reply(event.ref, Fault(UNREADY, "mute"))
         try:
             match event.method, event.body:
                 case "append", [int(), str(), int(), int(), int(), int(), int(), _]:
                     self._append(event.ref, event.body)
-                case "ballot", [int(), str(), int(), int(), bool()]:
-                    self._ballot(event.ref, *event.body)
+                case "request_vote", [int(), str(), int(), int(), bool()]:
+                    self._request_vote(event.ref, *event.body)
                 case "join", [str(), int()]:
                     if self.lead:
                         self.lead.learn(event.body[0])
@@ -210,10 +210,10 @@
     def _ask(self) -> None:
         attempt = self.attempt
         assert attempt is not None
-        body = [attempt.term, self.me, *self.stamp, attempt.pre]
+        body = [attempt.term, self.me, *self.term_index, attempt.pre]
         for ip in attempt.members:
             if ip != self.me:
-                self.send(ip, "ballot", body, (attempt.term, attempt.pre))
+                self.send(ip, "request_vote", body, (attempt.term, attempt.pre))
         self._elected()
 
     def _elected(self) -> None:
@@ -227,10 +227,12 @@
         self.lead = Lead(self, self.decide)
         self.lead.begin()
 
-    def _ballot(self, ref: Any, term: int, candidate: str, stamp_term: int, index: int, pre: bool) -> None:
-        if not self.vote.whole:
-            return self.reply(ref, Fault(UNREADY, "blank"))
-        fit = (stamp_term, index) >= self.stamp
+    def _request_vote(
+        self, ref: Any, term: int, candidate: str, last_term: int, index: int, pre: bool,
+    ) -> None:  # fmt: skip
+        if not self.vote.voter:
+            return self.reply(ref, Fault(UNREADY, "learner"))
+        fit = (last_term, index) >= self.term_index
         if pre:
             calm = self.lead is None and self.now >= max(self.calm_from, self.heard_at + ELECTION_S[0])
             granted = fit and calm and term > self.vote.term
@@ -253,7 +255,7 @@
 
     def _voted(self, event: Answered) -> None:
         attempt = self.attempt
-        if isinstance(event.body, Fault) or not self.vote.whole:
+        if isinstance(event.body, Fault) or not self.vote.voter:
             return
         theirs, granted = event.body
         if theirs > (self.vote.term if attempt is None or attempt.pre else attempt.term):
@@ -277,7 +279,7 @@
             return
         self.step_down("a higher term")
         self.leader = None
-        self.keep(Vote(term, None, self.vote.whole), None, lambda ok: None)
+        self.keep(Vote(term, None, self.vote.voter), None, lambda ok: None)
 
     def step_down(self, why: str) -> None:
         self.attempt = None
@@ -303,27 +305,27 @@
         self._put_off()
         named = (term, index)
         self._learn(term, commit)
-        chest = self._received(payload, named)
-        vote = Vote(term, leader, self.vote.whole) if newer else None
-        restored = self._restored(payload, named)
-        state = State(named, chest) if chest is not None and named > self.stamp else None
+        entries = self._received(payload, named)
+        vote = Vote(term, leader, self.vote.voter) if newer else None
+        restored = self._promoted(payload, named)
+        state = State(named, entries) if entries is not None and named > self.term_index else None
 
         def on(ok: bool) -> None:
             if not ok:
                 return self.reply(ref, Fault(REFUSED, "disk"))
             if restored:
-                self.tell(events.WHOLE, term=term, index=index)
-            elif state is not None and chest is self.staged:
+                self.tell(events.PROMOTED, term=term, index=index)
+            elif state is not None and entries is self.staged:
                 self.tell(events.MENDED, term=term, index=index)
             if state is not None or restored:
                 self.staged = None
             self._learn(term, commit)
-            self._proof(round_, echo, commit, proved)
+            self._renew(round_, echo, commit, proved)
             self.reply(ref, self._answer(term, named, payload))
 
         if restored:
             self.keep(Vote(term, self.vote.voted_for or leader, True), self.state, on)
-        elif not self.vote.whole:  # in memory only: on the disk nothing of it may count before it is whole
+        elif not self.vote.voter:  # in memory only: on the disk nothing of it may count before it votes
             self.vote, self.state = vote or self.vote, state or self.state
             on(True)
         elif vote or state:
@@ -331,53 +333,53 @@
         else:
             on(True)
 
-    def _received(self, payload: Any, named: tuple[int, int]) -> Chest | None:
+    def _received(self, payload: Any, named: tuple[int, int]) -> RangedMap | None:
         """The map that is named, if the payload leads to it."""
         if not isinstance(payload, bytes):
             return None
         kind, *rest = unpack(payload)
         if kind == DELTA:
             term, index, set_, gone, digest = rest
-            if (term, index) != self.stamp:
+            if (term, index) != self.term_index:
                 return None
-            chest = self.state.chest.changed(set_, gone)
-        elif kind == DRAWERS:
-            drawers, digest = rest
-            chest = self.staged = (self.staged or self.state.chest).replaced(drawers)
+            entries = self.state.entries.changed(set_, gone)
+        elif kind == RANGES:
+            ranges, digest = rest
+            entries = self.staged = (self.staged or self.state.entries).replaced(ranges)
         else:
             return None
-        return chest if chest.digest() == digest else None
+        return entries if entries.digest() == digest else None
 
-    def _restored(self, payload: Any, named: tuple[int, int]) -> bool:
-        """Whether the leader says that this life of a blank member counts from now on."""
-        if self.vote.whole or self.stamp != named or not isinstance(payload, bytes):
+    def _promoted(self, payload: Any, named: tuple[int, int]) -> bool:
+        """Whether the leader says that this life of a learner counts from now on."""
+        if self.vote.voter or self.term_index != named or not isinstance(payload, bytes):
             return False
-        return unpack(payload) == [MADE_WHOLE, self.incarnation]
+        return unpack(payload) == [PROMOTE, self.incarnation]
 
     def _answer(self, term: int, named: tuple[int, int], payload: Any) -> list[Any]:
         self._token += 1
         self._tokens[self._token] = self.now
         while len(self._tokens) > ECHOES:
             del self._tokens[next(iter(self._tokens))]
-        holds = self.stamp == named
+        holds = self.term_index == named
         digests = None
-        if not holds and payload is not None and self.stamp < named:
-            digests = (self.staged or self.state.chest).digests()
-        if not self.vote.whole:
-            return [term, NOTHING, self._token, self.incarnation, holds, digests]
+        if not holds and payload is not None and self.term_index < named:
+            digests = (self.staged or self.state.entries).digests()
+        if not self.vote.voter:
+            return [term, LEARNER, self._token, self.incarnation, holds, digests]
         return [term, YES, self._token] if holds else [term, BEHIND, self._token, digests]
 
     def _learn(self, term: int, commit: int) -> None:
-        if commit and self.stamp == (term, commit):
+        if commit and self.term_index == (term, commit):
             self.committed(self.state)
 
-    def _proof(self, round_: int, echo: int, commit: int, proved: int) -> None:
+    def _renew(self, round_: int, echo: int, commit: int, proved: int) -> None:
         """`echo` was this member's time before round `round_` began, when `commit` was the newest; rounds up
         to `proved` were answered by a majority: so there was no newer leader at that time."""
         self._echoes = [*self._echoes[-ECHOES:], (round_, echo, commit)]
-        stamp = self.news.stamp
+        term_index = self.news.term_index
         for round_, echo, commit in self._echoes:
-            known = commit and stamp >= (self.vote.term, commit)
+            known = commit and term_index >= (self.vote.term, commit)
             if round_ <= proved and known and echo in self._tokens:
                 self.proven(self._tokens[echo])
         self._echoes = [one for one in self._echoes if one[0] > proved]
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -19,7 +19,7 @@
     Tell, Tick, Vote, Work,
 )  # fmt: skip
 from vise.orders import decide
-from vise.ranges import Chest
+from vise.ranges import RangedMap
 from vise.shelf import Shelf
 from workbench.bench import Callers, serve
 from workbench.events import BROKEN, CRITICAL, ERROR, WARNING, tell
@@ -61,16 +61,16 @@
             return found
         try:
             term, index = cbor2.loads(found.pop("stamp"))
-            drawers = {int(name): data for name, data in found.items()}
-            return State((term, index), Chest().replaced(drawers))
+            ranges = {int(name): data for name, data in found.items()}
+            return State((term, index), RangedMap().replaced(ranges))
         except (cbor2.CBORDecodeError, LookupError, TypeError, ValueError) as error:
             return Fault(INVALID, str(error))
 
     def keep(self, keep: Keep) -> Fault | None:
         if keep.state is not None:
-            chest = keep.state.chest
-            records = {f"{number:02}": chest.packed(number) for number in chest.filled()}
-            fault = self._maps.write({**records, "stamp": cbor2.dumps([*keep.state.stamp])})
+            entries = keep.state.entries
+            records = {f"{number:02}": entries.packed(number) for number in entries.filled()}
+            fault = self._maps.write({**records, "stamp": cbor2.dumps([*keep.state.term_index])})
             if fault is not None:
                 return fault
         return None if keep.vote is None else self._votes.write({"vote": cbor2.dumps([*keep.vote])})
@@ -86,7 +86,7 @@
 
 
 class Daemon:
-    """Serves `submit`, `read`, `watch` to pegboards and `ballot`, `append`, `join`, `succeed` to members."""
+    """Serves `submit`, `read`, `watch` to pegboards, and what members ask: see `methods`."""
 
     def __init__(self, settings: Settings, folder: str, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock, self.port = clock, settings.internal_ports[0]
@@ -103,7 +103,7 @@
         self._news = Event()
         self._seen = 0
         self._heard: dict[str, float] = {}  # when a member last answered, or its connection was given up
-        methods = ("ballot", "append", "join", "succeed")
+        methods = ("request_vote", "append", "join", "succeed")
         handlers: dict[str, Callable[[Any], Any]] = {method: self._handler(method) for method in methods}
         handlers |= {"submit": self.submit, "read": self.read, "watch": self.watch, "drafts": self.drafts}
         self._todo: deque[Effect] = deque()
@@ -208,7 +208,7 @@
         found = self._led("read", body, Read, READ_S)
         if not isinstance(found, State):
             return found
-        map = dict(found.chest.map)
+        map = dict(found.entries.map)
         return {"version": map.get("Version"), "objects": map}
 
     def drafts(self, body: Any) -> Any:
@@ -224,7 +224,7 @@
         return self._drafts
 
     def _committed(self) -> tuple[int, Mapping[str, Any]]:
-        return self.member.news.index, self.member.news.state.chest.map
+        return self.member.news.index, self.member.news.state.entries.map
 
     def _merge(self, drafts: "Drafts") -> None:
         """Have what may merge merged, once there is a leader."""
@@ -260,7 +260,7 @@
         while self.member.news.index <= have and self.clock() < until:
             self._news.wait(max(0.0, until - self.clock()))
         news = self.member.news
-        age = self.clock() - news.proof
+        age = self.clock() - news.lease
         known = age if age != float("inf") else None
         return {**news.since(have), "age": known, "term": self.member.vote.term, "leader": self.member.leader}
 
--- a/vise/interface.py
+++ b/vise/interface.py
@@ -4,14 +4,14 @@
 
 from attrs import frozen
 
-from vise.ranges import Chest
+from vise.ranges import RangedMap
 
-Stamp = tuple[int, int]  # (term, index): which accepted map is newer
+TermIndex = tuple[int, int]  # which accepted map is newer
 Event = Any  # one of the events below
 Effect = Any  # one of the effects below
 
-CALL_S: Final = 0.8  # an answer to `ballot` or `append` counts only within this time of its sending
-MUTE_S: Final = 2 * CALL_S  # a blank member says nothing that long: then no yes of its former life counts
+CALL_S: Final = 0.8  # an answer to `request_vote` or `append` counts only within this time of its sending
+MUTE_S: Final = 2 * CALL_S  # a learner says nothing that long: then no yes of its former life counts
 HEARTBEAT_S: Final = 0.15
 EARLY_S: Final = (0.04, 0.6)  # between heartbeats, for so long after the lead began: all wait for a proof
 ELECTION_S: Final = (0.6, 1.2)  # by chance between these, without word from a leader
@@ -22,30 +22,30 @@
 WAITING_MOST: Final = 64  # proposals waiting at the leader
 
 # Answers to `append`: `[term, code, token, *more]`.
-YES: Final = 1  # holds the named stamp, durably
+YES: Final = 1  # holds what is named, durably
 BEHIND: Final = 2  # follows, but does not hold it; more: digests if asked for, else null
 OLD: Final = 3  # is at a higher term
-NOTHING: Final = 4  # blank; more: incarnation, whether it holds the named map, digests or null
+LEARNER: Final = 4  # non-voting learner; more: incarnation, whether it holds the named map, digests or null
 # Payloads of `append` (cbor2, compressed): `[DELTA, prev term, prev index, set, gone, digest]`,
-# `[DRAWERS, {number: packed}, digest]`, `[MADE_WHOLE, incarnation]`.
+# `[RANGES, {number: packed}, digest]`, `[PROMOTE, incarnation]`.
 DELTA: Final = 1
-DRAWERS: Final = 2
-MADE_WHOLE: Final = 3
+RANGES: Final = 2
+PROMOTE: Final = 3
 
 
 class Vote(NamedTuple):
-    """What must never be forgotten besides the map: `whole` is False while nothing of this member counts."""
+    """What must never be forgotten besides the map: `voter` is False while nothing of this member counts."""
 
     term: int
     voted_for: str | None
-    whole: bool
+    voter: bool
 
 
 class State(NamedTuple):
-    """An accepted map under its stamp."""
+    """An accepted map with the term and index of its commit."""
 
-    stamp: Stamp
-    chest: Chest
+    term_index: TermIndex
+    entries: RangedMap
 
 
 class Work(NamedTuple):
@@ -73,7 +73,7 @@
     """Another member calls; answered by a Reply with the same `ref`."""
 
     ref: Any
-    method: str  # ballot, append, join, succeed
+    method: str  # request_vote, append, join, succeed
     body: Any
 
 
--- a/vise/leading.py
+++ b/vise/leading.py
@@ -8,7 +8,7 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, CHUNK, DELTA, DRAWERS, EARLY_S, HANDING_S, HEARTBEAT_S, MADE_WHOLE, NOTHING, OLD,
+    BEHIND, CALL_S, CHUNK, DELTA, RANGES, EARLY_S, HANDING_S, HEARTBEAT_S, PROMOTE, LEARNER, OLD,
     UNHEARD_S, WAITING_MOST, YES, Settled, State, Work,
 )  # fmt: skip
 from vise.seat import MEMBERS, Seat, pack, quorum
@@ -28,7 +28,7 @@
     token: int = 0  # its newest steady time, as it named it
     heavy: bool = False  # a payload is on its way
     chunk: int = CHUNK  # bytes of a payload, about: halved when one did not come through in time
-    blank: tuple[int, int] | None = None  # (incarnation, index that must be committed before it counts again)
+    learning: tuple[int, int] | None = None  # (incarnation, index to be committed before it votes)
     learner_at: float = float("-inf")  # when it last asked to join
 
 
@@ -121,13 +121,13 @@
         if round_ >= peer.round:
             peer.token = token
         peer.round, peer.heard_at = max(peer.round, round_), max(peer.heard_at, sent_at)
-        if code == NOTHING:
-            self._blank(ip, peer, index, *more)
+        if code == LEARNER:
+            self._learner(ip, peer, index, *more)
         elif code in (YES, BEHIND):
-            peer.blank = None
+            peer.learning = None
             if code == YES:
                 peer.match = max(peer.match, index)
-            elif more[0] and peer.match < self.naming.stamp[1]:
+            elif more[0] and peer.match < self.naming.term_index[1]:
                 self._mend(ip, peer, more[0])
         self._confirm()
         if self.seat.then is None:
@@ -165,11 +165,11 @@
             elif payload is not None and len(payload) <= peer.chunk:
                 self._append(ip, peer, payload)
             else:
-                self._append(ip, peer, True if peer.match < self.naming.stamp[1] else None)
+                self._append(ip, peer, True if peer.match < self.naming.term_index[1] else None)
         self._confirm()
 
     def _append(self, ip: str, peer: Peer, payload: Any) -> None:
-        index = self.naming.stamp[1]
+        index = self.naming.term_index[1]
         heavy = isinstance(payload, bytes)
         peer.heavy = peer.heavy or heavy
         body = [self.term, self.seat.me, self.round, index, self.commit, peer.token, self.confirmed, payload]
@@ -197,13 +197,13 @@
         if ip == self.seat.me:
             return self.seat.now
         peer = self._peer(ip)
-        return float("-inf") if peer.blank else peer.heard_at
+        return float("-inf") if peer.learning else peer.heard_at
 
     def _answered_round(self, ip: str) -> int:
         if ip == self.seat.me:
             return self.round
         peer = self._peer(ip)
-        return 0 if peer.blank else peer.round
+        return 0 if peer.learning else peer.round
 
     # ---- proposals
     def _advance(self) -> None:
@@ -216,7 +216,7 @@
             if not self.queue:
                 break
             ref, order = self.queue.popleft()
-            outcome = self.decide(self.naming.chest.map, order)
+            outcome = self.decide(self.naming.entries.map, order)
             if isinstance(outcome, Work):
                 return self._propose(outcome.set, outcome.gone, ref, outcome.answer)
             self.waiting.append((self.round + 1, ref, outcome.answer))
@@ -226,16 +226,16 @@
 
     def _joining(self) -> str | None:
         members = self._members()
-        index = self.naming.stamp[1]
+        index = self.naming.term_index[1]
         for ip, peer in self.peers.items():
-            if ip not in members and not peer.blank and peer.match == index:
+            if ip not in members and not peer.learning and peer.match == index:
                 return ip
         return None
 
     def _propose(self, set: dict[str, Any], gone: list[str], ref: Any, answer: Any) -> None:
         old = self.naming
-        new = State((self.term, old.stamp[1] + 1), old.chest.changed(set, gone))
-        payload = pack([DELTA, *old.stamp, set, gone, new.chest.digest()])
+        new = State((self.term, old.term_index[1] + 1), old.entries.changed(set, gone))
+        payload = pack([DELTA, *old.term_index, set, gone, new.entries.digest()])
         self.naming, self.under_way = new, (ref, answer)
         self._round(payload)
         self.seat.keep(None, new, self._proposed)
@@ -247,7 +247,7 @@
 
     def _count(self) -> None:
         """Commit the proposal under way once a majority holds it durably."""
-        index = self.naming.stamp[1]
+        index = self.naming.term_index[1]
         if not self.under_way or self.commit == index:
             return
         members = self._members()
@@ -265,32 +265,32 @@
 
     def _holds(self, ip: str, index: int) -> bool:
         if ip == self.seat.me:
-            return self.seat.stamp == self.naming.stamp
+            return self.seat.term_index == self.naming.term_index
         peer = self._peer(ip)
-        return peer.blank is None and peer.match >= index
+        return peer.learning is None and peer.match >= index
 
     # ---- restoring and repair
     def _mend(self, ip: str, peer: Peer, digests: bytes) -> None:
-        """Send the drawers that differ, as many as one call may carry; the answer brings the next digests."""
+        """Send the ranges that differ, as many as one call may carry; the answer brings the next digests."""
         if peer.heavy:
             return
-        chest, drawers, size = self.naming.chest, {}, 0
-        for number in chest.differing(digests):
-            drawers[number] = chest.packed(number)
-            size += len(drawers[number])
+        entries, ranges, size = self.naming.entries, {}, 0
+        for number in entries.differing(digests):
+            ranges[number] = entries.packed(number)
+            size += len(ranges[number])
             if size > 2 * peer.chunk:
                 break
-        self._append(ip, peer, pack([DRAWERS, drawers, chest.digest()]))
+        self._append(ip, peer, pack([RANGES, ranges, entries.digest()]))
 
-    def _blank(self, ip: str, peer: Peer, index: int, incarnation: int, holds: bool, digests: Any) -> None:
-        newest = self.naming.stamp[1]
-        if peer.blank is None or peer.blank[0] != incarnation:
-            peer.blank, peer.match = (incarnation, newest + 1), 0
+    def _learner(self, ip: str, peer: Peer, index: int, incarnation: int, holds: bool, digests: Any) -> None:
+        newest = self.naming.term_index[1]
+        if peer.learning is None or peer.learning[0] != incarnation:
+            peer.learning, peer.match = (incarnation, newest + 1), 0
             self.seat.tell(events.RESTORING, ip=ip, index=newest)
         if holds and index == newest:
-            if self.commit == newest and newest >= peer.blank[1]:
+            if self.commit == newest and newest >= peer.learning[1]:
                 if not peer.heavy:
-                    self._append(ip, peer, pack([MADE_WHOLE, incarnation]))
+                    self._append(ip, peer, pack([PROMOTE, incarnation]))
             elif self.commit == newest and not self.under_way and not self.handed:
                 self._propose({}, [], None, None)  # something committed after hearing of it, without it
         elif digests:
@@ -302,7 +302,7 @@
         fresh = self.seat.now - UNHEARD_S
         able = [
             (peer.match, peer.round, ip) for ip in self._members()
-            if ip != self.seat.me and (peer := self._peer(ip)).blank is None and peer.heard_at > fresh
+            if ip != self.seat.me and (peer := self._peer(ip)).learning is None and peer.heard_at > fresh
         ]  # fmt: skip
         if able:
             successor = max(able)[2]
--- a/vise/news.py
+++ b/vise/news.py
@@ -2,33 +2,33 @@
 
 from typing import Any
 
-from vise.interface import Stamp, State
-from vise.ranges import Chest
+from vise.interface import TermIndex, State
+from vise.ranges import RangedMap
 
 
 class News:
     """The newest map known to be committed; forgets nothing that a watcher of this life could lack."""
 
     def __init__(self) -> None:
-        self.state = State((0, 0), Chest())
-        self.proof = float("-inf")  # steady time at which it was the newest of all
+        self.state = State((0, 0), RangedMap())
+        self.lease = float("-inf")  # steady time at which it was the newest of all
         self._base = 0  # index from which on all changes are known
         self._changed: dict[str, int] = {}  # key -> index of its last change, gone ones too
 
     @property
-    def stamp(self) -> Stamp:
-        return self.state.stamp
+    def term_index(self) -> TermIndex:
+        return self.state.term_index
 
     @property
     def index(self) -> int:
-        return self.state.stamp[1]
+        return self.state.term_index[1]
 
     def advance(self, state: State) -> bool:
         """Take a committed map; False if it is not newer."""
-        if state.stamp <= self.stamp:
+        if state.term_index <= self.term_index:
             return False
-        old, new = self.state.chest, state.chest
-        index = state.stamp[1]
+        old, new = self.state.entries, state.entries
+        index = state.term_index[1]
         if not self.index:
             self._base = index
         elif old is not new:
@@ -43,7 +43,7 @@
 
     def since(self, have: int) -> dict[str, Any]:
         """`{index, set, gone, full}` for one who has the map at index `have`; 0: nothing."""
-        map = self.state.chest.map
+        map = self.state.entries.map
         if have >= self.index:
             return {"index": self.index, "set": {}, "gone": [], "full": False}
         if have < self._base:
--- a/vise/seat.py
+++ b/vise/seat.py
@@ -7,7 +7,7 @@
 
 import cbor2
 
-from vise.interface import Effect, Keep, Reply, Send, Stamp, State, Tell, Vote
+from vise.interface import Effect, Keep, Reply, Send, TermIndex, State, Tell, Vote
 from vise.news import News
 
 MEMBERS = "Members/"
@@ -61,8 +61,8 @@
                 raise Broken(f"term {vote.term} after {self.vote.term}")
             if vote.term == self.vote.term and self.vote.voted_for not in (None, vote.voted_for):
                 raise Broken(f"a second vote in term {vote.term}")
-        if state is not None and self.vote.whole and state.stamp <= self.state.stamp:
-            raise Broken(f"stamp {state.stamp} after {self.state.stamp}")
+        if state is not None and self.vote.voter and state.term_index <= self.state.term_index:
+            raise Broken(f"stamp {state.term_index} after {self.state.term_index}")
         self._keeping, self.then, self._kept_from = (vote, state), then, self.now
         self.effects.append(Keep(vote, state))
 
@@ -89,12 +89,12 @@
 
     # ---- state
     @property
-    def stamp(self) -> Stamp:
-        return self.state.stamp
+    def term_index(self) -> TermIndex:
+        return self.state.term_index
 
     def members(self, state: State | None = None) -> list[str]:
         """The members of the newest accepted map, in order."""
-        map = (state or self.state).chest.map
+        map = (state or self.state).entries.map
         return sorted(key.removeprefix(MEMBERS) for key in map if key.startswith(MEMBERS))
 
     def committed(self, state: State) -> None:
@@ -102,7 +102,7 @@
 
     def proven(self, at: float) -> None:
         """The committed map was the newest of all at the steady time `at`."""
-        self.news.proof = max(self.news.proof, at)
+        self.news.lease = max(self.news.lease, at)
 
     # ---- the member's part
     def step_down(self, why: str) -> None:
