Frames: a check in each, and an end to a connection with half a frame on it

Cause: Caller.call gave up in the middle of sendall and left the connection open; the next call's bytes were read as the rest of that frame. The server wrote answers with no time limit, so one peer that read nothing held up all later answers of its connection for good.

--- a/pegboard/resources.py
+++ b/pegboard/resources.py
@@ -12,7 +12,7 @@
 from pegboard.registry import Registry
 from pegboard.store import Store
 from workbench.events import tell
-from workbench.faults import Fault
+from workbench.faults import INVALID, Fault
 
 AGAIN_S = 0.3  # Retry-After where there was no clear answer
 TTL = "1s"
@@ -64,6 +64,8 @@
         answer = self._store.submit(kind, if_match, body, size)
         if isinstance(answer, Fault):
             tell(events.ORDER, kind=kind, fault=answer)
+            if answer.reason == INVALID:
+                return refusal(413, answer.detail)  # too large for a frame: it has gone nowhere
             return refusal(503, f"no clear answer: {answer.reason}", AGAIN_S)
         status = answer["status"]
         why = answer.get("reason") or ""
--- /dev/null
+++ b/trials/test_frames.py
@@ -0,0 +1,450 @@
+"""Frames on real sockets: whatever befalls them, an answer is its own call's, and no call runs twice."""
+
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.errors import FlakyFailure
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+from ward import each, raises, test
+
+from trials.between import BACK, CUT, DOUBLE, HALVE, HOLD, HOST, KINDS, RESET, THERE, Between
+from trials.planted import planted
+from workbench import bench
+from workbench.bench import ANSWERS, CALLS, FRAME_MOST, Caller, Frames, pack, serve
+from workbench.faults import INVALID, REFUSED, UNANSWERED, UNKNOWN, UNREACHED, Fault
+
+BYTES = 36  # of a small call, and more than its answer has
+QUICK_S = 0.03  # a call that nobody answers
+ENOUGH_S = 5.0  # for one that is answered, on a busy machine: never waited for
+TOO_LONG = AssertionError("it should have come long ago")
+
+
+def listening(server: StreamServer) -> bench.Address:
+    return HOST, server.server_port or 0
+
+
+HOW = settings(
+    max_examples=25, stateful_step_count=12, deadline=None, derandomize=True, database=None,
+    report_multiple_bugs=False, suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+
+
+class Peer:
+    """A process that answers calls, and what it has run over all its lives."""
+
+    def __init__(self) -> None:
+        self.ran: Counter[int] = Counter()
+        self.gate = Event()
+        self._handlers = {"echo": self._echo, "late": self._late, "refuse": self._refuse}
+        self._server = serve((HOST, 0), self._handlers)
+        self.address = listening(self._server)
+
+    def restart(self) -> None:
+        self._server.close()
+        self._server = serve(self.address, self._handlers)
+
+    def close(self) -> None:
+        self._server.close()
+
+    def _echo(self, body: Any) -> Any:
+        self.ran[body[0]] += 1
+        return [body[0], body[1]]
+
+    def _late(self, body: Any) -> Any:
+        self.ran[body[0]] += 1
+        self.gate.wait(ENOUGH_S)
+        return [body[0], body[1]]
+
+    def _refuse(self, body: Any) -> Any:
+        return Fault(REFUSED, str(body[0]))
+
+
+class History:
+    """Every call with its outcome. A token is its call's own, and is said back by whoever has run it."""
+
+    def __init__(self, peer: Peer, caller: Caller) -> None:
+        self.peer, self.caller = peer, caller
+        self.calls: list[tuple[str, int, bytes, Any]] = []
+        self._token = 0
+
+    def call(self, method: str, size: int, within: float) -> Any:
+        self._token += 1
+        token = self._token
+        extra = bytes([token % 251]) * size
+        answer = self.caller.call(method, [token, extra], within)
+        self.calls.append((method, token, extra, answer))
+        return answer
+
+    def check(self) -> None:
+        for method, token, extra, answer in self.calls:
+            runs = self.peer.ran[token]
+            assert runs <= 1, f"{method} {token} ran {runs} times"
+            if not isinstance(answer, Fault):
+                assert method != "refuse" and answer == [token, extra], f"{method} {token}: {answer!r:.200}"
+                assert runs == 1, f"{method} {token} was answered and has not run"
+            elif answer.reason == REFUSED:
+                assert (method, answer.detail) == ("refuse", str(token)), f"{method} {token}: {answer}"
+            else:
+                assert answer.reason in (UNANSWERED, UNREACHED), f"{method} {token}: {answer}"
+                assert not runs or answer.reason == UNANSWERED, f"{method} {token}: ran, and told as not sent"
+
+
+class Calls(RuleBasedStateMachine):
+    """Calls to one peer through a stand-in that brings trouble about."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.peer = Peer()
+        self.between = Between(self.peer.address)
+        self.caller = Caller(self.between.address)
+        self.history = History(self.peer, self.caller)
+
+    @rule(way=st.sampled_from((THERE, BACK)), at=st.integers(0, 200), kind=st.sampled_from(KINDS))
+    def trouble(self, way: str, at: int, kind: str) -> None:
+        self.between.arm(way, at, kind)
+
+    @rule(methods=st.lists(st.sampled_from(("echo", "echo", "refuse", "late")), min_size=1, max_size=4),
+          size=st.sampled_from((0, 30, 70_000)))  # fmt: skip
+    def calls(self, methods: list[str], size: int) -> None:
+        quiet = not self.between.troubles and "late" not in methods
+        within = ENOUGH_S if quiet and self.between.struck == 0 else QUICK_S
+        calls = [gevent.spawn(self.history.call, one, size, within) for one in methods]
+        gevent.joinall(calls, raise_error=True)
+        self.history.check()
+
+    @rule()
+    def late_answers(self) -> None:
+        self.peer.gate.set()
+        gevent.idle()
+        self.peer.gate.clear()
+
+    @rule()
+    def calm(self) -> None:
+        self.between.release()
+
+    @rule()
+    def reset(self) -> None:
+        self.between.reset()
+
+    @rule()
+    def restart(self) -> None:
+        self.peer.restart()
+        self.between.reset()
+
+    @rule()
+    def closed_here(self) -> None:
+        self.caller.close()
+
+    def teardown(self) -> None:
+        self.peer.gate.set()
+        self.between.release()
+        answers = [self.history.call("echo", 10, QUICK_S) for _ in range(2)]
+        if all(isinstance(one, Fault) for one in answers):  # what was held may still have been on its way
+            self.caller.close()
+            answers.append(self.history.call("echo", 10, ENOUGH_S))
+        self.history.check()
+        assert not all(isinstance(one, Fault) for one in answers), f"all is well, and calls fail: {answers}"
+        self.caller.close()
+        self.between.close()
+        self.peer.close()
+
+
+def play() -> None:
+    run_state_machine_as_test(Calls, settings=HOW)
+
+
+def play_once() -> None:
+    """The same, and no search for a shorter case."""
+    run_state_machine_as_test(Calls, settings=settings(HOW, phases=[Phase.generate]))
+
+
+@test("frames: calls through any troubles, one after the other and beside each other")
+def _() -> None:
+    play()
+
+
+def struck(way: str, at: int, kind: str) -> int:
+    """Three calls, the trouble in the first two; how many were answered."""
+    peer = Peer()
+    between = Between(peer.address)
+    history = History(peer, Caller(between.address))
+    between.arm(way, at, kind)
+    peer.gate.set()
+    answers = [history.call("echo", 8, 0.25) for _ in range(2)]
+    between.release()
+    history.caller.close()
+    answers.append(history.call("echo", 8, ENOUGH_S))
+    history.check()
+    assert not isinstance(answers[-1], Fault), f"{kind} {way} at {at}: {answers}"
+    history.caller.close()
+    between.close()
+    peer.close()
+    return sum(not isinstance(one, Fault) for one in answers)
+
+
+@test("frames: a connection {kind} at every byte of two calls and answers, {way}")
+def _(kind: str = each(CUT, RESET, HOLD, HALVE, DOUBLE, CUT, RESET, HOLD, HALVE, DOUBLE),
+      way: str = each(*[THERE] * 5, *[BACK] * 5)) -> None:  # fmt: skip
+    runs = [gevent.spawn(struck, way, at, kind) for at in range(BYTES)]
+    gevent.joinall(runs, raise_error=True)
+    assert min(run.get() for run in runs) >= 1
+
+
+class Deaf:
+    """A peer that accepts and reads only when told; what comes is kept by connection."""
+
+    def __init__(self) -> None:
+        self.heard: list[bytearray] = []
+        self.reads = Event()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind((HOST, 0))
+        listener.listen(8)
+        self._server = StreamServer(listener, self._take)
+        self._server.start()
+        self.address = listening(self._server)
+
+    def _take(self, sock: socket.socket, _: Any) -> None:
+        kept = bytearray()
+        self.heard.append(kept)
+        self.reads.wait()
+        while data := sock.recv(65536):
+            kept += data
+
+    def close(self) -> None:
+        self._server.stop(1.0)
+
+
+def given_up_midway() -> list[list[Any]]:
+    """Calls to a peer that does not read, then reads; the frames that it found, by connection."""
+    deaf = Deaf()
+    caller = Caller(deaf.address)
+    first = caller.call("echo", [0, b"a" * (12 << 20 >> 1)], QUICK_S)
+    assert isinstance(first, Fault) and first.reason == UNANSWERED
+    deaf.reads.set()
+    for token in range(1, 12):
+        caller.call("echo", [token, bytes([token]) * 1_400_000], 0.01)
+    caller.close()
+    deaf.close()
+    found = []
+    for kept in deaf.heard:
+        frames: list[Any] = []
+        cutter = Frames(CALLS)
+        try:
+            for begin in range(0, len(kept), 65536):
+                frames += cutter.feed(bytes(kept[begin : begin + 65536]))
+        except ValueError:
+            frames.append(None)
+        found.append(frames)
+    return found
+
+
+def whole(frame: Any) -> bool:
+    """Whether it is a call as it was made."""
+    if frame is None:
+        return False
+    _, method, (token, extra) = frame
+    return method == "echo" and set(extra) <= {token or ord("a")} and len(extra) in (1_400_000, 6 << 20)
+
+
+@test("frames: a call given up in the middle of being written ends its connection")
+def _() -> None:
+    found = given_up_midway()
+    assert len(found) > 1, "the connection with half a frame on it was used again"
+    assert all(whole(frame) for frames in found for frame in frames)
+
+
+@test("frames: an answer that nobody takes ends its connection, and holds up no other")
+def _() -> None:
+    server = serve((HOST, 0), {"large": lambda _: b"x" * (FRAME_MOST - 100), "echo": lambda body: body})
+    ends: list[socket.socket] = []
+    tune = bench.tune
+    bench.tune = ends.append  # type: ignore[assignment]
+    try:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(listening(server))
+        with planted(bench.write, "SILENT_S) ->", "0.05) ->"), gevent.Timeout(ENOUGH_S, TOO_LONG):
+            sock.sendall(pack(CALLS, [1, "large", None]) + pack(CALLS, [2, "echo", "two"]))
+            while not ends:
+                gevent.idle()
+            other = Caller(listening(server))
+            assert other.call("echo", "three", ENOUGH_S) == "three"
+            while ends[0].fileno() >= 0:
+                gevent.idle()
+    finally:
+        bench.tune = tune
+    kept = b""
+    with suppress(OSError):
+        while data := sock.recv(1 << 20):
+            kept += data
+    assert 0 < len(kept) < FRAME_MOST and not Frames(ANSWERS).feed(kept), "half an answer, and then the end"
+    other.close()
+    server.close()
+
+
+@test("frames: a frame of two calls, of the wrong direction or of no call is not read")
+def _() -> None:
+    one, two = pack(CALLS, [1, "echo", b"a" * 90]), pack(CALLS, [2, "echo", b"b" * 90])
+    for at in range(1, len(one)):
+        with raises(ValueError):
+            Frames(CALLS).feed(one[:at] + two + two)
+    for at in range(8, len(one)):
+        changed = bytearray(one)
+        changed[at] ^= 0x10
+        with raises(ValueError):
+            Frames(CALLS).feed(bytes(changed))
+    with raises(ValueError):
+        Frames(ANSWERS).feed(one)  # a connection that leads back to its own beginning
+    assert Frames(CALLS).feed(one + two) == [[1, "echo", b"a" * 90], [2, "echo", b"b" * 90]]
+
+
+@test("frames: what cannot be a call ends the connection: {what}")
+def _(
+    what: str = each("number again", "number below", "two words", "no number", "a list for a method"),
+) -> None:
+    ran: list[Any] = []
+
+    def echo(body: Any) -> Any:
+        ran.append(body)
+        return body
+
+    server = serve((HOST, 0), {"echo": echo})
+    frames = {
+        "number again": [[5, "echo", 1], [5, "echo", 2]], "number below": [[5, "echo", 1], [4, "echo", 2]],
+        "two words": [[5, "echo", 1], [6, "echo"]], "no number": [[5, "echo", 1], ["6", "echo", 2]],
+        "a list for a method": [[5, "echo", 1], [6, ["echo"], 2]],
+    }[what]  # fmt: skip
+    sock = socket.create_connection(listening(server))
+    sock.sendall(pack(CALLS, frames[0]))
+    cutter = Frames(ANSWERS)
+    assert cutter.feed(sock.recv(65536)) == [[5, 1]]
+    sock.sendall(pack(CALLS, frames[1]))
+    with gevent.Timeout(ENOUGH_S, TOO_LONG):
+        assert sock.recv(65536) == b""
+    assert ran == [1]
+    sock.close()
+    server.close()
+
+
+@test("frames: what cannot be an answer ends the connection, and all its calls are in doubt: {what}")
+def _(what: str = each("of no call yet", "half", "a wrong check", "a call", "words for a fault")) -> None:
+    answer = {
+        "of no call yet": pack(ANSWERS, [9, "x"]), "half": pack(ANSWERS, [1, "x"])[:-1],
+        "a wrong check": pack(ANSWERS, [1, "x"])[:-1] + b"y", "a call": pack(CALLS, [1, "x"]),
+        "words for a fault": pack(ANSWERS, [1, None, 7, 8]),
+    }[what]  # fmt: skip
+
+    def connection(sock: socket.socket, _: Any) -> None:
+        sock.recv(65536)
+        sock.sendall(answer)
+        if what == "half":
+            sock.shutdown(socket.SHUT_WR)
+        sock.recv(65536)
+
+    server = StreamServer((HOST, 0), connection)
+    server.start()
+    caller = Caller(listening(server))
+    calls = [gevent.spawn(caller.call, "echo", number, ENOUGH_S) for number in range(2)]
+    gevent.joinall(calls, timeout=ENOUGH_S)
+    assert [call.get().reason for call in calls] == [UNANSWERED] * 2
+    server.stop(0.1)
+
+
+@test("frames: at the size limit, and beyond")
+def _() -> None:
+    server = serve((HOST, 0), {"echo": lambda body: body, "large": lambda size: b"x" * size})
+    caller = Caller(listening(server))
+    most = FRAME_MOST - 12  # its number, its method, the length of its text
+    assert caller.call("echo", b"x" * most, ENOUGH_S) == b"x" * most
+    assert len(pack(CALLS, [1, "echo", b"x" * most])) == FRAME_MOST + 8
+    line = caller._line
+    for method, body in (("echo", b"x" * (most + 1)), ("large", FRAME_MOST)):
+        fault = caller.call(method, body, ENOUGH_S)
+        assert isinstance(fault, Fault) and fault.reason == INVALID, fault
+    assert caller.call("echo", 1, ENOUGH_S) == 1 and caller._line is line
+    assert caller.call("nothing", 1, ENOUGH_S).reason == UNKNOWN
+    caller.close()
+    server.close()
+
+
+@test("frames: a call that waits for its turn to write, and is given up, has not been sent")
+def _() -> None:
+    deaf = Deaf()
+    caller = Caller(deaf.address)
+    first = gevent.spawn(caller.call, "echo", b"a" * (6 << 20), 10 * QUICK_S)
+    gevent.idle()
+    second = caller.call("echo", 2, QUICK_S)
+    assert isinstance(second, Fault) and second.reason == UNREACHED
+    assert first.get().reason == UNANSWERED
+    caller.close()
+    deaf.reads.set()
+    deaf.close()
+
+
+@test("frames: one who is killed while it writes leaves no half frame behind")
+def _() -> None:
+    deaf = Deaf()
+    caller = Caller(deaf.address)
+    writer = gevent.spawn(caller.call, "echo", b"a" * (6 << 20), ENOUGH_S)
+    with gevent.Timeout(ENOUGH_S, TOO_LONG):
+        while caller._line is None:
+            gevent.idle()
+    writer.kill()
+    assert caller._line is None
+    deaf.reads.set()
+    deaf.close()
+
+
+def found(finds: Callable[[], None]) -> bool:
+    """Whether a test fails; hypothesis says Flaky where the same steps do not fail each time."""
+    try:
+        finds()
+    except (AssertionError, FlakyFailure):
+        return True
+    return False
+
+
+def doubled() -> None:
+    for way in (THERE, BACK):
+        runs = [gevent.spawn(struck, way, at, DOUBLE) for at in range(BYTES)]
+        gevent.joinall(runs, raise_error=True)
+
+
+def mixed() -> None:
+    assert all(whole(frame) for frames in given_up_midway() for frame in frames)
+
+
+def changed() -> None:
+    one, two = pack(CALLS, [1, "echo", b"a" * 90]), pack(CALLS, [2, "echo", b"b" * 90])
+    with raises(ValueError):
+        Frames(CALLS).feed(one[:50] + two[50:])
+
+
+BREACHES: dict[str, tuple[Callable[..., Any], str, str, Callable[[], None]]] = {
+    "the connection is kept after a write that was given up":
+        (Caller.call, "self._end(line)  # half a frame may be out", "pass", mixed),
+    "the check is not compared": (Frames.feed, "zlib.crc32(value, self._way) != check", "False", changed),
+    "a number may come again": (serve, "if number > newest", "if True", doubled),
+    "sent is told as not sent":
+        (Caller.call, "UNANSWERED if line else UNREACHED, f", "UNREACHED, f", play_once),
+    "any answer is anybody's": (
+        Caller._answered, "waiting = line.waiting.pop(number, None)",
+        "waiting = line.waiting.popitem()[1] if line.waiting else None", play_once,
+    ),
+}  # fmt: skip
+
+
+@test("frames, planted: {name}: found")
+def _(name: str = each(*BREACHES)) -> None:
+    where, old, new, finds = BREACHES[name]
+    with planted(where, old, new):
+        assert found(finds)
--- a/trials/test_lathe_pulling.py
+++ b/trials/test_lathe_pulling.py
@@ -9,7 +9,7 @@
 from lathe.gate import Gate
 from lathe.pulling import AVOID_S, Pulling, unpacked
 from pegboard.registry import Registry, Self
-from workbench.bench import DIAL_S, MORE_S, Patience, pack
+from workbench.bench import ANSWERS, DIAL_S, MORE_S, Patience, pack
 from workbench.faults import UNANSWERED, UNREACHED, Fault
 
 NEAR, NEXT, FAR = "10.1.0.1", "10.2.0.1", "10.3.0.1"
@@ -88,7 +88,7 @@
     body = {"have": {}, "zone": "a", "region": "r"}
     plain, packed = packer.answer(body, 0.0, 0.0), packer.answer({**body, "packs": True}, 0.0, 0.0)
     assert unpacked(packed["sources"]) == plain["sources"]
-    assert 8 * len(pack(packed)) < len(pack(plain))
+    assert 8 * len(pack(ANSWERS, packed)) < len(pack(ANSWERS, plain))
     packed["sources"]["vise"]["pack"] = packed["sources"]["vise"]["pack"][:-9]
     with raises(ValueError):
         unpacked(packed["sources"])
--- a/trials/test_pegboard_parts.py
+++ b/trials/test_pegboard_parts.py
@@ -17,7 +17,7 @@
 from pegboard.source import TOMBS, Source
 from pegboard.store import Store
 from workbench.bench import Callers
-from workbench.faults import UNANSWERED, UNREACHED, UNREADY, Fault
+from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
 
 
 def take(asker: tuple[int, dict[str, Any]], source: Source) -> tuple[int, dict[str, Any]]:
@@ -171,6 +171,7 @@
         (away, done, 200, ["own", "other"]),
         (Fault(UNREADY), {"status": 412, "reason": "stale"}, 412, ["own", "other"]),
         (Fault(UNANSWERED), done, 503, ["own"]),  # it may have been done: the operator asks again, unchanged
+        (Fault(INVALID), done, 413, ["own"]),  # too large for a frame
         (away, away, 503, ["own", "other"]),
     ):
         way, stores = store(own=own, other=other)
--- a/workbench/bench.py
+++ b/workbench/bench.py
@@ -1,11 +1,15 @@
 """Calls between our processes: frames of cbor2 over TCP, many calls at a time on one connection.
 
-A frame is a length (4 bytes, big-endian) and one cbor2 value: a call `[number, method, body]`, an answer
-`[number, body]`, a fault `[number, null, reason, detail]`.
+A frame is a length, a check (4 bytes each, big-endian) and one cbor2 value: a call `[number, method, body]`,
+an answer `[number, body]`, a fault `[number, null, reason, detail]`. The check is the CRC-32 of the value's
+bytes, begun from another figure for calls than for answers: what was put together of two frames, or comes
+back to its sender, does not pass. Whoever gives up in the middle of writing a frame ends the connection, and
+so does whoever reads one that does not pass; its calls are then in doubt, and the next goes on a new one.
 """
 
 import struct
 import time
+import zlib
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -24,7 +28,12 @@
 DIAL_S = 0.5
 MORE_S = 0.3  # a call with patience goes on while bytes come at least so often
 SILENT_MS = 2000  # TCP_USER_TIMEOUT: bytes that nobody confirms for so long end the connection
-_LENGTH = struct.Struct(">I")
+SILENT_S = SILENT_MS / 1000  # a write of which the other side takes nothing for so long is given up
+ALIVE = {  # s of rest, s between probes, probes: so ends a connection on which nobody is there any more
+    socket.TCP_KEEPIDLE: 10, socket.TCP_KEEPINTVL: 5, socket.TCP_KEEPCNT: 3,
+}  # fmt: skip
+CALLS, ANSWERS = zlib.crc32(b"call"), zlib.crc32(b"answer")  # what the checks of either direction begin from
+_HEAD = struct.Struct(">II")
 
 
 def parse_address(text: str) -> Address:
@@ -39,33 +48,52 @@
     """No waiting to fill packets, and an end to connections whose other side is gone without a word."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in ALIVE.items():
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-def pack(value: Any) -> bytes:
+def pack(way: int, value: Any) -> bytes:
+    """A frame; `way`: CALLS or ANSWERS. ValueError: it is larger than any that is read."""
     data = cbor2.dumps(value)
-    return _LENGTH.pack(len(data)) + data
+    if len(data) > FRAME_MOST:
+        raise ValueError(f"a frame of {len(data)} bytes, {FRAME_MOST} at most")
+    return _HEAD.pack(len(data), zlib.crc32(data, way)) + data
+
+
+def write(sock: socket.socket, data: bytes, silent: float = SILENT_S) -> None:
+    """Write all of it. OSError: the connection broke, or the other side took nothing for `silent` s. Left by
+    an error, whatever it is, part of `data` may have gone: nothing else may be written there any more."""
+    view = memoryview(data)
+    while view:
+        with gevent.Timeout(silent, OSError("the other side takes nothing")):
+            view = view[sock.send(view) :]
 
 
 class Frames:
-    """Cuts bytes into frames. ValueError: too long, or no cbor2."""
+    """Cuts bytes into frames; `way`: CALLS or ANSWERS. ValueError: too long, a check that fails, no cbor2."""
 
-    def __init__(self) -> None:
-        self._held = bytearray()
+    def __init__(self, way: int) -> None:
+        self._way, self._held = way, bytearray()
 
     def feed(self, data: bytes) -> list[Any]:
         self._held += data
         found = []
-        while len(self._held) >= 4:
-            (size,) = _LENGTH.unpack_from(self._held)
+        while len(self._held) >= _HEAD.size:
+            size, check = _HEAD.unpack_from(self._held)
             if size > FRAME_MOST:
                 raise ValueError(f"a frame of {size} bytes")
-            if len(self._held) < 4 + size:
+            end = _HEAD.size + size
+            if len(self._held) < end:
                 break
+            value = bytes(self._held[_HEAD.size : end])
+            if zlib.crc32(value, self._way) != check:
+                raise ValueError("a frame whose check fails")
             try:
-                found.append(cbor2.loads(bytes(self._held[4 : 4 + size])))
+                found.append(cbor2.loads(value))
             except cbor2.CBORDecodeError as error:
                 raise ValueError(str(error)) from None
-            del self._held[: 4 + size]
+            del self._held[:end]
         return found
 
 
@@ -81,40 +109,59 @@
         return max(0.0, min(MORE_S, self.until - now)) if received > self.received else 0.0
 
 
+class Line:
+    """One connection to another process, and the calls that wait on it: none of them outlives it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.waiting: dict[int, AsyncResult[Any]] = {}
+        self.received = 0  # bytes
+
+    def end(self) -> None:
+        """Its calls are in doubt from now on."""
+        self.sock.close()
+        waiting, self.waiting = self.waiting, {}
+        for one in waiting.values():
+            one.set(Fault(UNANSWERED, "the connection broke"))
+
+
 class Caller:
-    """The way to one other process: one connection, made when needed, made anew after it broke."""
+    """The way to one other process: one connection, made when needed, made anew after it broke. Numbers of
+    calls rise over all its connections: an answer can only belong to a call on the connection it came on."""
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self._sock: socket.socket | None = None
+        self._line: Line | None = None
         self._number = 0
-        self._waiting: dict[int, AsyncResult[Any]] = {}
-        self._dialling = Semaphore()
-        self._received = 0  # bytes
+        self._turn = Semaphore()  # who dials or writes
 
     def call(self, method: str, body: Any, timeout: float, most: float = 0.0, dial: float = DIAL_S) -> Any:
         """The answer's body, or a Fault; never raises for what the network does.
 
+        UNREACHED: nothing was sent. UNANSWERED: it may have been done, or be done later. INVALID: too large.
         `timeout`: s, dialling included, which itself may take `dial`; while bytes come, up to `most` s in
         all: a large answer on a narrow line must not be given up and asked for again.
         """
         timer = gevent.Timeout(timeout)
         timer.start()
-        number, sent, patience = 0, False, Patience(time.monotonic() + most)
+        line, number, patience = None, 0, Patience(time.monotonic() + most)
         try:
-            with self._dialling:
-                sock = self._sock or self._dial(dial)
-                self._number += 1
-                number = self._number
-                waiting = self._waiting[number] = AsyncResult()
-                sent = True
-                sock.sendall(pack([number, method, body]))
+            with self._turn:
+                number = self._number + 1
+                frame = pack(CALLS, [number, method, body])
+                line, self._number = self._line or self._dial(dial), number
+                waiting = line.waiting[number] = AsyncResult()
+                try:
+                    write(line.sock, frame)
+                except BaseException:
+                    self._end(line)  # half a frame may be out
+                    raise
             while True:
-                patience.received = self._received
+                patience.received = line.received
                 try:
                     return waiting.get()
                 except gevent.Timeout as over:
-                    more = patience.more(time.monotonic(), self._received)
+                    more = patience.more(time.monotonic(), line.received)
                     if over is not timer or not more:
                         raise
                     timer = gevent.Timeout(more)
@@ -122,15 +169,17 @@
         except gevent.Timeout as over:
             if over is not timer:
                 raise
-            return Fault(UNANSWERED if sent else UNREACHED, f"{method}: {timeout:g} s")
+            return Fault(UNANSWERED if line else UNREACHED, f"{method}: {timeout:g} s")
         except OSError as error:
-            self.close()
-            return Fault(UNANSWERED if sent else UNREACHED, str(error))
+            return Fault(UNANSWERED if line else UNREACHED, str(error))
+        except ValueError as error:
+            return Fault(INVALID, f"{method}: {error}")
         finally:
             timer.close()
-            self._waiting.pop(number, None)
+            if line is not None:
+                line.waiting.pop(number, None)
 
-    def _dial(self, within: float) -> socket.socket:
+    def _dial(self, within: float) -> Line:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             tune(sock)
@@ -139,31 +188,42 @@
         except BaseException:
             sock.close()
             raise
-        self._sock = sock
-        gevent.spawn(self._read, sock)
-        return sock
+        line = self._line = Line(sock)
+        gevent.spawn(self._read, line)
+        return line
 
-    def _read(self, sock: socket.socket) -> None:
-        frames = Frames()
+    def _read(self, line: Line) -> None:
+        frames = Frames(ANSWERS)
         try:
-            while data := sock.recv(65536):
-                self._received += len(data)
+            while data := line.sock.recv(65536):
+                line.received += len(data)
                 for frame in frames.feed(data):
-                    waiting = self._waiting.pop(frame[0], None)
-                    if waiting is not None:
-                        waiting.set(frame[1] if len(frame) == 2 else Fault(frame[2], frame[3]))
-        except (OSError, ValueError, LookupError, TypeError):
+                    self._answered(line, frame)
+        except (OSError, ValueError):
             pass
-        if self._sock is sock:
-            self.close()
+        self._end(line)
+
+    def _answered(self, line: Line, frame: Any) -> None:
+        """ValueError: no answer to any call so far. One to a call that was given up is passed over."""
+        match frame:
+            case [int(number), body] if number <= self._number:
+                answer = body
+            case [int(number), None, str(reason), str(detail)] if number <= self._number:
+                answer = Fault(reason, detail)
+            case _:
+                raise ValueError("no answer")
+        waiting = line.waiting.pop(number, None)
+        if waiting is not None:
+            waiting.set(answer)
+
+    def _end(self, line: Line) -> None:
+        if self._line is line:
+            self._line = None
+        line.end()
 
     def close(self) -> None:
-        sock, self._sock = self._sock, None
-        if sock is not None:
-            sock.close()
-        waiting, self._waiting = self._waiting, {}
-        for one in waiting.values():
-            one.set(Fault(UNANSWERED, "the connection broke"))
+        if self._line is not None:
+            self._end(self._line)
 
 
 class Callers:
@@ -190,29 +250,37 @@
     Started; raises OSError where the address cannot be had.
     """
 
-    def one(sock: socket.socket, writing: Semaphore, frame: Any) -> None:
-        try:
-            number, method, body = frame
-        except (TypeError, ValueError):
-            return sock.close()
+    def one(sock: socket.socket, writing: Semaphore, number: int, method: str, body: Any) -> None:
         handler = handlers.get(method)
-        answer = handler(body) if handler else Fault(UNKNOWN, str(method))
+        answer = handler(body) if handler else Fault(UNKNOWN, method)
         reply = [number, answer]
         if isinstance(answer, Fault):
             reply = [number, None, answer.reason, answer.detail]
         try:
-            with writing:
-                sock.sendall(pack(reply))
-        except OSError:
-            sock.close()
+            data = pack(ANSWERS, reply)
+        except ValueError as error:
+            data = pack(ANSWERS, [number, None, INVALID, f"{method}: {error}"])
+        with writing:
+            try:
+                write(sock, data)
+            except OSError:
+                sock.close()  # half an answer may be out
+            except BaseException:
+                sock.close()
+                raise
 
     def connection(sock: socket.socket, _: Address) -> None:
-        frames, writing = Frames(), Semaphore()
+        frames, writing, newest = Frames(CALLS), Semaphore(), 0
         try:
             tune(sock)
             while data := sock.recv(65536):
                 for frame in frames.feed(data):
-                    gevent.spawn(one, sock, writing, frame)
+                    match frame:
+                        case [int(number), str(method), body] if number > newest:
+                            newest = number
+                        case _:
+                            raise ValueError("no call, or one that has come before")
+                    gevent.spawn(one, sock, writing, number, method, body)
         except (OSError, ValueError):
             pass
         finally:
