Add the scale run: pure parts at the whole size, real programs before hollow gatekeepers

bench.scale measures the pure parts of the programs at 30 to 1,700 gatekeepers with all else in proportion (up to 120,000 tenants), and real programs on loopback before hollow gatekeepers (the real News, Pulling and Gate; records thrown away) and hollow workers.

--- a/ashlift_lab/system/places.py
+++ b/ashlift_lab/system/places.py
@@ -6,7 +6,7 @@
 proxy of ours that listens there stands on the link of just these two.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import attrs
 
@@ -65,8 +65,8 @@
                 yield Wire(near.name, far.name, (far.ip, near.low + port), (far.ip, far.low + port))
 
 
-def settings(place: Place, machines: list[Place], seeds: list[str], folder: str, bounds: Bounds,
-             first: bool) -> str:  # fmt: skip
+def settings(place: Place, machines: list[Place], seeds: list[str], folder: str, bounds: Bounds, first: bool,
+             zones: Mapping[str, str] = ZONES, heartbeat: float = HEARTBEAT) -> str:  # fmt: skip
     """The settings file (TOML) of a machine's programs; `first`: at the very first start of all."""
     at = {one.name: one.ip for one in machines}
     core = place.kind == CORE
@@ -84,12 +84,12 @@
         "QuorumMember": core,
         "Discovery": "self_register",
         "EntryMode": "directory",
-        "Heartbeat": f"{round(HEARTBEAT * 1000)}ms",
+        "Heartbeat": f"{round(heartbeat * 1000)}ms",
         **({"DataDirectory": folder} if core else {}),
     }
     outer = {"Control": CONTROL, "Directory": DIRECTORY} if core else {"Front": FRONT, "Readiness": READINESS}
     tables: dict[str, dict[str, object]] = {
-        "Zones": dict(ZONES),
+        "Zones": dict(zones),
         "Bindings": {name: f"{place.ip}:{port}" for name, port in outer.items()},
         "Limits": {"FileDescriptors": 1024},
         "FaultTolerance": {"Machines": 1, "Zones": 1, "Regions": 1},
--- a/ashlift_lab/system/programs.py
+++ b/ashlift_lab/system/programs.py
@@ -26,6 +26,10 @@
     def up(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int | None:
+        return self._process.pid if self._process is not None and self.up else None
+
     def start(self) -> None:
         if self.up:
             return
--- /dev/null
+++ b/bench/scale/hollow.py
@@ -0,0 +1,327 @@
+"""Hollow gatekeepers and workers: many in one process, started by `bench.scale.runs`.
+
+    python -m bench.scale.hollow < orders
+
+A hollow gatekeeper is the real `News`, `Pulling` and `Gate` on real connections, so that sessions, pulls,
+adds and proofs are those of a real one; its ledger keeps versions and proofs and throws records away, and
+its limiter makes up what it passed. It takes no clients. A hollow worker only beats. Orders and answers are
+a line of JSON each; times are those of the machine's steady clock, alike in all processes.
+"""
+
+import json
+import random
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.fileobject import FileObject
+
+from ashlift.net.replies import Reply
+from bench.scale.target import Size, drawn, tenant, worker_address, worker_id
+from gauge.limits import Counts, Limiter
+from jig.settings import Bindings, Settings
+from jig.tables import Table
+from lathe import pulling
+from lathe.gate import Gate
+from lathe.ledger import WORD, Change, Ledger
+from lathe.news import News
+from workbench.faults import Fault
+
+Json = dict[str, Any]
+ANSWER_S = 1.0  # a worker waits so long for its beat's answer
+MISSED_S = 0.2  # and then so long until it tries again, elsewhere
+EMPTY = Table.build({})
+_unpack = pulling.unpacked
+_packs: dict[bytes, Json] = {}  # the newest pack, opened once for all of this process
+
+
+def _unpacked(sources: Mapping[str, Json]) -> dict[str, Json]:
+    found = dict(sources)
+    for name, news in sources.items():
+        if "pack" in news:
+            data = news["pack"]
+            if data not in _packs:
+                _packs.clear()
+                _packs[data] = _unpack({name: news})[name]
+            found[name] = _packs[data]
+    return found
+
+
+class HollowLedger(Ledger):
+    """Versions and proofs alone. `seen`: entries told; `reached`: index -> when it came."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.seen = 0
+        self.reached: dict[int, float] = {}
+
+    def _word(self, news: Mapping[str, Any], change: Change) -> None:
+        if news["version"] > self.index:
+            self.index = news["version"]
+            self.reached[self.index] = time.monotonic()
+            members = {key[8:]: value for key, value in news["set"].items() if key.startswith("Members/")}
+            self.core = {**({} if news["full"] else self.core), **members}
+            if self.table is None and "Version" in news["set"]:
+                self.table = EMPTY
+
+    def _source(self, name: str, news: Mapping[str, Any], now: float, change: Change) -> None:
+        self.seen += len(news["set"]) + len(news["gone"])
+        super()._source(name, {**news, "set": {}, "gone": []}, now, Change())
+
+
+class HollowLimiter(Limiter):
+    """Says that it passed `rate` requests a second of tenants drawn by chance."""
+
+    rate, tenants = 0.0, 1
+
+    def __init__(self, chance: random.Random, bounds: Any) -> None:
+        super().__init__(chance, bounds)
+        self._chance, self._since, self._left = chance, time.monotonic(), 0.0
+
+    def fresh(self) -> Counts:
+        now = time.monotonic()
+        self._left += self.rate * min(2.0, now - self._since)
+        self._since = now
+        counts: Counts = {}
+        while self._left >= 1:
+            self._left -= 1
+            name = tenant(drawn(self.tenants, self._chance))
+            counts[name] = counts.get(name, (0, 0))[0] + 1, 0
+        return counts
+
+
+class HollowPulling(pulling.Pulling):
+    """Counts calls, and how long they took."""
+
+    calls = missed = 0
+    waited = longest = 0.0
+
+    def ended(self, pull: pulling.Pull, now: float, answer: Json | Fault) -> bool:
+        self.calls += 1
+        self.missed += isinstance(answer, Fault)
+        self.waited += now - pull.sent
+        self.longest = max(self.longest, now - pull.sent)
+        return super().ended(pull, now, answer)
+
+
+class Gatekeeper:
+    def __init__(self, number: int, orders: Json) -> None:
+        zones: dict[str, str] = orders["zones"]
+        zone = sorted(zones)[number % len(zones)]
+        made = Settings(
+            node_name=f"hollow-{number}",
+            ip=f"10.200.{number >> 8}.{number & 255}",
+            zones=zones,
+            zone=zone,
+            region=zones[zone],
+            internal_ports=(orders["low"], orders["low"] + 15),
+            seeds=tuple((ip, 8200) for ip in orders["seeds"]),
+            bindings=Bindings(front=(f"10.200.{number >> 8}.{number & 255}", 8206)),
+        )
+        chance = random.Random(number)
+        self.gate = Gate(made, chance, time.monotonic())
+        self.ledger = self.gate.ledger = HollowLedger()
+        self.limiter = self.gate.limiter = HollowLimiter(chance, made.bounds)
+        self.began = self.ready_at = 0.0
+        self.news = News(made, self.gate, f"{number:08x}", chance, self._changed)
+        self.pulling = self.news._pulling = HollowPulling(made, self.gate, f"{number:08x}", chance)
+
+    def _changed(self) -> None:
+        if not self.ready_at and self.gate.ready(time.monotonic()):
+            self.ready_at = time.monotonic()
+
+
+class Worker:
+    """What one hollow worker says of itself."""
+
+    def __init__(self, number: int, size: Size, zones: list[str]) -> None:
+        self.number, self.size, self.life, self.seq = number, size, 0, 0
+        self.zone = zones[number % len(zones)]
+        self.acked = 0.0  # when its first beat was answered
+
+    @property
+    def id(self) -> str:
+        return worker_id(self.number, self.life)
+
+    def again(self) -> None:
+        """It has crashed and starts anew, cold, under another id."""
+        self.life, self.seq, self.acked = self.life + 1, 0, 0.0
+
+    def beat(self) -> bytes:
+        self.seq += 1
+        body = json.dumps(
+            {
+                "Address": worker_address(self.number),
+                "NodeInfo": {
+                    "Service": f"s{self.number % self.size.services:04d}",
+                    "Zone": self.zone,
+                    "Capacity": 6,
+                    "ConfigVersion": "00000001",
+                },
+                "Status": {
+                    "State": "ready",
+                    "CallSeq": self.seq,
+                    "WarmupLeft": "0ms" if self.life == 0 else "3000ms",
+                },
+            }
+        ).encode()
+        head = f"PUT /instances/{self.id} HTTP/1.1\r\nHost: core\r\nContent-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
+
+class Line:
+    """One connection for the beats of several workers, one after the other."""
+
+    def __init__(self, workers: list[Worker], boards: list[str], heartbeat: float) -> None:
+        self.workers, self.boards, self.heartbeat = workers, boards, heartbeat
+        self.calls = self.missed = self.bytes_out = self.bytes_in = 0
+        self._sock: socket.socket | None = None
+        self._at = 0
+
+    def run(self) -> None:
+        step = self.heartbeat / len(self.workers)
+        due = time.monotonic() + step * random.random()
+        while True:
+            for worker in self.workers:
+                gevent.sleep(max(0.0, due - time.monotonic()))
+                due = max(due + step, time.monotonic() - self.heartbeat)
+                while not self._beat(worker):
+                    self.missed += 1
+                    gevent.sleep(MISSED_S)
+
+    def _beat(self, worker: Worker) -> bool:
+        try:
+            with gevent.Timeout(ANSWER_S, OSError("late")):
+                if self._sock is None:
+                    host = self.boards[self._at % len(self.boards)]
+                    self._sock = socket.create_connection((host, 8200), timeout=ANSWER_S)
+                    self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sent, reply = worker.beat(), Reply()
+                self._sock.sendall(sent)
+                while not reply.done:
+                    data = self._sock.recv(65536)
+                    if not data:
+                        raise OSError("closed")
+                    self.bytes_in += len(data)
+                    reply.feed(data)
+        except OSError:
+            if self._sock is not None:
+                self._sock.close()
+            self._sock, self._at = None, self._at + 1
+            return False
+        self.calls += 1
+        self.bytes_out += len(sent)
+        if reply.status == 200 and not worker.acked:
+            worker.acked = time.monotonic()
+        return reply.status == 200
+
+
+class Host:
+    """All hollow ones of this process, and the orders that they get."""
+
+    def __init__(self) -> None:
+        self.gatekeepers: list[Gatekeeper] = []
+        self.lines: list[Line] = []
+        self._churn: gevent.Greenlet[..., None] | None = None
+
+    def order(self, orders: Json) -> Json:
+        return {
+            "gatekeepers": self._gatekeepers,
+            "workers": self._workers,
+            "rate": self._rate,
+            "figures": self._figures,
+            "reached": self._reached,
+            "churn": self._churned,
+        }[orders["do"]](orders)
+
+    def _gatekeepers(self, orders: Json) -> Json:
+        HollowLimiter.tenants = orders["tenants"]
+        self.gatekeepers = [Gatekeeper(number, orders) for number in range(*orders["numbers"])]
+        gevent.spawn(self._start, orders["a_second"])
+        return {"started": time.monotonic()}
+
+    def _start(self, a_second: float) -> None:
+        for one in self.gatekeepers:
+            one.began = time.monotonic()
+            gevent.spawn(one.news.run)
+            if a_second:
+                gevent.sleep(1 / a_second)
+
+    def _workers(self, orders: Json) -> Json:
+        size, zones, boards = Size(**orders["size"]), sorted(orders["zones"]), list(orders["boards"])
+        workers = [Worker(number, size, zones) for number in range(*orders["numbers"])]
+        for at in range(orders["lines"]):
+            mine, turned = (
+                workers[at :: orders["lines"]],
+                boards[at % len(boards) :] + boards[: at % len(boards)],
+            )
+            if mine:
+                self.lines.append(Line(mine, turned, orders["heartbeat"]))
+        for line in self.lines:
+            gevent.spawn(line.run)
+        return {"started": time.monotonic()}
+
+    def _rate(self, orders: Json) -> Json:
+        HollowLimiter.rate = orders["rate"]
+        for one in self.gatekeepers:
+            one.pulling.longest = 0.0
+        return {}
+
+    def _churned(self, orders: Json) -> Json:
+        """So many workers a second crash and start again, from now on."""
+        if self._churn is not None:
+            self._churn.kill()
+        workers = [worker for line in self.lines for worker in line.workers]
+
+        def run() -> None:
+            while True:
+                gevent.sleep(1 / orders["rate"])
+                random.choice(workers).again()
+
+        self._churn = gevent.spawn(run) if orders["rate"] else None
+        return {}
+
+    def _figures(self, _: Json) -> Json:
+        now = time.monotonic()
+        workers = [worker for line in self.lines for worker in line.workers]
+        return {
+            "now": now,
+            "pulls": sum(one.pulling.calls for one in self.gatekeepers),
+            "missed": sum(one.pulling.missed for one in self.gatekeepers),
+            "waited": sum(one.pulling.waited for one in self.gatekeepers),
+            "longest": max((one.pulling.longest for one in self.gatekeepers), default=0.0),
+            "seen": sum(one.ledger.seen for one in self.gatekeepers),
+            "ready": sum(one.gate.ready(now) for one in self.gatekeepers),
+            "took": [one.ready_at - one.began for one in self.gatekeepers if one.ready_at],
+            "age": max((one.ledger.age(now) for one in self.gatekeepers), default=0.0),
+            "beats": sum(line.calls for line in self.lines),
+            "beats_missed": sum(line.missed for line in self.lines),
+            "beats_out": sum(line.bytes_out for line in self.lines),
+            "beats_in": sum(line.bytes_in for line in self.lines),
+            "acked": sum(worker.acked > 0 for worker in workers),
+            "acked_at": max((worker.acked for worker in workers), default=0.0),
+        }
+
+    def _reached(self, orders: Json) -> Json:
+        """When each gatekeeper had an index, or a later one; -1: it has not."""
+        wanted = orders["index"]
+        found = [
+            [at for index, at in one.ledger.reached.items() if index >= wanted] for one in self.gatekeepers
+        ]
+        return {"at": [min(one, default=-1.0) for one in found]}
+
+
+def main() -> None:
+    pulling.unpacked = _unpacked
+    host = Host()
+    for line in FileObject(sys.stdin.fileno(), "rb"):
+        print(json.dumps(host.order(json.loads(line))), flush=True)
+
+
+__all__ = ["WORD", "Gatekeeper", "Host", "HollowLedger", "HollowLimiter", "Worker"]
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trials/test_scale.py
@@ -0,0 +1,170 @@
+"""The scale run (`bench.scale`): its arithmetic, hollow ones beside real ones, a small run from end to end.
+
+The last test starts real processes and takes some seconds: it is what keeps the run working.
+"""
+
+import json
+import random
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from ward import each, raises, test
+
+from bench.scale.cores import settings
+from bench.scale.fit import line, middle, spread
+from bench.scale.hollow import Gatekeeper, HollowLimiter
+from bench.scale.page import filled, shown, tables
+from bench.scale.readings import Carried, sorted_out
+from bench.scale.reckoned import Cores
+from bench.scale.target import TARGET, configuration, distinct, drawn, tenant, zones
+from jig.configuration import laid_out
+from lathe.gate import Gate
+from lathe.pulling import Pulling
+from pegboard.registry import Registry, Self
+from workbench.bench import CALLS, pack
+
+ROOT = Path(__file__).parent.parent
+PARTS = ("measured", "gatekeeper", "registry", "store", "client", "entries", "limits", "processes", "events",
+         "rates", "broken")  # fmt: skip
+
+
+@test("a line through points finds intercept, slope and the farthest point")
+def _() -> None:
+    found = line([(10, 25.0), (20, 45.0), (40, 85.0), (80, 165.0)])
+    assert abs(found.at_0 - 5) < 1e-6 and abs(found.slope - 2) < 1e-9 and found.off < 1e-9
+    assert found.at(100) == found.at_0 + 100 * found.slope and found.beyond(160) == 2.0
+    assert line([(10, 25.0), (20, 45.0), (40, 99.0)]).off > 0.05
+    with raises(ValueError):
+        line([(10, 1.0), (10, 2.0)])
+    assert middle([3, 1, 2]) == 2 and middle([4, 1, 2, 3]) == 2.5 and spread([2, 2, 2]) == 0
+
+
+@test("where a figure passes its limit lies between the sizes measured")
+def _() -> None:
+    figures = {size: {"x": [float(size), size * 1.1, size * 0.9]} for size in (10, 30, 90)}
+    cores = Cores({"by size": {str(size): {"size": {}, "figures": one} for size, one in figures.items()}})
+
+    def value(size: int) -> float:
+        return cores.at("x", size)
+
+    assert cores.crosses(value, 20) == 20 and cores.crosses(value, 60) == 60
+    assert cores.crosses(value, 5) == 5 and cores.crosses(value, 91) is None
+
+
+@test("sizes are in proportion, and their configuration is one that the store takes")
+def _() -> None:
+    size = TARGET.part(17)
+    assert (size.workers, size.services, size.routes, size.tenants) == (190, 9, 59, 1200)
+    assert abs(size.rate / size.gatekeepers - TARGET.rate / TARGET.gatekeepers) < 1e-9
+    assert TARGET.part(TARGET.gatekeepers) == TARGET
+    found = laid_out(configuration(size))
+    assert isinstance(found, dict) and sum(key.startswith("Tenants/") for key in found) == 1200
+
+
+@test("how many tenants are among so many requests is what drawing them gives")
+def _(requests: int = each(50, 500, 5000)) -> None:
+    chance = random.Random(1)
+    runs = [len({drawn(3000, chance) for _ in range(requests)}) for _ in range(20)]
+    assert abs(distinct(3000, requests) - sum(runs) / 20) < 0.03 * requests
+
+
+@test("what connections carried is told by process and kind of call")
+def _() -> None:
+    def row(near: str, far: str, inode: int, sent: int, received: int, calls: int) -> str:
+        return (f"0 0 {near} {far} ino:{inode} sk:1 <-> ts bytes_sent:{sent} bytes_acked:{sent} "
+                f"bytes_received:{received} segs_out:9 data_segs_out:{calls}")  # fmt: skip
+
+    text = "\n".join([
+        row("127.0.0.1:40000", "127.5.1.1:7601", 1, 500, 900, 5),
+        row("127.5.1.1:7601", "127.0.0.1:40000", 2, 900, 500, 6),
+        row("127.0.0.1:40001", "127.5.1.1:7601", 3, 70, 80, 2),
+        row("127.5.1.1:7601", "127.0.0.1:40001", 4, 80, 70, 2),
+        row("127.0.0.1:40002", "127.5.1.1:8200", 5, 10, 20, 1),
+        row("127.0.0.1:9", "127.0.0.1:10", 6, 1, 1, 1),
+        row("127.0.0.1:40009", "127.5.1.1:7601", 99, 5, 5, 5),
+    ])  # fmt: skip
+    owner = {1: 11, 2: 12, 3: 13, 4: 12, 5: 14, 6: 14}
+    roles = {11: "lathe", 12: "pegboard", 13: "pegboard", 14: "workers"}
+    found = sorted_out(text, owner, roles, 7600, {7600, 7601, 8200})
+    assert found == {
+        11: {"pull": Carried(1, 500, 900, 5)},
+        12: {"pull answered": Carried(1, 900, 500, 6), "swap answered": Carried(1, 80, 70, 2)},
+        13: {"swap": Carried(1, 70, 80, 2)},
+        14: {"beat": Carried(1, 10, 20, 1)},
+    }
+
+
+def _registry() -> Registry:
+    own = Registry(Self("core-1", "ab", "10.9.0.1", "z00", "r00", 8200, 1.5), ["10.9.0.1"], zones(), 0.0)
+    word = laid_out(configuration(TARGET.part(5)))
+    assert isinstance(word, dict)
+    own.watched({"index": 4, "set": word, "gone": [], "full": True, "age": 0.1}, 9.0, 9.0)
+    return own
+
+
+@test("a hollow gatekeeper says what a real one says, call after call, and gets the same answers")
+def _() -> None:
+    made = settings("hollow-0")
+    orders = {"zones": zones(), "low": 7600, "seeds": ["10.9.0.1"]}
+    hollow, real = Gatekeeper(0, orders), Gate(made, random.Random(0), 10.0)
+    sides: list[tuple[Registry, Gate, Any]] = [
+        (_registry(), hollow.gate, hollow.pulling),
+        (_registry(), real, Pulling(made, real, f"{0:08x}", random.Random(0))),
+    ]
+    told: list[list[tuple[int, int]]] = [[], []]
+    now = 10.0
+    for step in range(6):
+        for side, (own, gate, pulling) in enumerate(sides):
+            pull = pulling.begin(now)
+            assert pull is not None and pull.ip == "10.9.0.1" and own.pull(pull.body, now) is None
+            if step == 3:
+                adds = {"number": 1, "counts": {"t000001": (5, 1)}}
+                own.pull({**pull.body, "node": "other", "adds": adds}, now)
+                own.pulled("other")
+            answer = own.answer(pull.body, now, now + 0.2)
+            own.pulled("hollow-0")
+            told[side].append((len(pack(CALLS, [1, "pull", pull.body])), len(pack(CALLS, [1, answer]))))
+            assert pulling.ended(pull, now + 0.25, answer) and gate.ready(now + 0.25)
+        assert hollow.ledger.have() == real.ledger.have() and hollow.ledger.proven == real.ledger.proven
+        now += 0.25
+    assert told[0] == told[1], told
+    assert hollow.ledger.seen > 0 and not any(source.records for source in hollow.ledger.sources.values())
+
+
+@test("a hollow limiter says as many requests as its rate")
+def _() -> None:
+    limiter = HollowLimiter(random.Random(3), settings().bounds)
+    limiter.rate, limiter.tenants = 1000.0, 50
+    limiter._since -= 1.0
+    counts = limiter.fresh()
+    assert 990 <= sum(total for total, _ in counts.values()) <= 1100
+    assert max(counts, key=lambda name: counts[name]) == tenant(1) and len(counts) > 30
+
+
+@test("a small run gives one JSON, and the page's tables are made from it")
+def _() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        out = Path(folder) / "scale.json"
+        for words in (["cores", "--sizes", "3,6", "--repeats", "1"], ["run", "--quick", "--sizes", "4"]):
+            done = subprocess.run([sys.executable, "-m", "bench.scale", *words, "--out", str(out)], cwd=ROOT,
+                                  capture_output=True, text=True, check=False)  # fmt: skip
+            assert done.returncode == 0, done.stderr[-2000:]
+        found = json.loads(out.read_text())
+    one = found["run"]["in proportion"]["4"]
+    assert one["broken"] == [], one["broken"]
+    assert one["start"]["ready"] == one["start"]["wanted"] == 3 and one["start"]["workers"] == 45
+    assert one["change"]["status"] == 200 and one["change"]["reached"] == 3
+    quiet, busy = one["windows"]
+    assert quiet["gatekeepers"]["entries_s"] == 0 < busy["gatekeepers"]["entries_s"]
+    assert quiet["gatekeepers"]["pulls_s"] > 3
+    assert quiet["pegboard"]["processes"] == quiet["vise"]["processes"] == 1
+    assert quiet["lathe"]["mb"] > 10 and quiet["pegboard"]["files"] > 5
+    page = "\n".join(f"<!-- scale: {name} -->\n(none yet)\n<!-- end -->" for name in PARTS)
+    made = filled(page, tables(found))
+    assert "(none yet)" not in made and made.count("| --- |") >= 10 and filled(made, tables(found)) == made
+    with raises(ValueError):
+        filled("<!-- scale: nothing -->\n<!-- end -->", tables(found))
+    assert shown(1234567.0) == "1,230,000" and shown(0.01234) == "0.0123" and shown(float("inf")) == "-"
