--- a/dovetail/__main__.py
+++ b/dovetail/__main__.py
@@ -40,8 +40,8 @@
     told = parser.parse_args(arguments)
     failed = 0
     if told.figures:
-        begin = told.first or 1
-        for line in {**TABLES, "catching": catching.table}[told.figures](range(begin, begin + told.seeds), told.jobs):
+        begin, table = told.first or 1, {**TABLES, "catching": catching.table}[told.figures]
+        for line in table(range(begin, begin + told.seeds), told.jobs):
             print(line, flush=True)
     if told.chance:
         begin = told.first or 1
