--- a/bench/scale/cores.py
+++ b/bench/scale/cores.py
@@ -9,6 +9,7 @@
 import random
 import tempfile
 import time
+import zlib
 from collections.abc import Mapping
 from typing import Any
 
@@ -202,6 +203,17 @@
     )
     out.note("registry: first answer to a gatekeeper, bytes", len(full))
     out.note("registry: frames that one first answer takes", len(full) / FRAME_MOST)
+    before = _have(own)
+    for source in [own.own, *(copy.source for copy in own.copies.values())]:
+        people = {key: value for key, value in source.values.items() if key[0] in "wg"}
+        source.merge(source.version + 1, people, ())
+    known = out.ms(
+        "registry: of that, all workers and members, ms",
+        lambda: pack(ANSWERS, [1, own.answer(_pull(0, before, {}), NOW, NOW)]),
+        2,
+    )
+    out.note("registry: of that, all workers and members, bytes", len(known))
+    out.note("registry: the same compressed, bytes", len(zlib.compress(known, 6)))
     body = json.dumps(
         {
             "Address": "10.0.0.0:8080",
