dovetail: calls given up in the middle of being written, workers that run and break the connection

Change: the scenes' word `torn` (a share of calls is given up midway: their connection ends, its other calls are in doubt, and who waits for its turn to write is told UNREACHED or goes on a new one) and `break WORKER` (a share of what it runs ends with the connection).

--- a/dovetail/engine.py
+++ b/dovetail/engine.py
@@ -58,6 +58,13 @@
             if self.then is not None:
                 self.then(value)
 
+    def pass_to(self, other: "Future") -> None:
+        """Set `other` as soon as this one is."""
+        if self.done:
+            other.set(self.value)
+        else:
+            self.then = other.set
+
 
 class Signal:
     """Wakes all who wait."""
@@ -98,11 +105,12 @@
 class Connection:
     """From one life of a process to one life of another."""
 
-    __slots__ = ("closed", "life", "stuck", "there", "waiting", "back", "to")
+    __slots__ = ("closed", "life", "stuck", "there", "torn", "waiting", "back", "to")
 
     def __init__(self, to: "Process") -> None:
         self.to, self.life, self.closed = to, to.life, False
         self.stuck: float | None = None  # since when bytes go unconfirmed
+        self.torn = 0.0  # until then a call is being written that is given up in the middle
         self.there = self.back = 0.0  # when the newest bytes arrive, either way: they keep their order
         self.waiting: set[Future] = set()
 
@@ -199,13 +207,14 @@
 
 
 class Net:
-    """Links between machines: delay, loss of a call's bytes, cuts one way or both ways."""
+    """Links between machines: delay, loss of a call's bytes, cuts one way or both ways, and calls that are
+    given up in the middle of being written (`torn`, a share): their connection ends with them."""
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
         self.machines: dict[str, Machine] = {}
         self.cuts: set[tuple[str, str]] = set()
-        self.loss = 0.0
+        self.loss = self.torn = 0.0
         self.zone_s, self.region_s = 0.0005, 0.02
         self._held: dict[tuple[str, str], list[tuple[float, Connection, Callable[[], None]]]] = {}
 
@@ -266,6 +275,13 @@
         stuck = connection.stuck if connection is not None else None
         if connection is not None and stuck is not None and self.loop.now - stuck > STUCK_S:
             self.close(connection)
+        if connection is not None and not connection.closed and connection.torn > self.loop.now:
+            left = connection.torn - self.loop.now  # it waits for its turn to write
+            if timeout <= left:
+                caller.later(timeout, future.set, Fault(UNREACHED, method))
+            else:
+                caller.later(left, self._again, caller, to, kind, method, body, timeout - left, dial, future)
+            return future
         if connection is not None and not connection.closed:
             self._send(caller, connection, method, body, timeout, future)
             return future
@@ -284,6 +300,12 @@
         caller.later(trip, dialled)
         return future
 
+    def _again(
+        self, caller: Process, to: str, kind: str, method: str, body: Any, timeout: float, dial: float,
+        future: Future,
+    ) -> None:  # fmt: skip
+        self.call(caller, to, kind, method, body, timeout, dial).pass_to(future)
+
     def _send(
         self, caller: Process, connection: Connection, method: str, body: Any, timeout: float, future: Future
     ) -> None:
@@ -316,6 +338,9 @@
                 return caller.later(self.delay(target.machine, caller.machine), self.close, connection)
             target.do(self._serve, (target, method, body, answered))
 
+        if self.torn and self.loop.chance.random() < self.torn:
+            connection.torn = self.loop.now + timeout
+            return caller.later(timeout, self.close, connection)
         caller.later(timeout, over)
         self._carry(caller.machine, target.machine, connection, True, arrive, None)
 
--- a/dovetail/scene.py
+++ b/dovetail/scene.py
@@ -10,12 +10,14 @@
 at 4 disk hang WHO [for 2] | disk refuse WHO [for 2] | disk slow WHO 0.8 [for 2] (s more a write)
 at 4 closing                     what comes now is the closing fault
 at 5 loss 0.05 | load 3 | hot t1 5      calls that get no answer; clients' rate, of all, and of one tenant
+at 5 torn 0.05                   calls that are given up in the middle of being written
 at 5 ask KEY 4 [after 2]         clients with this key ask so often a second; once version 2 is acknowledged
 at 5 put|patch 2 [on 1] [by B] [at core-2] look=desk k-t1-a ...  the operator (people.edited); on the
                                  newest not refused if left out, `on acked`: on the newest acknowledged
 at 5 evacuate z1 [at core-2] | restore z1 | read
 at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
 at 5 grey fleet-1 0.3 | forget fleet-1 0.3    share of 500; s of rest after which a connection is forgotten
+at 5 break fleet-1 0.2           share of requests that run, and whose connection breaks then
 at 5 seeds core-4 core-5
 at 5 edit ID hold=bill|r+NAME=SERVICE|r-NAME at core-2 [by B]     one route (clerks); clock core-4 3
 at 5 confirm|reject ID [over] at core-2 [by B]                    the operator's word on it
@@ -230,6 +232,8 @@
                 world.history.closing = world.loop.now
             case "loss":
                 world.lossy(float(rest[0]))
+            case "torn":
+                world.net.torn = float(rest[0])
             case "load":
                 world.load = float(rest[0])
             case "hot":
@@ -259,7 +263,7 @@
             case "add":
                 address = world.yard.workers[told["as"]].address if "as" in told else None
                 world.worker(rest[0], rest[1], float(told.get("cold", 0.0)), address)
-            case "crash" | "drain" | "chill" | "sick" | "grey" | "forget":
+            case "crash" | "drain" | "chill" | "sick" | "grey" | "forget" | "break":
                 self._worker(word, rest)
             case "expect":
                 what = self._expect(rest, told)
@@ -313,6 +317,8 @@
                 worker.failing = float(rest[1])
             case "forget":
                 worker.forgets = float(rest[1])
+            case "break":
+                worker.breaking = float(rest[1])
 
     # ---- expectations: what is wrong, or ""
     def _expect(self, rest: list[str], told: dict[str, str]) -> str:
--- a/dovetail/workers.py
+++ b/dovetail/workers.py
@@ -38,6 +38,7 @@
         self.queue: deque[tuple[Try, float]] = deque()
         self.lost = 0.0  # share of answers that are lost
         self.failing = 0.0  # share of 500
+        self.breaking = 0.0  # share of requests that it runs, and then breaks their connection
         self.forgets = math.inf  # s of rest after which it has silently dropped a connection
         address = yard.address()
         self.record = WorkerLife(self.id, service, machine.zone, machine.region, address, loop.now)
@@ -85,7 +86,9 @@
     def _done(self, one: Try, status: int) -> None:
         if self.running.pop(one, one) is one:
             return
-        if status:
+        if status == 200 and self.breaking and self.loop.chance.random() < self.breaking:
+            self.yard.answer(self, one, Outcome(Ended.LOST))
+        elif status:
             self.yard.answer(self, one, Outcome(Ended.ANSWERED, reply(status), 0.0))
         self._next()
 
