--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -10,9 +10,11 @@
 import json
 import os
 import platform
+import signal
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -46,7 +48,8 @@
     return {str(size): found[size] for size in sizes}
 
 
-def _runs(sizes: tuple[int, ...], quick: bool) -> Json:
+def _runs(sizes: tuple[int, ...], quick: bool, keep: Callable[[Json], None]) -> None:
+    """`keep` is called after each size: what was measured stays where a later size does not come to its end."""
     from bench.scale.runs import play
     from bench.scale.site import Options
 
@@ -56,11 +59,12 @@
             window=0.5, settle=0.3, core=1, real=1, hosts=1, rates=(0.0, 1.0), churn=0.0, losses=False
         )
         made["in proportion"] = {str(size): play(TARGET.part(size), options, _tell) for size in sizes}
-        return made
+        return keep(made)
     for size in [one for one in sizes if one in IN_PROPORTION]:
         _tell(f"{size} gatekeepers, all in proportion")
         found = made["in proportion"][str(size)] = play(TARGET.part(size), Options(), _tell)
         _tell(f"  broken: {found['broken']}")
+        keep(made)
     for size in sizes:
         _tell(f"{size} gatekeepers, few objects")
         options = Options(
@@ -68,7 +72,7 @@
         )
         found = made["few objects"][str(size)] = play(TARGET.part(size), options, _tell)
         _tell(f"  broken: {found['broken']}")
-    return made
+        keep(made)
 
 
 def _compared(sizes: tuple[int, ...]) -> Json:
@@ -110,6 +114,7 @@
     parser.add_argument("--repeats", type=int, default=5)
     parser.add_argument("--quick", action="store_true", help="one core machine, short windows: does it work?")
     asked = parser.parse_args(words)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))  # what was started is ended on the way out
     sizes = tuple(int(one) for one in asked.sizes.split(",") if one) or SIZES
     if asked.what == "core":
         from bench.scale.cores import measure
@@ -125,7 +130,7 @@
     if asked.what in ("all", "compare"):
         _keep(asked.out, "compare", {"by size": _compared(COMPARED if not asked.quick else sizes)})
     if asked.what in ("all", "run"):
-        _keep(asked.out, "run", _runs(sizes, asked.quick))
+        _runs(sizes, asked.quick, lambda found: _keep(asked.out, "run", found))
     return 0
 
 
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -32,6 +32,7 @@
 
 Json = dict[str, Any]
 ANSWER_S = 1.0  # a worker waits so long for its beat's answer
+WARMUP_S = 3.0
 MISSED_S = 0.2  # and then so long until it tries again, elsewhere
 EMPTY = Table.build({})
 _unpack = pulling.unpacked
@@ -141,6 +142,7 @@
         self.number, self.size, self.life, self.seq = number, size, 0, 0
         self.zone = zones[number % len(zones)]
         self.acked = 0.0  # when its first beat was answered
+        self.warm_at = 0.0  # those of the beginning have long run
 
     @property
     def id(self) -> str:
@@ -149,6 +151,7 @@
     def again(self) -> None:
         """It has crashed and starts anew, cold, under another id."""
         self.life, self.seq, self.acked = self.life + 1, 0, 0.0
+        self.warm_at = time.monotonic() + WARMUP_S
 
     def beat(self) -> bytes:
         self.seq += 1
@@ -164,7 +167,7 @@
                 "Status": {
                     "State": "ready",
                     "CallSeq": self.seq,
-                    "WarmupLeft": "0ms" if self.life == 0 else "3000ms",
+                    "WarmupLeft": f"{round(1000 * max(0.0, self.warm_at - time.monotonic()))}ms",
                 },
             }
         ).encode()
