--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -49,7 +49,7 @@
 
 
 def _runs(sizes: tuple[int, ...], quick: bool, keep: Callable[[Json], None]) -> None:
-    """`keep` is called after each size: what was measured stays where a later size does not come to its end."""
+    """`keep` is called after each size, so that it stays where a later one does not come to its end."""
     from bench.scale.runs import play
     from bench.scale.site import Options
 
