Not told yet is not gone: gatekeepers go on while all registries start again

(2) Registries away for 5.5 s: the ledger fell to 1 or 2 of 8 members and 0 or 1 of 18 workers. (3) Four of five away: 30 to 50% refused.

Mend: an answer tells how long all registries in reach have run (`ran`); members and workers that are named no more stay known until that is a lease (10 s at most). A silent source hides its share only as far as no other source names its gatekeepers. A source that was born while others were heard counts from its start. Load and failures of a dead registry are not counted beside what is told again. Where all registries are avoided, one that answers is asked.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -145,7 +145,7 @@
             answer = {"sources": told, "alive": ["p#1"], "age": 0.1, "held": 0.0}
             gate.limiter.confirmed(counts)
             gate.news(now, gate.ledger.take(now, now, answer))
-            gate.limiter.heard(now, gate.ledger.sums())
+            gate.limiter.heard(now, gate.ledger.sums(), gate.ledger.behind(), gate.ledger.born())
             gevent.sleep(0.25)
 
     gevent.spawn(news)
--- a/gauge/limits.py
+++ b/gauge/limits.py
@@ -13,7 +13,7 @@
 from collections.abc import Container, Mapping
 from typing import NamedTuple, Protocol
 
-from gauge.unheard import KEPT_FOR, MOST, Source, Span, Unheard
+from gauge.unheard import KEPT_FOR, MOST, Behind, Source, Span, Unheard
 from mintfront import Bucket, window
 
 Counts = dict[str, tuple[int, int]]  # by tenant: total, declined
@@ -22,6 +22,7 @@
 CACHED = 0.1  # s that a suppression factor stands
 NEWS_LAG = 0.4  # s, mean age of what is told: adds, swaps and pulls each take up to 0.25 s
 BLIND_AFTER = 1.0  # s without sums
+YOUNG_SOURCE = 2.0  # s that a source has run: all that it tells first came to it while we heard others
 HOLE_AFTER = 0.6  # s in which no source told anything, after which a new one does not speak of that time
 DOUBT = 3.0  # requests: added to both sides of a jump, as few requests speak for few others
 JUMP_MOST = 10.0  # x, the largest jump taken for one
@@ -111,9 +112,10 @@
         """Drop a tenant that no configuration holds any more."""
         self._tenants.pop(tenant, None)
 
-    def set_members(self, now: float, count: int) -> None:
-        """Take how many gatekeepers may pass requests now. Those gone may be cut off, and pass on."""
-        self._unheard.set_members(now, count)
+    def set_members(self, now: float, count: int, missed: float | None = None) -> None:
+        """Take how many gatekeepers may pass requests now. Those gone may be cut off, and pass on; `missed`:
+        since when (s), if that was before now."""
+        self._unheard.set_members(now, count, missed)
         self._spans = self._unheard.spans(now, self._sources)
 
     # ---- requests
@@ -180,9 +182,16 @@
             if entry is not None:
                 entry.pending.append([math.inf, float(total), float(total - declined)])
 
-    def heard(self, now: float, sums: Mapping[str, Mapping[str, tuple[int, int]]]) -> None:
+    def heard(
+        self,
+        now: float,
+        sums: Mapping[str, Mapping[str, tuple[int, int]]],
+        behind: Mapping[str, Behind] | None = None,
+        born: Mapping[str, float] | None = None,
+    ) -> None:
         """Take cumulative sums by source and tenant; only what changed need be there. A new source tells
-        nothing yet: it starts at what it says."""
+        nothing yet: it starts at what it says, or at nothing if it was `born` (steady time) while we heard
+        others. `behind`: for how many gatekeepers each source speaks."""
         before, blind_since = self._heard_at, self._heard_at + BLIND_AFTER
         self._now = self._heard_at = now
         hole_since = self._told_at + HOLE_AFTER  # a new source then stands for one that has lost what it knew
@@ -198,15 +207,23 @@
                 first = max(blind_since, now - self._bounds.quota_window)
                 entry.late = round(_between(entry.buckets, first * 1000, math.inf).accepted) if known else 0
                 entry.late_calls = LATE_CALLS
+        for name, stand in (behind or {}).items():
+            if name in self._sources:
+                self._sources[name].behind = stand
         for name, told in sums.items():
             source = self._sources.get(name)
             if source is None:
-                self._sources[name] = Source(now, dict(told))
-                for entry in self._tenants.values() if now > min(blind_since, hole_since) else ():
+                hole, began = now > min(blind_since, hole_since), (born or {}).get(name, -math.inf)
+                young = not hole and began > now - YOUNG_SOURCE
+                source = self._sources[name] = Source(began if young else now, {} if young else dict(told))
+                for entry in self._tenants.values() if hole else ():
                     self._freeze(entry, self._told_at)
                     entry.since = now  # what came to this source meanwhile is not known
-                continue
-            since, until, new, part = max(source.at, before) - NEWS_LAG, now - NEWS_LAG, 0, 1.0
+                if not young:
+                    continue
+                source.crowd = 0  # nothing was heard of it yet
+            first = source.at if source.crowd == 0 else max(source.at, before)
+            since, until, new, part = first - NEWS_LAG, now - NEWS_LAG, 0, 1.0
             if now > blind_since or source.missed(now):  # much at once, and perhaps of late, but no spike
                 part = min(1.0, self._bounds.quota_window / (now - source.at))
                 since, until = max(source.at - NEWS_LAG, until - LATE_SPAN), until - 1
@@ -248,8 +265,9 @@
         if entry.before_at < heard_at and age > YOUNG_FOR:
             edge, span = heard_at - NEWS_LAG, min(self._bounds.quota_window, age)
             known = _between(entry.buckets, (edge - span) * 1000, edge * 1000)
-            far = known.far_accepted + self._hidden(heard_at, entry)
-            entry.ours_before, entry.far_before = known.accepted / span, far / span
+            # What was given back later than it passed may take a span below nothing.
+            ours, far = max(0.0, known.accepted), max(0.0, known.far_accepted) + self._hidden(heard_at, entry)
+            entry.ours_before, entry.far_before = ours / span, far / span
             entry.before_at = heard_at
 
     def _blind_share(self, entry: _Tenant) -> float:
@@ -342,10 +360,14 @@
     def _hidden(self, now: float, entry: _Tenant) -> float:
         """What others may have passed unheard in the rule's window: as much for their share as those that are
         heard, and no more than their share of the bound."""
-        span, use, whole = self._bounds.quota_window, 0.0, sum(share for share, _, _ in self._spans)
-        for share, first, until in self._spans:
-            first, until = max(first, now - span), min(until, now)
-            if first < until:
+        span, use = self._bounds.quota_window, 0.0
+        whole = sum(one.share for one in self._spans if not one.lost)
+        for share, began, end, lost in self._spans:
+            first, until = max(began, now - span), min(end, now)
+            if first < until and lost:  # as much as in the second before
+                usual = _between(entry.buckets, (began - 1) * 1000, began * 1000)
+                use += (usual.accepted + usual.far_accepted) * share * (until - first)
+            elif first < until:
                 earlier = _between(entry.buckets, (now - span) * 1000, first * 1000)
                 known = _between(entry.buckets, first * 1000, until * 1000)
                 like = (known.accepted + known.far_accepted) * share / max(1 - MOST, 1 - whole)
@@ -369,7 +391,7 @@
 
 def _jump(got: float, expected: float) -> float:
     """How much more than expected came here, doubtful where few came; never less than one."""
-    return min(JUMP_MOST, max(1.0, (got + DOUBT) / (expected + DOUBT)))
+    return min(JUMP_MOST, max(1.0, (got + DOUBT) / (max(0.0, expected) + DOUBT)))
 
 
 def _less_ours(now: float, entry: _Tenant, total: float, accepted: float) -> tuple[float, float]:
--- a/gauge/unheard.py
+++ b/gauge/unheard.py
@@ -1,8 +1,10 @@
 """Who may pass requests that nobody hears of: gatekeepers gone from the members, and sources gone silent.
 
 A gatekeeper that is missed may be dead, or cut off and still at work until its fences stop it; so may all
-those behind a control gatekeeper on the far side of a cut. Both count as a share of all gatekeepers for a
-span of time. Times are seconds.
+those behind a registry on the far side of a cut. Both count as a share of all gatekeepers for a span of time.
+
+A source that tells nothing more need not hide anything: it may say itself that its gatekeepers have gone, or
+others name them too. What it hides is its share, as far as nobody else names its gatekeepers. Times are s.
 """
 
 import math
@@ -22,11 +24,20 @@
 
 
 class Span(NamedTuple):
-    """A share of all gatekeepers that may have passed requests unheard from `first` to `until` (s)."""
+    """A share of all gatekeepers that may have passed requests unheard from `first` to `until` (s). `lost`:
+    they are heard by now, and only what they told last is lost."""
 
     share: float
     first: float
     until: float
+    lost: bool = False
+
+
+class Behind(NamedTuple):
+    """How many gatekeepers a source names, and how many of those no other source names."""
+
+    named: int
+    alone: int
 
 
 class Source:
@@ -34,6 +45,17 @@
 
     def __init__(self, now: float, sums: dict[str, tuple[int, int]]) -> None:
         self.at, self.sums, self.flow, self.share = now, sums, 0.0, 0.0
+        self.behind = Behind(1, 1)  # it
+        self.crowd = 1  # gatekeepers behind it when it last told something
+
+    def hides(self) -> list[Span]:
+        """What it may hide while it is silent: those whom nobody else names; of the others, what it was told
+        just before and after it told us last."""
+        crowd, named, alone = max(1, self.crowd), *self.behind
+        first = self.at - UNTOLD
+        hidden = Span(self.share * min(1.0, alone / crowd), first, self.at + SILENT_FOR)
+        moved = Span(self.share * min(1.0, (named - alone) / crowd), first, self.at + UNTOLD, lost=True)
+        return [span for span in (hidden, moved) if span.share > 0]
 
     def missed(self, now: float) -> bool:
         """Whether it should have told something by now, as busy as it was."""
@@ -44,7 +66,7 @@
         gain = 1 - math.exp(-(now - self.at) / FLOW_FOR)
         if now > self.at:
             self.flow += gain * (accepted / (now - self.at) - self.flow)
-        self.at = now
+        self.at, self.crowd = now, self.behind.named
 
 
 class Unheard:
@@ -56,15 +78,16 @@
         self._lost = self._back = 0
         self._lost_at = self._back_at = -math.inf
 
-    def set_members(self, now: float, count: int) -> None:
-        """Take how many there are, at least 1. Those gone are missed, unless a silent source hides them;
-        those back tell by and by."""
+    def set_members(self, now: float, count: int, missed: float | None = None) -> None:
+        """Take how many there are, at least 1. Those gone are missed (since `missed`, if that was earlier),
+        unless a silent source hides them; those back tell by and by."""
         if now >= self._lost_at - LEASE + FENCED + BACK_FOR:
             self._lost = self._back = 0
         if count < self.members:
             if not self._lost:
-                self._lost_at = now
-            hidden = sum(span.share for span in self._silent if now > span.first + DROPPED) * self.members
+                self._lost_at = now if missed is None else min(now, missed)
+            hidden = sum(one.share for one in self._silent if not one.lost and now > one.first + DROPPED)
+            hidden *= self.members
             self._lost += max(0, self.members - count - math.ceil(hidden))
         elif count > self.members:
             back = min(self._lost, count - self.members)
@@ -90,5 +113,5 @@
                 source.share = source.flow / max(1.0, flow)  # what it had before it fell silent
                 continue
             if source.missed(now) and now < source.at + KEPT_FOR:
-                self._silent.append(Span(source.share, source.at - UNTOLD, source.at + SILENT_FOR))
+                self._silent += source.hides()
         return spans + self._silent
--- a/lathe/gate.py
+++ b/lathe/gate.py
@@ -27,6 +27,7 @@
 RANK_FIRST, RANK_NEXT = 0.12, 0.02  # the tenant's before the route's
 DIAL_NEAR_S, DIAL_FAR_S = 0.25, 0.4
 COLD_OWNERS = 2
+BEATS = 3  # a worker's lease, in heartbeats
 BEAT_LATE = 1.2  # x heartbeat: so old may be what a worker last told of its warmth
 DEADLINE = 504  # a worker's answer when the time is up: this tells nothing of it
 EDGE_S = 0.02  # before a deadline, the answer must be on its way
@@ -64,7 +65,7 @@
 class Gate:
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
         self.settings, self.bounds, self._rng = settings, settings.bounds, rng
-        self.ledger = Ledger()
+        self.ledger = Ledger(BEATS * settings.heartbeat)
         self.crew = Crew(settings.zone, settings.zones, rng)
         self.limiter = Limiter(rng, settings.bounds)
         self.retries = RetryBudget(settings.bounds)
@@ -92,10 +93,10 @@
         if change.workers:
             self.crew.know(ledger.workers.values())
             self.pace.keep(ledger.workers)
+        self.limiter.keep_sources(now, ledger.sources)
         if change.members:
             self.crew.members = max(1, len(ledger.members))
-            self.limiter.set_members(now, max(1, len(ledger.members)))
-            self.limiter.keep_sources(now, ledger.sources)
+            self.limiter.set_members(now, max(1, len(ledger.members)), ledger.missed)
 
     def ready(self, now: float) -> bool:
         """Whether clients may be sent here."""
--- a/lathe/ledger.py
+++ b/lathe/ledger.py
@@ -1,17 +1,26 @@
 """What this gatekeeper knows, merged from all sources: configuration, workers, members, count sums, proof.
 
+Not told yet is not gone: a registry that has just started cannot say who is absent. An answer tells how long
+all registries in reach have run (`ran`); who is named no more stays known until that is so long that it would
+have called one of them.
+
 Pure: answers of pulls in, a wanted state out. Time is the steady clock, s.
 """
 
 import math
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
+from gauge.unheard import Behind
 from jig.tables import Table
 from workbench.bench import Address, parse_address
 
 SILENT_S = 5.0  # a source that no pegboard names for so long is dropped
+VOUCH_S = 3.0  # a session's lease, and the way to another registry: a gatekeeper that runs has called by then
+HELD_MOST_S = 10.0  # so long is kept who is named no more, while registries start again and again
+NAMED_S = 1.5  # a source named within it stands: what was said there of load and failures counts
 WORD = "vise"  # the source of the operator's word
 
 
@@ -34,6 +43,7 @@
     version: int = 0
     records: dict[str, Any] = field(default_factory=dict)
     named: float = 0.0  # when a pegboard last named it
+    born: float = -math.inf  # when its registry started, as far as told
 
 
 @dataclass(slots=True)
@@ -46,7 +56,9 @@
 
 
 class Ledger:
-    def __init__(self) -> None:
+    def __init__(self, lease: float = 4.5) -> None:
+        """`lease`: of a worker, s: one that runs has beaten by then."""
+        self._lease = lease
         self.sources: dict[str, Source] = {}
         self.word: dict[str, Any] = {}  # the operator's map
         self.index = 0
@@ -57,6 +69,11 @@
         self.by_service: dict[str, list[Worker]] = {}
         self.members: tuple[str, ...] = ()  # gatekeepers with a session, by name
         self.core: dict[str, dict[str, Any]] = {}  # core machines by IP: zone and region
+        self.missed: float | None = None  # since when those were not named that were let go last
+        self._ran = math.inf  # s that all registries in reach have run, as last told
+        self._held: dict[str, float] = {}  # members that nobody names, and since when
+        self._kept: dict[str, float] = {}  # workers likewise
+        self._now = -math.inf
 
     def have(self) -> dict[str, int]:
         """The vector of versions that a pull names."""
@@ -77,6 +94,7 @@
                 self._word(news, change)
             else:
                 self._source(name, news, now, change)
+        self._now, self._ran = now, answer.get("ran", math.inf)
         for name in answer["alive"]:
             if name in self.sources:
                 self.sources[name].named = now
@@ -86,10 +104,9 @@
         if answer.get("age") is not None and self.table is not None:
             # True at the time of answering, which is not before our sending and what it was held there.
             self.proven = max(self.proven, sent + answer.get("held", 0.0) - answer["age"])
-        if change.workers:
-            self._merge_workers()
-        if change.members:
-            self._merge_members()
+        # What is held is looked at again until the registries can vouch for its absence.
+        change.workers = (change.workers or bool(self._kept)) and self._merge_workers(now)
+        change.members = (change.members or bool(self._held)) and self._merge_members(now)
         return change
 
     def _word(self, news: Mapping[str, Any], change: Change) -> None:
@@ -116,7 +133,7 @@
     def _source(self, name: str, news: Mapping[str, Any], now: float, change: Change) -> None:
         source = self.sources.get(name)
         if source is None:
-            source = self.sources[name] = Source(named=now)
+            source = self.sources[name] = Source(named=now, born=now - news.get("run", math.inf))
         if news["version"] < source.version:
             return
         fresh = {key: self._record(key, value, now) for key, value in news["set"].items()}
@@ -140,24 +157,46 @@
         return Worker(key[2:], value["service"], value["zone"], address, value["capacity"], ready,
                       value["seq"], now + value["warm"])  # fmt: skip
 
-    def _merge_workers(self) -> None:
+    def _merge_workers(self, now: float) -> bool:
         best: dict[str, Worker] = {}
         for source in self.sources.values():
             for key, record in source.records.items():
                 if key[0] == "w" and (record.id not in best or record.seq > best[record.id].seq):
                     best[record.id] = record
+        lost = [one for one in self.workers if one not in best]
+        self._kept = self._not_told(now, lost, self._kept, self._lease)
+        best.update({one: self.workers[one] for one in self._kept})
         self.workers, self.by_service = best, {}
         for worker in best.values():
             self.by_service.setdefault(worker.service, []).append(worker)
+        return True
 
-    def _merge_members(self) -> None:
+    def _merge_members(self, now: float) -> bool:
         names = {key[2:] for source in self.sources.values() for key in source.records if key[0] == "g"}
-        self.members = tuple(sorted(names))
+        lost = [one for one in self.members if one not in names]
+        before, self._held = self._held, self._not_told(now, lost, self._held, VOUCH_S)
+        gone = [before.get(one, now) for one in lost if one not in self._held]
+        self.missed = min(gone, default=None)
+        members = tuple(sorted(names | self._held.keys()))
+        changed, self.members = members != self.members, members
+        return changed
+
+    def _not_told(
+        self, now: float, lost: Iterable[str], held: Mapping[str, float], vouch: float
+    ) -> dict[str, float]:
+        """Who of the lost is held, and since when: nobody once registries have run so long."""
+        if self._ran >= vouch:
+            return {}
+        return {one: held.get(one, now) for one in lost if now - held.get(one, now) < HELD_MOST_S}
+
+    def _standing(self) -> dict[str, Source]:
+        """Sources that were named of late: what a dead one was told is told again elsewhere."""
+        return {name: one for name, one in self.sources.items() if self._now - one.named < NAMED_S}
 
     def outs(self) -> dict[str, int]:
         """Requests of all gatekeepers under way, by worker, about half a second old."""
         outs: dict[str, int] = {}
-        for source in self.sources.values():
+        for source in self._standing().values():
             for key, value in source.records.items():
                 if key[0] == "o":
                     outs[key[2:]] = outs.get(key[2:], 0) + value
@@ -167,13 +206,25 @@
         """Failures of late by worker, and requests, in tenths, and how many gatekeepers saw failures: of all,
         or those told to the registry `near` alone."""
         found: dict[str, tuple[int, int, int]] = {}
-        for name, source in self.sources.items():
+        for name, source in self._standing().items():
             for key, value in source.records.items() if near in (None, name) else ():
                 if key[0] == "f":
                     one = found.get(key[2:], (0, 0, 0))
                     found[key[2:]] = one[0] + value[0], one[1] + value[1], one[2] + value[2]
         return found
 
+    def behind(self) -> dict[str, Behind]:
+        """By source, for how many gatekeepers it speaks, and for how many of them it alone."""
+        named = {
+            name: {key for key in source.records if key[0] == "g"} for name, source in self.sources.items()
+        }
+        times = Counter(key for keys in named.values() for key in keys)
+        return {name: Behind(len(keys), sum(times[key] == 1 for key in keys)) for name, keys in named.items()}
+
+    def born(self) -> dict[str, float]:
+        """By source, when its registry started (steady time); minus infinity: it was not told."""
+        return {name: source.born for name, source in self.sources.items()}
+
     def sums(self) -> dict[str, dict[str, tuple[int, int]]]:
         """Cumulative counts, total and declined, by source and tenant."""
         return {
--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -51,6 +51,7 @@
     def __init__(self, settings: Settings, gate: Gate, incarnation: str, rng: random.Random) -> None:
         self._settings, self._gate, self._incarnation, self._rng = settings, gate, incarnation, rng
         self._avoid: dict[str, float] = {}  # until when, by IP
+        self._stale: set[str] = set()  # of those, who do answer, but with an old proof
         self._at: str | None = None
         self._controls: list[str] = []  # IPs, near ones first
         self._number = 0
@@ -59,14 +60,15 @@
 
     def _choose(self, now: float) -> str | None:
         """The nearest pegboard that is not avoided, by the order in which the last answer named them: members
-        that are not heard of by others come last there."""
+        that are not heard of by others come last there. Where all are avoided, one that answers."""
         core = self._gate.ledger.core
         known = sorted(core) if core else list(dict.fromkeys(self.seeds))
         known += [ip for ip in self.seeds if ip not in core and self._avoid_all(known, now)]
         near = {ip: place for place, ip in enumerate(self._controls)}
 
-        def rank(ip: str) -> tuple[bool, int, bool, float]:
-            return self._avoid.get(ip, 0.0) > now, near.get(ip, len(near)), ip != self._at, self._rng.random()
+        def rank(ip: str) -> tuple[int, int, bool, float]:
+            avoided = 0 if self._avoid.get(ip, 0.0) <= now else 1 if ip in self._stale else 2
+            return avoided, near.get(ip, len(near)), ip != self._at, self._rng.random()
 
         return min(known, key=rank, default=None)
 
@@ -102,6 +104,7 @@
             else:
                 gate.limiter.confirmed(counts)  # it may have been added, and must not be twice
             self._avoid[pull.ip] = now + AVOID_S
+            self._stale.discard(pull.ip)
             self._at = None
             return False
         gate.limiter.confirmed(counts)
@@ -113,7 +116,8 @@
         teller = next(iter(answer["alive"]), None)  # the registry itself comes first
         near = gate.ledger.faults(teller) if teller else {}
         gate.crew.jury.heard(now, gate.ledger.faults(), near, pull.body["faults"])
-        gate.limiter.heard(now, gate.ledger.sums())
+        gate.limiter.heard(now, gate.ledger.sums(), gate.ledger.behind(), gate.ledger.born())
         if answer.get("age") is None or answer["age"] > STALE_S:
             self._avoid[pull.ip] = now + AVOID_S
+            self._stale.add(pull.ip)
         return True
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -98,6 +98,7 @@
         self._tallies = Tallies(self.own, self._slots)
         self._looks = Looks(self.sessions)
         self._counted = -1, 0  # at which news, gatekeepers
+        self._told: tuple[int, dict[str, Any]] = (-1, {})  # at which version of the word, members
         self._pack: tuple[tuple[int | None, int], bytes | None] = (None, -1), None
 
     # ---- workers
@@ -213,6 +214,8 @@
             difference = source.since(have.get(name))
             if difference:
                 found[name] = self._wire(difference, now)
+                if difference.full:
+                    found[name]["run"] = round(now - self._born(name), 2)
         if self.word.version and (difference := self.word.since(have.get(WORD))):
             told = self._wire(difference, now)
             found[WORD] = self._packed(have.get(WORD), told) if body.get("packs") else told
@@ -223,10 +226,19 @@
             "alive": [self.me.source, *alive, WORD],
             "age": None if age is None else round(age, 4),
             "held": round(now - began, 4),
+            "ran": self.ran(now),
             "controls": self.controls(body["zone"], body["region"], now),
             "members": self._members(),
         }
 
+    def ran(self, now: float) -> float:
+        """s that this registry and all that it hears have run: a younger one cannot say who is absent."""
+        born = [copy.born for copy in self.copies.values() if not self._late(copy.heard, NAMED_S, now)]
+        return round(now - max(self._began, self._awake, *born), 2)
+
+    def _born(self, source: str) -> float:
+        return self.copies[source].born if source in self.copies else self._began
+
     def _members(self) -> int:
         """Gatekeepers with a record, counted once for each piece of news."""
         if self._counted[0] != self.news:
@@ -275,8 +287,10 @@
 
     def members(self) -> dict[str, Any]:
         """IP -> what the operator's word says of a core member; the seeds before it is known."""
-        told = {key[8:]: value for key, value in self.word.values.items() if key.startswith("Members/")}
-        return told or dict.fromkeys(self.seeds)
+        if self._told[0] != self.word.version:
+            told = {key[8:]: value for key, value in self.word.values.items() if key.startswith("Members/")}
+            self._told = self.word.version, told
+        return self._told[1] or dict.fromkeys(self.seeds)
 
     def peers(self, now: float) -> set[str]:
         """IPs of the registries to pull from: members, and who has called or answered of late."""
--- a/trials/test_gauge_limits.py
+++ b/trials/test_gauge_limits.py
@@ -96,3 +96,21 @@
             limiter.heard(now, {"p#1": {"t": (3, 0)}})
         assert ("p#1" in limiter._sources) is (now < 12), now
     assert not ledger.sources
+
+
+@test("limiter: more given back in a while than passed in it counts as nothing passed")
+def _() -> None:
+    limiter = _limiter(rate=100.0, burst=100.0, members=2)
+    for at in range(40):
+        now = 0.25 * at
+        limiter.heard(now, {"p#1": {"t": (at, 0)}})
+        if at == 8:
+            assert all(limiter.admit(now, "t") is None for _ in range(5))
+        if at == 30:  # long after, when what passed is out of the rule's window
+            for _ in range(5):
+                limiter.give_back(now, "t")
+    for at in range(30):  # blind: 3 s after the last news, a request a second less than none would be expected
+        assert limiter.admit(9.75 + 0.1 * at, "t") is None
+    limiter.heard(12.75, {"p#1": {"t": (41, 0)}})
+    limiter.heard(13.0, {"p#1": {"t": (42, 0)}})
+    assert limiter.admit(13.0, "t") is None
--- /dev/null
+++ b/trials/test_soft_state.py
@@ -0,0 +1,163 @@
+"""The control side loses all that can be told again, while gatekeepers run (docs/design/worst-days.md, 1)."""
+
+import random
+from itertools import permutations
+from typing import Any
+
+from attrs import define
+from ward import each, test
+
+from dovetail.scene import Play, read
+from gauge.limits import Limiter
+from gauge.unheard import Behind
+from lathe.ledger import HELD_MOST_S, VOUCH_S, Ledger
+from trials.gauge_play import Bounds
+
+CORE = ("core-1", "core-2", "core-3")
+# Every tenant asks 0.69 of its quota.
+BUILT = ["core 3", "edge 8", "rate 66", "quota 24", "until 17"]
+
+
+@define
+class Seen:
+    """Over a while: the least members and workers that a gatekeeper knew, and what became of requests."""
+
+    members: int = 99
+    workers: int = 99
+    refused: float = 0.0
+    served: float = 0.0
+
+
+def seen(lines: list[str], since: float, until: float, seed: int = 1) -> Seen:
+    """Plays the scene, which breaks no rule."""
+    play = Play(read("\n".join(["# soft", *BUILT, *lines]))[0], seed)
+    world, found = play.world, Seen()
+
+    def look() -> None:
+        known = [one.gate.ledger for one in world.keepers() if one.up]
+        found.members = min(found.members, *(len(one.members) for one in known))
+        found.workers = min(found.workers, *(len(one.workers) for one in known))
+        if world.loop.now < until:
+            world.loop.later(0.05, look)
+
+    world.loop.later(since, look)
+    breach = play.run()
+    assert breach is None, str(breach)
+    statuses = [one.status for one in world.history.requests if since <= one.ended < until]
+    found.refused = statuses.count(429) / len(statuses)
+    found.served = statuses.count(200) / len(statuses)
+    return found
+
+
+@test("all registries start again, {order}, a second between two: gatekeepers go on as before")
+def _(order: tuple[str, ...] = each(*permutations(CORE))) -> None:  # noqa: B008
+    lines = [f"at 10 kill pegboard {name} for {0.2 + 1.2 * at}" for at, name in enumerate(order)]
+    found = seen(["quota 28", *lines], 10.0, 17.0)
+    assert (found.members, found.workers) == (8, 18) and found.refused < 0.02 and found.served > 0.97, found
+
+
+@test("the same, half of the gatekeepers have just been killed")
+def _() -> None:
+    lines = ["quota 40", "at 8.5 kill lathe edge-1 edge-2 edge-3 edge-4 for 60"]
+    lines += ["at 10 kill pegboard core-1 for 0.2", "at 10 kill pegboard core-2 core-3 for 1.6"]
+    found = seen(lines, 10.0, 17.0)
+    assert found.members >= 4 and found.workers == 18 and found.refused < 0.01 and found.served > 0.96, found
+
+
+@test("one is cut off and starts anew, and a second later all others: it was alone to tell, then silent")
+def _() -> None:
+    lines = ["at 6 cut core-1 | core-2 core-3 for 4", "at 10 kill core core-1"]
+    found = seen([*lines, "at 11.3 kill core core-2 core-3"], 10.0, 17.0)
+    assert (found.members, found.workers) == (8, 18) and found.refused < 0.03 and found.served > 0.96, found
+
+
+@test("two of three are away, and all gatekeepers go to the third")
+def _() -> None:
+    found = seen(["at 10 kill pegboard core-1 core-3 for 2.5"], 10.0, 17.0)
+    assert (found.members, found.workers) == (8, 18) and found.refused < 0.05, found
+
+
+@test("all registries are away for {away} s and know nothing then: members and workers stay known")
+def _(away: float = each(3.0, 5.5)) -> None:
+    found = seen(["quota 40", f"at 7 kill pegboard * for {away}"], 7 + away, 17.0)
+    assert (found.members, found.workers) == (8, 18) and found.refused < 0.03, found
+
+
+def _answer(ran: float, *named: str, alive: str = "p#2", **news: Any) -> dict[str, Any]:
+    """Of a registry that has run `ran` s and names these gatekeepers and workers."""
+    worker = {"service": "s", "zone": "z", "address": "127.0.0.1:9", "capacity": 2, "seq": 1, "warm": 0.0,
+              "state": "ready"}  # fmt: skip
+    records = {key: worker if key[0] == "w" else {"ready": True} for key in named}
+    source = {"version": int(1000 * ran), "full": True, "set": records | news, "gone": [], "run": ran}
+    return {"sources": {alive: source}, "alive": [alive], "age": 0.1, "held": 0.0, "ran": ran}
+
+
+def _members(ledger: Ledger) -> str:
+    return " ".join(ledger.members)
+
+
+@test("ledger: who is not told yet is not gone, until registries have run for a lease, or for a bounded time")
+def _() -> None:
+    ledger = Ledger(lease=4.5)
+    ledger.take(0.0, 0.0, _answer(60.0, "g/a", "g/b", "g/c", "w/1", "w/2", alive="p#1"))
+    # p#1 is dead, and is dropped after five seconds; p#2 has heard of one so far.
+    ledger.take(6.0, 6.0, _answer(0.5, "g/a", "w/1"))
+    assert _members(ledger) == "a b c" and set(ledger.workers) == {"1", "2"}
+    change = ledger.take(7.0, 7.0, _answer(1.5, "g/a", "g/b", "w/1"))
+    assert _members(ledger) == "a b c" and not change.members
+    change = ledger.take(8.6, 8.6, _answer(VOUCH_S + 0.1, "g/a", "g/b", "w/1"))
+    assert _members(ledger) == "a b" and change.members and ledger.missed == 6.0
+    assert set(ledger.workers) == {"1", "2"}, "its lease is longer"
+    change = ledger.take(10.1, 10.1, _answer(4.6, "g/a", "g/b", "w/1"))
+    assert set(ledger.workers) == {"1"} and change.workers
+    # One whose registry has long run leaves at once; where one starts again and again, after a bounded time.
+    ledger.take(11.0, 11.0, _answer(5.5, "g/a", "w/1"))
+    assert _members(ledger) == "a"
+    for at in range(15):
+        ledger.take(12.0 + at, 12.0 + at, _answer(1.0 + 0.01 * at, "w/1", alive=f"p#{at + 3}"))
+        assert _members(ledger) == ("a" if at < 5 + HELD_MOST_S else "")
+
+
+@test("ledger: load and failures told to a registry that is gone count no more, as they are told again")
+def _() -> None:
+    ledger = Ledger()
+    ledger.take(0.0, 0.0, _answer(60.0, "w/1", alive="p#1", **{"o/1": 5, "f/1": [7, 9, 1]}))
+    assert ledger.outs() == {"1": 5} and ledger.faults() == {"1": (7, 9, 1)}
+    ledger.take(2.0, 2.0, _answer(1.0, "w/1", alive="p#2", **{"o/1": 4, "f/1": [6, 8, 1]}))
+    assert ledger.outs() == {"1": 4} and ledger.faults() == {"1": (6, 8, 1)}
+
+
+@test("limiter: a source whose gatekeepers have gone hides nothing by its silence: {how}")
+def _(how: str = each("its own word", "others name them", "silent")) -> None:
+    limiter = Limiter(random.Random(5), Bounds())
+    limiter.set_quota("t", 100.0, 100.0)
+    limiter.set_members(0.0, 4)
+    sums, behind, refused, asked = {"p#1": 0, "q#1": 0}, {"p#1": Behind(3, 3), "q#1": Behind(1, 1)}, 0, 0
+    for step in range(1, 400):
+        now = 0.025 * step
+        moved = now > 5.0
+        if step % 10 == 0:
+            if not moved or how != "silent":
+                sums["q#1" if moved else "p#1"] += 12  # 48 a second
+            sums["q#1"] += 2
+            if moved and how == "its own word":
+                behind = {"p#1": Behind(0, 0), "q#1": Behind(4, 4)}
+            elif moved and how == "others name them":
+                behind = {"p#1": Behind(3, 0), "q#1": Behind(4, 1)}
+            limiter.heard(now, {name: {"t": (count, 0)} for name, count in sums.items()}, behind)
+        if step % 3 == 0:
+            refused, asked = refused + (limiter.admit(now, "t") is not None) * (now > 6), asked + (now > 6)
+    assert refused / asked > 0.5 if how == "silent" else refused == 0, refused / asked
+
+
+@test("limiter: what a source tells that started while others were heard counts; else it is old")
+def _() -> None:
+    for born, closed in ((9.7, True), (-100.0, False)):
+        limiter = Limiter(random.Random(5), Bounds())
+        limiter.set_quota("t", 10.0, 10.0)
+        limiter.set_members(0.0, 2)
+        for at in range(40):
+            limiter.heard(0.25 * at, {"p#1": {"t": (at, 0)}})
+        limiter.heard(10.2, {"p#1": {"t": (40, 0)}, "q#2": {"t": (60, 0)}}, None, {"q#2": born})
+        told = [limiter.admit(10.3, "t") for _ in range(8)]
+        assert any(again is not None for again in told) is closed
