--- a/trials/test_gauge_limits.py
+++ b/trials/test_gauge_limits.py
@@ -109,7 +109,7 @@
         if at == 30:  # long after, when what passed is out of the rule's window
             for _ in range(5):
                 limiter.give_back(now, "t")
-    for at in range(30):  # blind: 3 s after the last news, a request a second less than none would be expected
+    for at in range(30):  # blind for 3 s: a request a second less than none would be expected
         assert limiter.admit(9.75 + 0.1 * at, "t") is None
     limiter.heard(12.75, {"p#1": {"t": (41, 0)}})
     limiter.heard(13.0, {"p#1": {"t": (42, 0)}})
