--- a/dovetail/board.py
+++ b/dovetail/board.py
@@ -169,9 +169,9 @@
         key, fields = body
         now = self.clock()
         said = Worker(until=now + fields["warm"], **{k: v for k, v in fields.items() if k != "warm"})
-        self.registry.beat(key, said, now)
+        taken = self.registry.beat(key, said, now)
         self.ring()
-        if self.registry.alone(now):
+        if not taken or self.registry.alone(now):
             return 503, None
         return 200, self.registry.target(said.zone, now)
 
--- a/pegboard/resources.py
+++ b/pegboard/resources.py
@@ -20,7 +20,8 @@
 
 
 class Instances(Resource):
-    """PUT and DELETE /instances/ID: beats of workers, answered at once."""
+    """PUT and DELETE /instances/ID: beats of workers, answered at once. One that is not taken, as a call with
+    a higher CallSeq has come, is not acknowledged: its sender would rely on what nobody knows."""
 
     def __init__(self, registry: Registry, ring: Ring) -> None:
         self._registry, self._ring = registry, ring
@@ -33,8 +34,10 @@
         said = read_beat(request.body, now)
         if isinstance(said, Fault):
             return refusal(400, said.detail)
-        self._registry.beat(key, said, now)
+        taken = self._registry.beat(key, said, now)
         self._ring()
+        if not taken:
+            return refusal(503, "a call with a higher CallSeq has come", AGAIN_S)
         if self._registry.alone(now):
             return refusal(503, "out of reach of the other registries", AGAIN_S)  # taken all the same
         return Answer(200, {"HeartbeatTarget": self._registry.target(said.zone, now)})
--- a/trials/test_pegboard_parts.py
+++ b/trials/test_pegboard_parts.py
@@ -254,13 +254,33 @@
     assert stores.asked == [("own", {"kind": "restore", "if_match": None, "body": "za"})]
 
 
-@test("beats are answered at once, late ones too, and name the registry to go to")
+@test("a worker that starts again with its id: no acknowledgement before it is known, no mixing")
+def _() -> None:
+    now = time.monotonic()
+    registry = Registry(Self("a", "1", "10.0.0.1", "za", "ra", 8200, 1.5), [], {}, now - 60)
+    other = BEAT.replace(b"10.128.0.9", b"10.128.0.7")
+    old, new = (read_beat(one, now) for one in (BEAT.replace(b"4,", b"40,"), other))
+    assert isinstance(old, Worker) and isinstance(new, Worker)
+    registry.beat("i-1", old, now)
+    for tenth in range(46):
+        registry.tick(now + tenth / 10)
+        assert not registry.beat("i-1", new, now + tenth / 10)
+        assert registry.workers()["i-1"].address == old.address
+    registry.tick(now + 4.6)  # the last life's lease is over
+    assert not registry.workers()
+    assert registry.beat("i-1", new, now + 4.7) and registry.workers()["i-1"].address == new.address
+    assert registry.beat("i-1", new, now + 4.7)  # come twice
+    registry.leave("i-1", now + 5.0)
+    assert not registry.beat("i-1", new, now + 5.1) and not registry.workers()  # late, behind the end
+
+
+@test("beats are answered at once, late ones are not acknowledged, and they name the registry to go to")
 def _() -> None:
     now = time.monotonic()
     registry = Registry(Self("a", "1", "10.0.0.1", "za", "ra", 8200, 1.5), [], {}, now)
     rings: list[int] = []
     instances = Instances(registry, lambda: rings.append(1))
-    for body, status in ((BEAT, 200), (BEAT.replace(b"4,", b"3,"), 200), (b"{}", 400)):
+    for body, status in ((BEAT, 200), (BEAT, 200), (BEAT.replace(b"4,", b"3,"), 503), (b"{}", 400)):
         answer = instances.take(call("PUT", "/instances/i-1", body))
         assert answer.status == status and len(answer.wire(False)) < 4096
     assert answer == Answer(400, {"error": "NodeInfo is missing"})
