--- a/bench/campaign.py
+++ b/bench/campaign.py
@@ -296,8 +296,11 @@
         for name, (low, high) in FIELDS[kind].items():
             whole = name == "count"
             shown[name] = dice.randint(int(low), int(high)) if whole else round(dice.uniform(low, high), 2)
-        if on == "core":
+        if "remove" in words:  # three times over, most machines must still be there
+            shown["share"] = round(dice.uniform(0.05, 0.15), 2)
+        elif on == "core":
             shown.pop("share", None)
+        if on == "core":
             if kind == "node_kill":
                 shown["count"] = 1
             if kind == "roll_term":
