--- a/dovetail/worst.py
+++ b/dovetail/worst.py
@@ -36,7 +36,8 @@
         self._evacuated: list[tuple[float, str]] = []  # since when
         self._drawers: list[tuple[int, Callable[[float], Iterator[Event]]]] = [
             (3, self._order), (2, self._race), (1, self._zone), (5, self._core_fault), (1, self._whole_core),
-            (2, self._disk), (3, self._edge_fault), (2, self._worker), (1, self._seeds),
+            (2, self._disk), (3, self._edge_fault), (2, self._worker), (1, self._seeds), (1, self._storm),
+            (1, self._crowd),
         ]  # fmt: skip
 
     def scene(self) -> Scene:
@@ -156,6 +157,25 @@
             ["cut", *some, "|", "workers", *span], ["cut", *some, "|", "clients", *span],
         ])  # fmt: skip
 
+    def _storm(self, at: float) -> Iterator[Event]:
+        """Changes in quick succession, each on the one before, acknowledged or not; some by two operators."""
+        gap = self._chance.choice([0.05, 0.15, 0.3])
+        for number in range(self._chance.randint(5, 15)):
+            yield self._change(at + number * gap, "by", self._chance.choice(["A", "A", "B"]))
+
+    def _crowd(self, at: float) -> Iterator[Event]:
+        """A hot tenant or twice the clients for a while, or a clock that is off."""
+        match self._chance.choice(["hot", "load", "clock"]):
+            case "hot":
+                yield at, ["hot", "t1", "10"]
+                yield at + 5.0, ["hot", "t1", "0.1"]
+            case "load":
+                yield at, ["load", "2"]
+                yield at + 5.0, ["load", "1"]
+            case _:
+                off = str(self._chance.choice([-4, 3, 9]))
+                yield at, ["clock", self._chance.choice(self._core), off]
+
     def _someone(self) -> str:
         service = self._chance.choice(["fleet", "desk", "bill"])
         return f"{service}-{self._chance.randint(1, self.plan.workers)}"
