--- a/bench/campaign.py
+++ b/bench/campaign.py
@@ -336,23 +336,33 @@
         yield from sorted(placed, key=lambda one: one.at)
 
 
-def table(days: Sequence[Day], verdicts: dict[str, str]) -> str:
-    """The table of kinds by days, as Markdown: for each kind its words, and on how many days each was played.
+def table(days: Sequence[Day], verdicts: dict[str, str], came: dict[str, set[str]]) -> str:
+    """The table of kinds by days, as Markdown: for each kind its words, and on how many days each came.
 
     `verdicts` has a day's name and "kept", a broken rule's name, or "void"; other days were not played.
+    `came` has the kinds that the bench brought about on a day: others would lose too much, or never fit.
     """
     played: dict[tuple[str, str], Counter[str]] = {}
+    idle: Counter[tuple[str, str]] = Counter()
     broken: Counter[tuple[str, str]] = Counter()
     for day in days:
         verdict = verdicts.get(day.name)
         if verdict in (None, "void"):
             continue
         for kind, on, word in set(day.cells()):
-            played.setdefault((kind, on), Counter())[word or "plain"] += 1
+            if kind.rpartition(" ")[2] in came[day.name]:
+                played.setdefault((kind, on), Counter())[word or "plain"] += 1
+            else:
+                played.setdefault((kind, on), Counter())[word or "plain"] += 0
+        kinds = {(kind, on) for kind, on, _ in day.cells()}
+        idle.update({one for one in kinds if one[0].rpartition(" ")[2] not in came[day.name]})
         if verdict != "kept":
-            broken.update({(kind, on) for kind, on, _ in day.cells()})
-    lines = ["| kind | days by way | days of it with a broken rule |", "| --- | --- | --- |"]
+            broken.update(kinds)
+    lines = [
+        "| kind | days by way | drawn, but not brought about | days with a broken rule |",
+        "| --- | --- | --- | --- |",
+    ]
     for (kind, on), words in sorted(played.items()):
         ways = ", ".join(f"{word} {count}" for word, count in sorted(words.items()))
-        lines.append(f"| {kind}{f' ({on})' if on else ''} | {ways} | {broken[kind, on]} |")
+        lines.append(f"| {kind}{f' ({on})' if on else ''} | {ways} | {idle[kind, on]} | {broken[kind, on]} |")
     return "\n".join(lines)
--- a/bench/hunt.py
+++ b/bench/hunt.py
@@ -72,6 +72,13 @@
     return " ".join(sorted(told["breaks"])) or "kept"
 
 
+def came(report: Path) -> set[str]:
+    """The kinds that the bench brought about on a day, closing faults by their own name."""
+    told = json.loads(report.read_text()) if report.exists() else {"events": []}
+    names = [one["kind"].partition(" ") for one in told["events"]]
+    return {rest.strip("()").partition(" ")[0] if kind == "closing" else kind for kind, _, rest in names}
+
+
 def main(words: list[str]) -> int:
     parser = argparse.ArgumentParser(prog="bench.hunt", description=__doc__)
     verbs = parser.add_subparsers(dest="verb", required=True)
@@ -97,12 +104,10 @@
     else:
         for out in told.out:
             days = held(out)
-            verdicts = {
-                day.name: verdict(out / f"{day.name}.json")
-                for day in days
-                if (out / f"{day.name}.txt").exists()
-            }
-            print(f"\n{out.name}: {len(verdicts)} of {len(days)} days begun\n\n{table(days, verdicts)}")
+            begun = [day.name for day in days if (out / f"{day.name}.txt").exists()]
+            verdicts = {name: verdict(out / f"{name}.json") for name in begun}
+            brought = {name: came(out / f"{name}.json") for name in begun}
+            print(f"\n{out.name}: {len(begun)} of {len(days)} days begun\n\n{table(days, verdicts, brought)}")
     return 0
 
 
--- a/trials/test_campaign.py
+++ b/trials/test_campaign.py
@@ -119,7 +119,7 @@
         assert number % 3 != 2 or same >= 3
 
 
-@test("the table counts days that were played, void ones not, and names where a rule broke")
+@test("the table counts what came about on days that were played, void ones not, and where a rule broke")
 def _() -> None:
     cut, kill = Entry("core_cut", "", ("leader", "race")), Entry("node_kill", "core")
     days = [
@@ -128,7 +128,8 @@
         Day("c", 1, (kill,)),
         Day("d", 1, (kill,)),
     ]
-    lines = table(days, {"a": "kept", "b": "CONFIG", "c": "void"}).splitlines()
-    assert "| core_cut | leader 2, race 2 | 1 |" in lines
-    assert "| node_kill (core) | plain 1 | 1 |" in lines
-    assert "| closing kill_all | timed 1 | 1 |" in lines
+    came = {"a": {"core_cut"}, "b": {"core_cut", "kill_all"}, "c": {"node_kill"}}
+    lines = table(days, {"a": "kept", "b": "CONFIG", "c": "void"}, came).splitlines()
+    assert "| core_cut | leader 2, race 2 | 0 | 1 |" in lines
+    assert "| node_kill (core) | plain 0 | 1 | 1 |" in lines
+    assert "| closing kill_all | timed 1 | 0 | 1 |" in lines
