Let in what no call can ask for by what the heard have shown, and tell of it all

Change: what cannot be told of goes along with the next call of its plan, at most a burst, so that counts are of what is asked and not of what is heard; and an unheard request is let in only where the heard ones of its plan and number here show that it earns more than it is charged.

--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -86,6 +86,7 @@
         else:
             customer.gap = (customer.gap + now - customer.seen) / 2
         customer.seen = now
+        customer.tries += 1
         live = Live(ask, customer, now + self._patience(ask), self.random.random(), self.random.random())
         live.inside = self._admit(now, live)
         # Counted up to the hard limit alone: what one huge request asks for would fill the counter.
@@ -107,9 +108,9 @@
         fresh = rated and now - customer.read_at < BLIND_WINDOWS * customer.window
         if fresh or self.failing_at <= now:
             return False
-        spare = customer.calling is not None or self.calls >= 1
-        if not spare:
-            self.dirty.pop(customer.name, None)  # a lone late count would take the call of the next request
+        if customer.calling is None and self.calls < 1:  # a lone late count would take the next one's call
+            self._decide(now, live, live.inside and (not rated or self._worth_a_guess(customer)))
+            self._pass_on(customer)
             return False
         if customer.calling is None:
             self.calls -= 1
@@ -127,13 +128,18 @@
         for live in held:
             customer.open -= live.reserved
             if live.ask.request in self.live:
-                self._record(now, customer, 0.0, -live.ask.units * live.inside)
-                live.inside = self._admit(now, live)
-                self._record(now, customer, 0.0, live.ask.units * live.inside)
+                self._decide(now, live, self._admit(now, live))
+                if customer.read_at == now:
+                    self._hear(customer, live.inside)
                 self._enter(now, live)
         if customer.plan.rate <= 0:
             self._open_changed(customer)
 
+    def _decide(self, now: float, live: Live, inside: bool) -> None:
+        """Decide anew whether the quota lets a request in."""
+        self._record(now, live.customer, 0.0, live.ask.units * (inside - live.inside))
+        live.inside = inside
+
     def _enter(self, now: float, live: Live) -> None:
         """Past the quota: room under the caps, the back end's state and a server decide."""
         ask, customer = live.ask, live.customer
@@ -215,13 +221,6 @@
         if not live.out:
             self._again(now, live, free=event.result is Result.CONNECT_FAILED)
 
-    def _flowing(self, live: Live, event: StreamStarted) -> None:
-        """Bodies that move are timed where they do; they take no core that a request could wait for."""
-        live.streaming, live.spent = True, live.spent or event.spent
-        attempt = self.attempts.get((event.request, event.attempt))
-        if attempt is not None:
-            self._leave_core(attempt)
-
     def _again(self, now: float, live: Live, free: bool) -> None:
         """Send once more where the rules, the time left and the budget allow; else answer. The budget holds
         back work done twice: what reached no server (`free`) is none; it comes in floods from an old list."""
--- a/mintfront/counter.py
+++ b/mintfront/counter.py
@@ -51,12 +51,9 @@
         epoch = int((now + customer.phase % 60_000) // life)
         if epoch != customer.epoch:
             customer.begin(epoch)
-        quantum = customer.quantum
-        total, accepted = int(customer.fresh_total / quantum), int(customer.fresh_accepted / quantum)
-        # Accepted may be below 0: a held request was refused after all.
-        total = max(0, min(total, int(10 * PACK * customer.share - customer.mine_total) - 1))
-        customer.fresh_total -= total * quantum
-        customer.fresh_accepted -= accepted * quantum
+        # It speaks for what could not be told as well: customers are heard in proportion to what they ask.
+        untold = self.untold.pop(customer.plan, (0.0, 0.0))
+        total, accepted = customer.take(untold, 10 * PACK * customer.share)
         customer.call_at = now + NEAR_MS
         self._count(customer, "use", epoch, (total, accepted), total * PACK + accepted, 2 * life)
 
@@ -93,15 +90,8 @@
                 customer.open_far = max(0.0, event.total - customer.open_sent) if told else math.inf
                 customer.open_read_at = now
             return customer
-        if added:
-            customer.mine_total += total
-            customer.mine_accepted += accepted
-            if event.result is Result.TIMEOUT:
-                customer.doubt_total += total
-                customer.doubt_accepted += accepted
-        else:
-            customer.fresh_total += total * customer.quantum
-            customer.fresh_accepted += accepted * customer.quantum
+        customer.settle(total, accepted, added, event.result is Result.TIMEOUT)
+        if not added:
             self.dirty[customer.name] = customer
         if told:
             self._read(now, customer, round(event.total), (total, accepted))
@@ -117,9 +107,7 @@
             customer.never_added(short)
             self.dirty[customer.name] = customer
         elif short > 0:  # the counter came back empty
-            customer.mine_total, customer.mine_accepted = added
-            customer.doubt_total = customer.doubt_accepted = 0.0
-            customer.far_total = customer.far_accepted = 0.0
+            customer.emptied(added)
         total = max(0.0, all_total - customer.mine_total - customer.far_total)
         accepted = all_accepted - customer.mine_accepted - customer.far_accepted
         customer.far_total += total
@@ -128,6 +116,4 @@
         quantum, since = customer.quantum, max(since, customer.read_at)
         window.spread(customer.buckets, since, now, customer.window, total * quantum, accepted * quantum)
         customer.read_at, customer.starved_at = now, math.inf
-        per_s = 1000 / max(customer.window, 1000.0)
-        customer.far_rate = sum(bucket.far_accepted for bucket in customer.buckets.values()) * per_s
-        customer.far_asked = sum(bucket.far_total for bucket in customer.buckets.values()) * per_s
+        customer.measure_far()
--- a/mintfront/state.py
+++ b/mintfront/state.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from mintfront import Bucket
-from mintfront.interface import Action, Count, Plan, Request, Server, SetTimer, Settings
+from mintfront.interface import Action, Count, Plan, Request, Server, SetTimer, Settings, StreamStarted
 
 
 @dataclass(slots=True, eq=False)
@@ -70,6 +70,7 @@
         self.open_far, self.open_read_at = 0.0, -math.inf
         self.phase = zlib.crc32(name.encode())
         self.quantum = quantum  # units in one count
+        self.tries = 0  # requests here
 
     def begin(self, epoch: int) -> None:
         """Go on under a new counter name, which holds nothing yet."""
@@ -77,6 +78,39 @@
         self.mine_total = self.mine_accepted = self.far_total = self.far_accepted = 0.0
         self.doubt_total = self.doubt_accepted = 0.0
 
+    def take(self, untold: tuple[float, float], most: float) -> tuple[int, int]:
+        """Counts to tell (total, accepted): all that is fresh here, and the units `untold` of others."""
+        self.fresh_total += untold[0]
+        self.fresh_accepted += untold[1]
+        total, accepted = int(self.fresh_total / self.quantum), int(self.fresh_accepted / self.quantum)
+        # Accepted may be below 0: a held request was refused after all.
+        total = max(0, min(total, int(most - self.mine_total) - 1))
+        self.fresh_total -= total * self.quantum
+        self.fresh_accepted -= accepted * self.quantum
+        return total, accepted
+
+    def settle(self, total: int, accepted: int, added: bool, doubtful: bool) -> None:
+        """Book counts whose call has ended: added, perhaps added (`doubtful`), or still to be told."""
+        if not added:
+            self.fresh_total += total * self.quantum
+            self.fresh_accepted += accepted * self.quantum
+            return
+        self.mine_total += total
+        self.mine_accepted += accepted
+        self.doubt_total += total * doubtful
+        self.doubt_accepted += accepted * doubtful
+
+    def measure_far(self) -> None:
+        """Units a second of the others, as what was told of them lies in the window."""
+        per_s = 1000 / max(self.window, 1000.0)
+        self.far_rate = sum(bucket.far_accepted for bucket in self.buckets.values()) * per_s
+        self.far_asked = sum(bucket.far_total for bucket in self.buckets.values()) * per_s
+
+    def emptied(self, added: tuple[float, float]) -> None:
+        """Go on with a name that holds no more than these counts: the counter came back empty."""
+        self.begin(self.epoch)
+        self.mine_total, self.mine_accepted = added
+
     def never_added(self, short: float) -> None:
         """Take so many of the counts in doubt back: they are to be added anew."""
         lost = round(short / self.doubt_total * self.doubt_accepted)
@@ -88,6 +122,20 @@
         self.fresh_accepted += lost * self.quantum
 
 
+class Tally:
+    """How often something was so, of late: the older the less it weighs."""
+
+    def __init__(self) -> None:
+        self.so = self.all = 0.0
+
+    def add(self, so: bool, keep: float) -> None:
+        self.so, self.all = self.so * keep + so, self.all * keep + 1
+
+    def share(self, before: float, weight: float) -> float:
+        """The share that was so; `before` is held to be it until much more than `weight` was seen."""
+        return (self.so + before * weight) / (self.all + weight)
+
+
 @dataclass(slots=True, eq=False)
 class Live:
     """A request that is owed a final answer, or about to be."""
@@ -134,6 +182,8 @@
         self.unseen = 1 - 1 / math.sqrt(settings.group_size)
         self.suspects: dict[str, ServerView] = {}  # left out until a probe (or else a request) is answered
         self.failed = 0  # calls to the counter in a row
+        self.inside: dict[tuple[Plan, int] | None, Tally] = {}  # of the heard; by plan and number
+        self.untold: dict[Plan, tuple[float, float]] = {}  # units that no call could tell of
         self.failing_at = math.inf  # when the counter last began to fail
         self.parts = 1  # processes that this gateway runs as, side by side
         self.actions: list[Action] = []
@@ -153,6 +203,22 @@
             attempt.server.work -= attempt.work
             self.out -= 1
 
+    def _flowing(self, live: Live, event: StreamStarted) -> None:
+        """Bodies that move are timed where they do; they take no core that a request could wait for."""
+        live.streaming, live.spent = True, live.spent or event.spent
+        attempt = self.attempts.get((event.request, event.attempt))
+        if attempt is not None:
+            self._leave_core(attempt)
+
+    def _pass_on(self, customer: Customer) -> None:
+        """Leave what no call can tell of to the next call of the plan. No more than a burst: it is told under
+        one customer's name, and must not shut that one out after a time without calls."""
+        most, (total, accepted) = customer.plan.burst, self.untold.get(customer.plan, (0.0, 0.0))
+        total, accepted = total + customer.fresh_total, accepted + customer.fresh_accepted
+        self.untold[customer.plan] = min(most, total), min(most, accepted)
+        customer.fresh_total = customer.fresh_accepted = 0.0
+        self.dirty.pop(customer.name, None)
+
     def _opened(self, customer: Customer, by: int) -> None:
         customer.open += by
         self._open_changed(customer)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -131,6 +131,27 @@
     assert over <= 0.41 * sum(map(len, fleet.let_in.values()))
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_what_no_call_can_ask_for_is_let_in_by_what_the_heard_have_shown(seed: int) -> None:
+    # A counter that bears two requests in three. Thirty customers ask twelve times their quota, nine hundred
+    # a quarter of it: each by thirty gateways, of which none sees a customer often.
+    fleet = Fleet(seed=seed, settings=QUOTAS, calls_per_s=200.0)
+    draw = random.Random(seed)
+
+    def ask(_: int) -> None:
+        customer = draw.randrange(30) if draw.random() < 0.6 else 30 + draw.randrange(900)
+        fleet.ask((customer + draw.randrange(30)) % 40, f"{customer:016x}", set_size=30)
+
+    fleet.arrivals(300.0, 20_000.0, ask)
+    fleet.run(24_000.0)
+    let_in = sum(map(len, fleet.let_in.values()))
+    over = sum(beyond(times, QUOTAS.plans[0]) for times in fleet.let_in.values())
+    # With all of the unheard let in and untold, 25 to 28 in 100 went beyond. Turning all of them away is no
+    # mend either: what is left of the worth, less what is charged, must be as much as it was.
+    assert over <= 0.21 * let_in
+    assert let_in - over - QUOTAS.plans[0].over_cost * over >= 1450
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_third_of_the_nodes_gone_while_the_list_is_silent_costs_few_answers(seed: int) -> None:
     fleet = Fleet(seed=seed)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -140,6 +140,32 @@
     assert passed <= 30 * 2 / 3 * 1.4 + 6
 
 
+def test_a_call_speaks_for_what_could_not_be_told_and_for_no_more_than_a_burst() -> None:
+    for unheard, told in ((2, 3), (30, 7)):  # with its own; the burst is 6 units
+        gate = Driver()
+        gate.gateway.calls = gate.gateway.call_rate = 0.0
+        for number in range(unheard):
+            assert len(sends(gate.ask(set_size=3, customer=f"c{number}")[1])) == 1
+        gate.gateway.calls = 1.0
+        (count,) = counts(gate.ask(set_size=3)[1])
+        assert count.amount == told * 1001
+
+
+def test_the_unheard_are_turned_away_once_the_heard_like_them_were_over_their_quota() -> None:
+    def play(over: bool, over_cost: float = 1.2) -> int:
+        gate = Driver(replace(BASE, plans=(replace(BASE.plans[0], over_cost=over_cost),)))
+        for number in range(40):
+            gate.gateway.calls = 1.0
+            (count,) = counts(gate.ask(set_size=3, customer=f"h{number}")[1])
+            theirs = over * (30 * 1000 + 6)
+            gate.do(i.Counted(count.name, i.Result.OK, 2.0, count.amount + theirs))
+        gate.gateway.calls = gate.gateway.call_rate = 0.0
+        return sum(len(sends(gate.ask(set_size=3, customer=f"u{number}")[1])) for number in range(10))
+
+    assert play(over=False) == 10 and play(over=True) == 0
+    assert play(over=True, over_cost=0.0) == 10  # nothing is charged for them
+
+
 def test_a_request_that_only_asks_passes_without_a_server_and_takes_units() -> None:
     driver = Driver(servers=0)
     told = [driver.ask(units=2.0, admit_only=True)[1][0] for _ in range(3)]
