--- a/dovetail/board.py
+++ b/dovetail/board.py
@@ -4,18 +4,20 @@
 from typing import Any
 
 from dovetail import store
-from dovetail.engine import Loop, Machine, Net, Process, Signal, Steps
+from dovetail.engine import Future, Loop, Machine, Net, Process, Signal, Steps
 from jig.configuration import whole
 from mitre.clock import Clock, Stamp
 from mitre.desk import kept, made, past
 from mitre.edits import Edit, join, read_edit
 from mitre.settling import SETTLED
+from pegboard.asking import UNDONE, Asking
 from pegboard.loops import ANSWER_S, GATHER_S, LEAST_S, PAUSE_S, TICK_S, WAIT_S, WATCH_S
 from pegboard.records import Worker
 from pegboard.registry import Registry, Self
+from pegboard.resources import VOUCH_S
 from pegboard.store import ANSWER_S as STORE_S
-from pegboard.store import DRAFTS_S, ELSEWHERE, HOP_S, LATE_S
-from workbench.faults import UNANSWERED, UNREACHED, Fault
+from pegboard.store import DRAFTS_S, LATE_S, NOW
+from workbench.faults import LATE, UNANSWERED, UNREACHED, Fault
 
 KIND = "pegboard"
 CONTROL = 8200
@@ -57,6 +59,7 @@
         self._turn = 0
         self._stamps = Clock(machine.name, self.wall(), self.clock())
         self._hangs = False
+        self._round, self._index = [0, 0], 0
         self.spawn(self._watch())
         self.spawn(self._tick())
 
@@ -135,6 +138,7 @@
             now, fresh = self.clock(), False
             if own:
                 self._hangs = isinstance(answer, Fault) and answer.reason == UNANSWERED
+            self._note(answer)
             if not isinstance(answer, Fault):
                 fresh = registry.watched(answer, sent, now)
                 self.ring()
@@ -151,18 +155,46 @@
         me, known = self.registry.me, self.registry.members()
         return [ip for ip in self.registry.controls(me.zone, me.region, self.clock()) if ip in known]
 
-    def _stored(self, method: str, body: Any) -> Steps:
-        """As `pegboard.store.Store` goes from one store to the next."""
-        until, answer = self.clock() + STORE_S, Fault(UNREACHED, "there is no store")
+    def _note(self, news: Any) -> None:
+        if not isinstance(news, Fault):
+            self._round, self._index = max(self._round, news["round"]), max(self._index, news["index"])
+
+    def _submitted(self, body: dict[str, Any], since: float | None = None) -> Steps:
+        now, index = self.clock(), self._index
+        until = (now if since is None else since) + STORE_S
+
+        def call() -> dict[str, Any]:
+            return {**body, "fence": [*self._round, index, until - self.clock()]}
+
+        found = yield from self._stored("submit", call, until)
+        return found
+
+    def _stored(self, method: str, body: Callable[[], dict[str, Any]], until: float) -> Steps:
+        """As `pegboard.store.Store` asks one store after the other."""
         others = [ip for ip in self._stores() if ip != self.name]
-        for ip in [*others, self.name] if self._hangs else [self.name, *others]:
-            left = until - self.clock()
-            if left < HOP_S:
-                break
-            answer = yield self.call(ip, store.KIND, method, body, left)
-            if not isinstance(answer, Fault) or answer.reason not in ELSEWHERE:
-                break
-        return answer
+        stores = [*others, self.name] if self._hangs else [self.name, *others]
+        asking, answers, turn = Asking(stores, self.clock(), until), list[tuple[str, Any]](), [Future()]
+
+        def ask(ip: str) -> Steps:
+            answer = yield self.call(ip, store.KIND, method, body(), until - self.clock())
+            if isinstance(answer, Fault) and answer.reason == LATE:
+                self._note((yield self.call(ip, store.KIND, "watch", NOW, until - self.clock())))
+                answer = yield self.call(ip, store.KIND, method, body(), until - self.clock())
+            answers.append((ip, answer))
+            turn[0].set(None)
+
+        while wait := asking.wait(self.clock()):
+            ip = asking.due(self.clock())
+            if ip is not None:
+                self.spawn(ask(ip))
+                continue
+            if not answers:
+                turn[0] = Future()
+                self.later(wait, turn[0].set, None)
+                yield turn[0]
+            while answers:
+                asking.heard(*answers.pop(0), self.clock())
+        return asking.answer
 
     # ---- outside calls (pegboard.resources): a status and a value
     def _beat(self, body: tuple[str, dict[str, Any]]) -> Any:
@@ -185,11 +217,16 @@
         return (503, None) if isinstance(found, Fault) else (200, found)
 
     def _order(self, body: dict[str, Any]) -> Steps:
-        answer = yield from self._stored("submit", body)
+        since = self.written if body["kind"] in ("evacuate", "restore") else None
+        if since is not None and self.clock() - since > VOUCH_S:
+            return 307, None
+        answer = yield from self._submitted(body, since)
+        if since is not None and isinstance(answer, Fault) and answer.reason == LATE:
+            return 307, None
         return (503, answer.reason) if isinstance(answer, Fault) else (answer["status"], answer.get("reason"))
 
     def _config(self, _: Any) -> Steps:
-        answer = yield from self._stored("read", {})
+        answer = yield from self._stored("read", dict, self.clock() + STORE_S)
         if isinstance(answer, Fault):
             return 503, answer.reason
         map = answer["objects"]
@@ -222,11 +259,11 @@
         edit = made(map, name, body, self._stamp(name, {}), self.name)
         assert isinstance(edit, Edit)
         order = {"kind": "edit", "if_match": None, "body": {"edit": edit.wire()}}
-        answer = yield from self._stored("submit", order)
+        answer = yield from self._submitted(order)
         if not isinstance(answer, Fault):
             return answer["status"], answer
         book, _ = yield from self._waiting([])
-        waits = kept(map, book, edit, answer.reason not in ELSEWHERE)
+        waits = kept(map, book, edit, answer.reason not in UNDONE)
         if isinstance(waits, dict):
             return 409, waits
         _, held = yield from self._waiting([waits.wire()])
@@ -244,5 +281,5 @@
         said["stamp"] = [*self._stamp(edit.name, book)]
         version = self.registry.word.values.get("Version")
         order = {"kind": body["word"], "if_match": version, "body": said}
-        answer = yield from self._stored("submit", order)
+        answer = yield from self._submitted(order)
         return (503, {}) if isinstance(answer, Fault) else (answer["status"], answer)
--- /dev/null
+++ b/dovetail/callers.py
@@ -0,0 +1,70 @@
+"""Operators who always have an order under way, at any core machine, and send again what was taken."""
+
+from typing import Any
+
+from dovetail.engine import Steps
+from dovetail.history import Change, Resend
+from dovetail.people import Operator, change, edited, patched
+
+PAUSE_S = (0.2, 0.9)  # between one order and the next, by chance
+AGAIN = 0.4  # share of changes that are sent again once they are taken
+OLD = 6  # one of so many last changes is sent again
+STEPS = 3  # a version is up to so much above the one that it builds on: two may pick the same
+WORDS = ("look=desk", "look=fleet", "bill=desk", "bill=bill", "r+{new}=fleet", "q:t1=150", "q:t2=90")
+
+
+class Caller(Operator):
+    """`zone`: the one that it alone empties and takes back; `places`: the machines that it goes to first."""
+
+    zone: str | None = None
+    places: list[str] = []
+    until = 0.0
+
+    def begin(self) -> None:
+        self._made: list[Change] = []
+        self._emptied = False
+        self.spawn(self._orders())
+
+    def _first(self) -> str:
+        return self.loop.chance.choice(self.places or self.boards)
+
+    def _orders(self) -> Steps:
+        chance = self.loop.chance
+        while self.loop.now < self.until:
+            match chance.choice(("put", "patch", "zone", "read", "again")):
+                case "put" | "patch" as kind:
+                    yield from self._change(kind == "patch")
+                case "zone" if self.zone is not None:
+                    self._emptied = not self._emptied
+                    yield from self.zoned(self.zone, self._emptied, self._first())
+                case "again" if self._made:
+                    yield from self._resend(chance.choice(self._made[-OLD:]))
+                case _:
+                    yield from self._read(self._first(), None)
+            yield chance.uniform(*PAUSE_S)
+
+    def _change(self, patch: bool) -> Steps:
+        """One on top of what is read just before: others may do the same."""
+        chance = self.loop.chance
+        yield from self._read(self._first(), None)
+        base = self.history.readings[-1]
+        if not base.version:
+            return
+        version = base.version + chance.randint(1, STEPS)
+        word = chance.choice(WORDS).format(new=f"{self.name[-1]}{version}")
+        made = change(version, base.version, self.name, edited(base.body, version, [word]), self.loop.now)
+        if patch:
+            made.patch = patched(base.body, made.body)
+        self.history.changes.append(made)
+        yield from self.changed(made, self._first())
+        if not made.refused:
+            self._made.append(made)
+            if chance.random() < AGAIN:
+                yield from self._resend(made)
+
+    def _resend(self, made: Change) -> Steps:
+        """One call of what was taken."""
+        sent, at = self.loop.now, self._first()
+        answer: Any = yield self.call(at, "pegboard", "order", made.order(), 1.0)
+        status = answer[0] if isinstance(answer, tuple) else 0
+        self.history.resends.append(Resend(made, at, sent, self.loop.now, status))
--- a/dovetail/catching.py
+++ b/dovetail/catching.py
@@ -189,7 +189,9 @@
         """Until it is acknowledged; one that is in doubt comes again, and 412 then says that it was taken."""
         while True:
             name = self.leader() or self.names[0]
-            order = {"set": sets, "base": self.version}
+            member = self.store(name).member
+            round_ = member.round_known() if member else (0, 0)
+            order = {"set": sets, "base": self.version, "fence": [*round_, 0, PATIENCE_S]}
             answer = yield self.desk.call(name, store.KIND, "submit", order, PATIENCE_S)
             if not isinstance(answer, Fault) and answer["status"] in (200, 412):
                 self.version += 1
--- a/dovetail/checks.py
+++ b/dovetail/checks.py
@@ -204,7 +204,7 @@
             if not change.valid:
                 yield Breach("CONFIG", change.acked, f"{change.told()} is invalid and was acknowledged")
             other = bases.setdefault(change.base, change)
-            if other is not change:
+            if other is not change and other.asked() != change.asked():  # equal ones are one order
                 yield Breach("CONFIG", change.acked, f"{change.told()} and {other.told()}: both acknowledged")
 
     def revoked(self) -> Iterator[Breach]:
@@ -259,17 +259,31 @@
                 yield Breach("CONFIG", reading.ended, f"{lost[0].told()} was refused and is in force")
 
     def linear(self) -> Iterator[Breach]:
-        """CONFIG: one order of all changes and readings explains every answer (`dovetail.linear`)."""
+        """CONFIG: one order of all the operator's calls explains every answer (`dovetail.linear`)."""
         calls = [
             Call(one.sent, one.ended, one.asked(), _told(one), name=one.who)
             for one in self.changes
             if one.valid and one.refused in (0, 412)
         ]
-        calls += [Call(one.begun, one.ended, seen=one.seen()) for one in self.history.readings]
+        calls += [
+            Call(one.begun, one.ended, seen=one.seen(), zones=one.zones()) for one in self.history.readings
+        ]
+        calls += [
+            Call(one.sent, one.ended, zone=(one.zone, one.on), until=one.until, name=one.who)
+            for one in self.history.copies
+        ]
         wrong = unexplained(calls)
         if wrong is not None:
             yield Breach("CONFIG", wrong.ended, f"no order of all calls explains {wrong}")
 
+    def resent(self) -> Iterator[Breach]:
+        """CONFIG: what was acknowledged is acknowledged again or has no clear answer, however late."""
+        for one in self.history.resends:
+            if one.change.acked < one.sent and 400 <= one.status < 500:
+                acked = f"acknowledged at {one.change.acked:.3f}"
+                what = f"{one.change.told()}, {acked}, got {one.status} at {one.at}"
+                yield Breach("CONFIG", one.ended, what)
+
     def lost(self) -> Iterator[Breach]:
         """LOST: evacuations that were acknowledged stand, and those taken back do not."""
         for reading in self.history.readings:
--- a/dovetail/engine.py
+++ b/dovetail/engine.py
@@ -105,10 +105,11 @@
 class Connection:
     """From one life of a process to one life of another."""
 
-    __slots__ = ("closed", "life", "stuck", "there", "torn", "waiting", "back", "to")
+    __slots__ = ("closed", "life", "since", "stuck", "there", "torn", "waiting", "back", "to")
 
-    def __init__(self, to: "Process") -> None:
+    def __init__(self, to: "Process", now: float) -> None:
         self.to, self.life, self.closed = to, to.life, False
+        self.since = now  # came up, or carried its newest answer: what is read next was not written before
         self.stuck: float | None = None  # since when bytes go unconfirmed
         self.torn = 0.0  # until then a call is being written that is given up in the middle
         self.there = self.back = 0.0  # when the newest bytes arrive, either way: they keep their order
@@ -124,6 +125,7 @@
         self.up = self.frozen = False
         self.backlog: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self.handlers: dict[str, Callable[[Any], Any]] = {}
+        self.written = 0.0  # by its clock: the call that a handler begins with was not written before
         self.connections: dict[Process, Connection] = {}
         machine.processes[kind] = self
 
@@ -215,6 +217,8 @@
         self.machines: dict[str, Machine] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.loss = self.torn = 0.0
+        self.slow: dict[str, float] = {}  # machine -> s more that each message from or to it takes
+        self.late = False  # bytes held up by a cut arrive however late, also if their sender has closed
         self.zone_s, self.region_s = 0.0005, 0.02
         self._held: dict[tuple[str, str], list[tuple[float, Connection, Callable[[], None]]]] = {}
 
@@ -222,7 +226,8 @@
         base = 0.0002 if one.zone == other.zone else self.zone_s
         if one.region != other.region:
             base = self.region_s
-        return base * (1.0 + 0.3 * self.loop.chance.random())
+        more = max(self.slow.get(one.name, 0.0), self.slow.get(other.name, 0.0)) if self.slow else 0.0
+        return more + base * (1.0 + 0.3 * self.loop.chance.random())
 
     def cut(self, one: str, other: str) -> None:
         """Nothing goes from `one` to `other`."""
@@ -232,7 +237,7 @@
         """Bytes held up by the cut go on, where their connection still stands."""
         self.cuts.discard((one, other))
         for since, connection, action in self._held.pop((one, other), []):
-            if self.loop.now - since < STUCK_S and not connection.closed:
+            if self.late or (self.loop.now - since < STUCK_S and not connection.closed):
                 connection.stuck = None
                 self.loop.later(self.loop.chance.uniform(0.0, 0.3), action)
             else:
@@ -293,7 +298,7 @@
         def dialled() -> None:
             if not target.up:
                 return future.set(Fault(UNREACHED, "refused"))
-            fresh = Connection(target)
+            fresh = Connection(target, self.loop.now)
             caller.connections[target] = fresh
             self._send(caller, fresh, method, body, timeout - trip, future)
 
@@ -318,6 +323,7 @@
 
         def answered(value: Any) -> None:
             if target.up and target.life == connection.life:
+                connection.since = self.loop.now
                 self._carry(target.machine, caller.machine, connection, False, answer, value)
 
         def answer(value: Any) -> None:
@@ -329,14 +335,14 @@
             future.set(value)
 
         def arrive(_: Any) -> None:
-            if connection.closed:
+            if connection.closed and not self.late:
                 return
             if not target.machine.powered:
                 connection.stuck = connection.stuck or self.loop.now
                 return
             if target.life != connection.life or not target.up:
                 return caller.later(self.delay(target.machine, caller.machine), self.close, connection)
-            target.do(self._serve, (target, method, body, answered))
+            target.do(self._serve, (target, method, body, answered, connection))
 
         if self.torn and self.loop.chance.random() < self.torn:
             connection.torn = self.loop.now + timeout
@@ -369,8 +375,11 @@
         self.loop.later(at - self.loop.now, action, value)
 
     @staticmethod
-    def _serve(target: Process, method: str, body: Any, answered: Callable[[Any], None]) -> None:
+    def _serve(
+        target: Process, method: str, body: Any, answered: Callable[[Any], None], connection: Connection
+    ) -> None:
         handler = target.handlers.get(method)
+        target.written = connection.since + target.machine.offset
         if handler is None:
             return answered(Fault(UNKNOWN, method))
         found = handler(body)
--- a/dovetail/history.py
+++ b/dovetail/history.py
@@ -115,10 +115,26 @@
         upsert = objects(self.patch["Upsert"]["Objects"])
         return linear.Change(self.base, self.version, upsert, frozenset(gone))
 
+    def order(self) -> dict[str, Any]:
+        """As it is sent."""
+        kind, body = ("put", self.body) if self.patch is None else ("patch", self.patch)
+        return {"kind": kind, "if_match": f"{self.base:08x}", "body": body}
+
     def told(self) -> str:
         return f"version {self.version} of {self.who} on {self.base}"
 
 
+@define(eq=False, slots=True)
+class Resend:
+    """One more call of a change that was taken; `status` 0: no answer."""
+
+    change: Change
+    at: str
+    sent: float
+    ended: float
+    status: int
+
+
 @define(eq=False, slots=True)
 class Reading:
     """A GET /config that was answered; `entries`: the map that stands for it, None where it is not seen."""
@@ -132,6 +148,13 @@
     def seen(self) -> tuple[int, linear.Items]:
         return self.version, objects(self.body.get("Objects", []))
 
+    def zones(self) -> frozenset[str] | None:
+        """The zones evacuated then; None: not seen."""
+        if self.entries is None:
+            return None
+        found = (key.partition("/") for key in self.entries)
+        return frozenset(name for kind, _, name in found if kind == "Evacuations")
+
 
 @define(eq=False, slots=True)
 class Order:
@@ -143,6 +166,18 @@
     acked: float = math.inf
 
 
+@define(eq=False, slots=True)
+class Copy:
+    """One call of an `Order`, as one core machine got it; its effect comes by `until` or never."""
+
+    zone: str
+    on: bool
+    sent: float
+    until: float
+    who: str = ""
+    ended: float = math.inf  # acknowledged
+
+
 class Spans:
     """Times of trouble, from and until; open ones last."""
 
@@ -168,7 +203,9 @@
         self.strays: list[Stray] = []
         self.changes: list[Change] = []
         self.readings: list[Reading] = []
+        self.resends: list[Resend] = []
         self.orders: list[Order] = []
+        self.copies: list[Copy] = []
         self.errands: dict[str, Any] = {}  # edits of single routes by id (`dovetail.clerks`)
         self.troubles: dict[str, list[list[float]]] = {}  # machine -> [from, until]
         self.planned: dict[str, list[float]] = {}  # machine -> when a trouble began that was a SIGTERM
--- a/dovetail/people.py
+++ b/dovetail/people.py
@@ -8,7 +8,7 @@
 
 from dovetail import board, keeper
 from dovetail.engine import Loop, Machine, Net, Process, Steps
-from dovetail.history import Change, History, Order, Reading, Request
+from dovetail.history import Change, Copy, History, Order, Reading, Request
 from dovetail.keeper import Keeper
 from jig import configuration
 from jig.tables import Table
@@ -16,6 +16,7 @@
 TRIES = 3  # of a client, for one thing it wants
 CONNECT_S = 1.0
 LOOKUP_S = 1.0
+FOLLOWED = 2  # times that a caller goes where a 307 says
 HOP_S = 0.001  # from a client to a gatekeeper of its zone, one way
 
 
@@ -262,29 +263,48 @@
     def begin(self) -> None:
         pass
 
-    def order(self, body: dict[str, Any], first: str | None, told: Callable[[int], None]) -> None:
-        self.spawn(self._order(body, first, told))
-
     def _places(self, first: str | None) -> list[str]:
         others = self.loop.chance.sample(self.boards, len(self.boards))
         return ([first] if first else []) + [name for name in others if name != first]
 
-    def _order(self, body: dict[str, Any], first: str | None, told: Callable[[int], None]) -> Steps:
+    def _order(
+        self, body: dict[str, Any], first: str | None, told: Callable[[int], None], once: bool = False
+    ) -> Steps:
         pause, places = 0.1, self._places(first)
         timeout = (
             1.0 + 0.003 * len(body["body"].get("Objects", ())) if isinstance(body["body"], dict) else 1.0
         )
         while True:
-            answer = yield self.call(places[0], board.KIND, "order", body, timeout)
+            answer = yield from self._sent(places[0], body, timeout)
             if isinstance(answer, tuple) and answer[0] in (200, 400, 404, 412, 422):
                 return told(answer[0])
+            if once:
+                return None
             places = places[1:] or self._places(None)
             yield pause
             pause = min(1.0, 1.5 * pause)
 
+    def _sent(self, at: str, body: dict[str, Any], timeout: float) -> Steps:
+        """One call of it, sent on as often as a 307 may say so."""
+        for _ in range(1 + FOLLOWED):
+            sent, copy = self.loop.now, None
+            if body["kind"] in ("evacuate", "restore"):
+                copy = Copy(body["body"], body["kind"] == "evacuate", sent, sent + timeout, self.name)
+                self.history.copies.append(copy)
+            answer = yield self.call(at, board.KIND, "order", body, timeout)
+            if copy is not None and isinstance(answer, tuple) and answer[0] == 200:
+                copy.ended = self.loop.now
+            timeout -= self.loop.now - sent
+            if not isinstance(answer, tuple) or answer[0] != 307:
+                break
+        return answer
+
     def put(self, change: Change, first: str | None = None) -> None:
         change.sent = self.loop.now
         self.history.changes.append(change)
+        self.spawn(self.changed(change, first))
+
+    def changed(self, change: Change, first: str | None) -> Steps:
 
         def told(status: int) -> None:
             change.ended = self.loop.now
@@ -293,10 +313,12 @@
             else:
                 change.refused = status
 
-        kind, body = ("put", change.body) if change.patch is None else ("patch", change.patch)
-        self.order({"kind": kind, "if_match": f"{change.base:08x}", "body": body}, first, told)
+        yield from self._order(change.order(), first, told)
+
+    def empty(self, zone: str, on: bool, first: str | None = None, once: bool = False) -> None:
+        self.spawn(self.zoned(zone, on, first, once))
 
-    def zone(self, zone: str, on: bool, first: str | None = None) -> None:
+    def zoned(self, zone: str, on: bool, first: str | None, once: bool = False) -> Steps:
         order = Order(zone, on, self.loop.now)
         self.history.orders.append(order)
 
@@ -304,7 +326,8 @@
             if status == 200:
                 order.acked = self.loop.now
 
-        self.order({"kind": "evacuate" if on else "restore", "if_match": None, "body": zone}, first, told)
+        kind = "evacuate" if on else "restore"
+        yield from self._order({"kind": kind, "if_match": None, "body": zone}, first, told, once)
 
     def read(self, first: str | None = None, then: Callable[[Reading], None] | None = None) -> None:
         self.spawn(self._read(first, then))
--- a/dovetail/rules.py
+++ b/dovetail/rules.py
@@ -21,6 +21,7 @@
     "revoked": Judge.revoked,
     "read back": Judge.read_back,
     "linear": Judge.linear,
+    "resent": Judge.resent,
     "lost": Judge.lost,
     "broken off": broken_off,
     "recovered": recovered,
--- a/dovetail/scene.py
+++ b/dovetail/scene.py
@@ -14,7 +14,9 @@
 at 5 ask KEY 4 [after 2]         clients with this key ask so often a second; once version 2 is acknowledged
 at 5 put|patch 2 [on 1] [by B] [at core-2] look=desk k-t1-a ...  the operator (people.edited); on the
                                  newest not refused if left out, `on acked`: on the newest acknowledged
-at 5 evacuate z1 [at core-2] | restore z1 | read
+at 5 evacuate z1 [at core-2] [once] | restore z1 | read    once: given up after one call
+at 5 orders 8 40 [core-2 ...]    so many operators, each with an order under way until 40 (callers), there
+at 5 reset WHO | slow 0.3 WHO for 20      its connections break; each message from or to it takes so much more
 at 5 add fleet z1 [cold 3] [as fleet-2] | crash fleet-1 | drain fleet-1 | chill fleet-1 3 | sick fleet-1 0.2
 at 5 grey fleet-1 0.3 | forget fleet-1 0.3    share of 500; s of rest after which a connection is forgotten
 at 5 break fleet-1 0.2           share of requests that run, and whose connection breaks then
@@ -27,6 +29,8 @@
                                  | busy WORKER | told ID STATUS | edit ID in-force|lost|rejected|waits
                                  | alike (all gatekeepers hold the routes agreed on, byte for byte)
                                  | busy WORKER | sure KEY S (share served of all wanted with it)
+                                 | one N (one order of that version is acknowledged, by whoever sent it)
+                                 | swift S (every order since the last had its clear answer within so long)
 """
 
 import gc
@@ -191,7 +195,7 @@
     def _put(self, operator: Operator, version: int, base: int, at: str | None, patch: bool = False) -> None:
         made = change(version, base, operator.name.rpartition("-")[2], self.bodies[version], 0.0)
         if patch:
-            made.patch = patched(self.bodies[base], self.bodies[version])
+            made.patch = patched(self.bodies.get(base, self.bodies[1]), self.bodies[version])
         if version == 1:
             self.world.loop.later(FIRST_S, operator.put, made, at)
         else:
@@ -244,10 +248,11 @@
                 version = int(rest[0])
                 on = told.get("on", "newest")
                 base = self._newest() if on == "newest" else self._acked() if on == "acked" else int(on)
-                self.bodies[version] = edited(self.bodies[base], version, rest[1:])
+                old = self.bodies.get(base, self.bodies[1])  # what it builds on may not have been sent yet
+                self.bodies[version] = edited(old, version, rest[1:])
                 self._put(operator, version, base, told.get("at"), word == "patch")
             case "evacuate" | "restore":
-                operator.zone(rest[0], word == "evacuate", told.get("at"))
+                operator.empty(rest[0], word == "evacuate", told.get("at"), "once" in rest)
             case "edit":
                 board = world.board(self._who([told["at"]])[0])
                 clerks.edit(operator, world.history, rest[0], rest[1], board)
@@ -257,6 +262,12 @@
                 world.net.machines[rest[0]].skew = float(rest[1])
             case "read":
                 operator.read(told.get("at"))
+            case "orders":
+                world.callers(int(rest[0]), float(rest[1]), self._who(rest[2:]))
+            case "reset":
+                world.reset(self._who(rest))
+            case "slow":
+                world.slow(self._who(rest[1:]), float(rest[0]), seconds or 1.0)
             case "seeds":
                 world.seeds = rest
                 world.reseed()
@@ -339,6 +350,13 @@
                 if not found:
                     return "it was never sent"
                 return "" if good else ", ".join(f"{one.told()}: {one.refused or one.acked}" for one in found)
+            case "one":
+                sent = [one for one in history.changes if one.version == int(rest[1])]
+                acked = {one.asked() for one in sent if one.acked < math.inf}
+                return "" if len(acked) == 1 else f"{len(acked)} acknowledged"
+            case "swift":
+                self._since = world.loop.now
+                return self._slow(float(rest[1]), since)
             case "evacuated":
                 return (
                     ""
@@ -395,6 +413,17 @@
         ]  # fmt: skip
         return f"others at {', '.join(wrong)}" if wrong else ""
 
+    def _slow(self, most: float, since: float) -> str:
+        """The first order sent since then, so long ago at least, whose clear answer took longer."""
+        history, now = self.world.history, self.world.loop.now
+        spans = [(one.sent, one.ended, one.told()) for one in history.changes]
+        spans += [(one.sent, one.acked, f"{one.zone} {one.on}") for one in history.orders]
+        found = [one for one in spans if since <= one[0] < now - most]
+        late = next((one for one in found if one[1] - one[0] > most), None)
+        if late is not None:
+            return f"{late[2]} of {late[0]:.2f}: {late[1]:.2f}"
+        return "" if found else "no orders"
+
     def _crew(self) -> str:
         """Whether all gatekeepers know the workers that stand, and no others."""
         world = self.world
--- a/dovetail/store.py
+++ b/dovetail/store.py
@@ -24,7 +24,7 @@
     Submit,
     Tick,
 )
-from vise.orders import decide
+from vise.orders import decide, read_fence
 from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
 
 KIND = "vise"
@@ -167,7 +167,11 @@
 
     # ---- calls of pegboards, as the daemon serves them
     def submit(self, body: Any) -> Steps:
-        return self._led("submit", body, lambda ref: Submit(ref, body), ORDER_S)
+        fence = read_fence(body)
+        if isinstance(fence, Fault):
+            return fence
+        found = yield from self._led("submit", body, lambda ref: Submit(ref, body, fence), ORDER_S)
+        return found
 
     def read(self, body: Any) -> Steps:
         found = yield from self._led("read", body, Read, READ_S)
@@ -203,6 +207,8 @@
         found: Any = Fault(UNREADY, "no leader")
         while self.member is not None:
             leader = self.member.leader
+            if self.member.silent(self.clock()):
+                return Fault(UNREADY, "no leader is heard here")
             if self.member.lead is not None:
                 found = yield from self._ask(event, timeout)
             elif leader is not None and not body.get("passed"):
@@ -223,4 +229,5 @@
             yield self._news.wait(until - self.clock())
         age = self.clock() - member.news.lease
         known = age if age != float("inf") else None
-        return {**member.news.since(have), "age": known, "term": member.vote.term, "leader": member.leader}
+        told = {"age": known, "term": member.vote.term, "leader": member.leader}
+        return {**member.news.since(have), **told, "round": [*member.round_known()]}
--- a/dovetail/world.py
+++ b/dovetail/world.py
@@ -8,6 +8,7 @@
 
 from dovetail import board, keeper, store
 from dovetail.board import Board
+from dovetail.callers import Caller
 from dovetail.engine import Loop, Machine, Net, Process
 from dovetail.history import HOST
 from dovetail.keeper import Keeper
@@ -51,6 +52,7 @@
     warmup: float = 3.0
     warmup_rate: float = 5.0
     loss: float = 0.0
+    late: int = 0  # 1: bytes held up by a cut arrive whenever it ends
     until: float = 20.0
     homes: list[str] = field(factory=list)  # of the route `bill`
 
@@ -141,13 +143,23 @@
         return self.operators[name]
 
 
+    def callers(self, count: int, until: float, places: list[str]) -> None:
+        """So many operators with an order under way until then."""
+        for number in range(count):
+            machine = Machine(f"caller-{len(self.net.machines)}-{number}", "z1", "r1", 0.0, "operators")
+            self.net.machines[machine.name] = machine
+            one = Caller(self.loop, self.net, machine, self.history, self.core)
+            one.zone, one.places, one.until = dict(enumerate(ZONES)).get(number), places, until
+            one.start()
+
+
 class World(Stage):
     def __init__(self, plan: Plan) -> None:
         core = [f"{CORE}-{number + 1}" for number in range(plan.core)]
         edge = [f"{EDGE}-{number + 1}" for number in range(plan.edge)]
         loop = Loop(plan.seed)
         super().__init__(plan, core, edge, loop, Net(loop))
-        self.net.loss = plan.loss
+        self.net.loss, self.net.late = plan.loss, bool(plan.late)
         names, chance = list(ZONES), self.loop.chance
         for number, name in enumerate(self.core):
             machine = self._machine(name, names[number % len(names)])
@@ -318,6 +330,26 @@
                 self.befalls(process.name)
                 self.loop.later(seconds, self._thaw, process, process.life)
 
+    def reset(self, names: list[str]) -> None:
+        """All connections to and from these break; whoever had one is told so."""
+        for name in names:
+            for process in self.net.machines[name].processes.values():
+                self.net.reset(process)
+                for connection in list(process.connections.values()):
+                    self.net.close(connection)
+            self.befalls(name)
+            self.passes(name)
+
+    def slow(self, names: list[str], more: float, seconds: float) -> None:
+        for name in names:
+            self.net.slow[name] = more
+            self.befalls(name)
+            self.loop.later(seconds, self._quick, name)
+
+    def _quick(self, name: str) -> None:
+        self.net.slow.pop(name, None)
+        self.passes(name)
+
     def _thaw(self, process: Process, life: int) -> None:
         if process.life == life:
             process.thaw()
--- a/jig/configuration.py
+++ b/jig/configuration.py
@@ -54,10 +54,13 @@
 
 
 def digest(kind: str, if_match: str, body: Any) -> str:
-    """Alike for calls that ask for exactly the same; "" for a body that is no JSON value."""
+    """Alike for calls that ask for exactly the same, however its JSON is written (order of keys, spaces, 1.0
+    for 1, the version's zeros); "" for a body that is no JSON value."""
     base = number_of(if_match)
     try:
-        call = [kind, base if isinstance(base, int) else str(if_match), body]
+        version = number_of(body.get("ConfigVersion")) if isinstance(body, dict) else None
+        whole = {**body, "ConfigVersion": version} if isinstance(version, int) else body
+        call = [kind, base if isinstance(base, int) else str(if_match), _numbered(whole)]
         text = json.dumps(call, sort_keys=True, allow_nan=False)
     except (TypeError, ValueError, RecursionError):
         return ""
@@ -287,6 +290,15 @@
     return True
 
 
+def _numbered(value: Any) -> Any:
+    """Whole numbers alike, however they are written."""
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    if isinstance(value, list):
+        return [_numbered(one) for one in value]
+    return {key: _numbered(one) for key, one in value.items()} if isinstance(value, dict) else value
+
+
 def _same(one: Any, other: Any) -> bool:
     """Alike as they are written too: 1, 1.0 and true are three values."""
-    return bool(one == other) and json.dumps(one) == json.dumps(other)
+    return one is other or (bool(one == other) and json.dumps(one) == json.dumps(other))
--- /dev/null
+++ b/pegboard/asking.py
@@ -0,0 +1,80 @@
+"""Which stores are asked for one call, and when. Pure; times are of this machine's steady clock, s.
+
+A call may be asked for at several stores: an order that was taken is acknowledged again, and none is begun
+once its caller may have gone (`vise.interface.Fence`).
+"""
+
+from collections import deque
+from typing import Any
+
+from workbench.faults import LATE, UNANSWERED, UNKNOWN, UNREACHED, UNREADY, Fault
+
+UNREADY_THERE = frozenset((UNREACHED, UNREADY, UNKNOWN))  # not done, and it may be asked for again
+UNDONE = UNREADY_THERE | {LATE}  # not done
+HEDGE_S = 0.3  # a store that says nothing for so long is not waited for alone
+AGAIN_S = 0.2  # between two times that all have been asked
+LEAST_S = 0.1  # nobody is asked with less time than this
+
+
+class Asking:
+    """`stores`: in the order in which to ask them; `until`: when there must be an answer."""
+
+    def __init__(self, stores: list[str], now: float, until: float) -> None:
+        self.until = until
+        self._answer: Any = Fault(UNREACHED, "there is no store")
+        self.over = not stores
+        self._todo, self._again = deque(stores), list[str]()
+        self._out: set[str] = set()
+        self._next_at = now
+
+    def due(self, now: float) -> str | None:
+        """Whom to ask now."""
+        if now < self._next_at or self.until - now < LEAST_S:
+            return None
+        if not self._todo:
+            self._todo, self._again = deque(self._again), []
+        if self.over or not self._todo:
+            return None
+        ip = self._todo.popleft()
+        self._out.add(ip)
+        self._next_at = now + HEDGE_S
+        return ip
+
+    @property
+    def answer(self) -> Any:
+        """The clear answer; else a Fault: what is not known to be undone is in doubt."""
+        if self._out and isinstance(self._answer, Fault) and self._answer.reason in UNDONE:
+            return Fault(UNANSWERED, "no store has answered")
+        return self._answer
+
+    def wait(self, now: float) -> float:
+        """s to wait for an answer before `due` is to be asked again; 0: it is over."""
+        if self.over or now >= self.until:
+            return 0.0
+        able = bool(self._todo or self._again) and now < self.until - LEAST_S
+        return max(0.001, (self._next_at if able else self.until) - now)
+
+    def heard(self, ip: str, answer: Any, now: float) -> None:
+        """That store's answer to the call, or its Fault."""
+        self._out.discard(ip)
+        if self.over:
+            return
+        undone = isinstance(answer, Fault) and answer.reason in UNREADY_THERE
+        if not undone and not _doubtful(answer):
+            late = isinstance(answer, Fault) and answer.reason == LATE
+            if not (late and _doubtful(self._answer)):
+                self._answer = answer  # else another copy is in doubt
+            self.over = True
+            return
+        if not _doubtful(self._answer):  # in doubt goes before not done
+            self._answer = answer
+        if undone:
+            self._again.append(ip)
+        if self._todo:
+            self._next_at = now
+        elif not self._out:
+            self._next_at = now + AGAIN_S
+
+
+def _doubtful(answer: Any) -> bool:
+    return isinstance(answer, Fault) and answer.reason == UNANSWERED
--- a/pegboard/door.py
+++ b/pegboard/door.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qs
 
 import attrs
+import gevent
 import httptools
 from gevent import socket
 from gevent.server import StreamServer
@@ -17,10 +18,14 @@
 BODY_MOST = 64 << 10  # bytes, where a resource does not say otherwise
 READ_S = 10.0  # s from a request's first byte to its last
 IDLE_S = 30.0  # s that a connection may wait for its next request
+BEAT_S = 0.1  # s between two signs that the process runs
+STILL_S = 0.3  # s without one: it has stood still
+SETTLE_S = 0.3  # s after a stand in which what waited meanwhile is taken
 STATUSES = {
-    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
-    422: "Unprocessable Content", 431: "Request Header Fields Too Large", 503: "Service Unavailable",
+    200: "OK", 202: "Accepted", 307: "Temporary Redirect", 400: "Bad Request", 404: "Not Found",
+    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 412: "Precondition Failed",
+    413: "Content Too Large", 422: "Unprocessable Content", 431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
 }  # fmt: skip
 
 
@@ -33,19 +38,40 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    since: float = attrs.field(default=0.0, eq=False)  # steady time before which it was not written
 
     @property
     def segments(self) -> list[str]:
         return self.path.split("/")[2:]
 
 
+class Awake:
+    """Whether the process has run without a stand, for what it finds in the kernel's buffers. Pure; s."""
+
+    def __init__(self, now: float) -> None:
+        self._beat = now
+        self._still = (-SETTLE_S, -SETTLE_S)  # the last stand
+
+    def beat(self, now: float) -> None:
+        if now - self._beat > STILL_S:
+            self._still = (self._beat, now)
+        self._beat = now
+
+    def since(self, now: float) -> float:
+        """Since when a connection that is taken now may have waited for it."""
+        self.beat(now)
+        began, ended = self._still
+        return began if now - ended < SETTLE_S else now
+
+
 @attrs.frozen
 class Answer:
-    """A status and a JSON value; `retry_after` in s."""
+    """A status and a JSON value; `retry_after` in s; `location`: where to send the call again."""
 
     status: int
     body: Any = attrs.field(factory=dict)
     retry_after: float | None = None
+    location: str = ""
 
     def wire(self, close: bool) -> bytes:
         body = json.dumps(self.body, separators=(",", ":")).encode()
@@ -53,6 +79,8 @@
         head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         if self.retry_after is not None:
             head += f"Retry-After: {self.retry_after:g}\r\n"
+        if self.location:
+            head += f"Location: {self.location}\r\n"
         if close:
             head += "Connection: close\r\n"
         return head.encode() + b"\r\n" + body
@@ -142,12 +170,19 @@
         self._resources = resources
         self._open: dict[socket.socket, bool] = {}  # connection -> whether a call is at work on it
         self.leaving = False
+        self._awake = Awake(time.monotonic())
         self._server = StreamServer(address, self._connection, backlog=1024)
         self._server.reuse_addr = 1  # type: ignore[misc]
 
     def start(self) -> None:
         """Raises OSError where the address cannot be had."""
         self._server.start()
+        gevent.spawn(self._beats)
+
+    def _beats(self) -> None:
+        while not self.leaving:
+            self._awake.beat(time.monotonic())
+            gevent.sleep(BEAT_S)
 
     def leave(self) -> None:
         """Take no connection and no call more; what is at work is answered."""
@@ -185,6 +220,7 @@
 
     def _serve(self, sock: socket.socket) -> None:
         reading, began = _Reading(self._body_most), 0.0
+        since = self._awake.since(time.monotonic())  # nobody writes a call before the connection is there
         while not self.leaving:
             left = began + READ_S - time.monotonic() if reading.under_way else IDLE_S
             sock.settimeout(max(0.01, left))
@@ -201,13 +237,17 @@
             reading.feed(data)
             self._open[sock] = True
             for request, keep in reading.done:
+                request.since = since
                 answer = self._answer(request)
                 keep = keep and not self.leaving
                 sock.settimeout(READ_S)
+                answered = time.monotonic()
                 sock.sendall(answer.wire(not keep))
                 if not keep:
                     return
             self._open[sock] = False
+            if reading.done:
+                since = answered  # the next call is written after this one's answer
             reading.done.clear()
             if reading.wrong:
                 return self._refuse(sock, reading.wrong)
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -17,6 +17,7 @@
 from pegboard.tallies import Said, Tallies
 from workbench.faults import INVALID, UNREADY, Fault
 
+STORES_OWN = ("Taken", "Refused/")  # what the store keeps to know resends by: no gatekeeper needs it
 WORD: Final = "vise"  # the source of the operator's word
 BEATS: Final = 3  # a worker's lease, in heartbeats
 SESSION_S: Final = 2.0  # a gatekeeper's lease from its last pull
@@ -395,11 +396,13 @@
         """A store has answered `watch`, called at `sent`; whether its proof is fresh."""
         index, age = answer["index"], answer.get("age")
         if index > self.word.version:
+            told = {key: value for key, value in answer["set"].items() if not key.startswith(STORES_OWN)}
             if answer.get("full"):
-                self.word.replace(index, answer["set"])
+                self.word.replace(index, told)
             else:
                 self.word.skipped(index)
-                self.word.merge(index, answer["set"], answer["gone"])
+                gone = [key for key in answer["gone"] if not key.startswith(STORES_OWN)]
+                self.word.merge(index, told, gone)
             self.news += 1
         if answer.get("term", 0) >= self.term:
             self.term, self.leader = answer.get("term", 0), answer.get("leader")
--- a/pegboard/resources.py
+++ b/pegboard/resources.py
@@ -12,9 +12,10 @@
 from pegboard.registry import Registry
 from pegboard.store import Store
 from workbench.events import tell
-from workbench.faults import INVALID, Fault
+from workbench.faults import INVALID, LATE, Fault
 
 AGAIN_S = 0.3  # Retry-After where there was no clear answer
+VOUCH_S = 0.4  # an order that nothing else guards, and may be older than this, is asked for again
 TTL = "1s"
 Ring = Callable[[], None]  # tells whoever holds a call open that there may be news
 
@@ -63,8 +64,10 @@
     def __init__(self, store: Store) -> None:
         self._store = store
 
-    def _order(self, kind: str, if_match: str | None, body: Any, size: int = 0) -> Answer:
-        answer = self._store.submit(kind, if_match, body, size)
+    def _order(self, kind: str, if_match: str | None, body: Any, size: int) -> Answer:
+        return self._told(kind, self._store.submit(kind, if_match, body, size))
+
+    def _told(self, kind: str, answer: Any) -> Answer:
         if isinstance(answer, Fault):
             tell(events.ORDER, kind=kind, fault=answer)
             if answer.reason == INVALID:
@@ -126,7 +129,22 @@
         zone = "/".join(request.segments)
         if zone not in self._settings().zones:
             return refusal(404, f"no zone {zone[:100]}")
-        return self._order(kind, None, zone)
+        if time.monotonic() - request.since > VOUCH_S:
+            return _asked_again(kind, request)
+        answer = self._store.submit(kind, None, zone, 0, request.since)
+        if isinstance(answer, Fault) and answer.reason == LATE:
+            return _asked_again(kind, request)
+        return self._told(kind, answer)
+
+
+def _asked_again(kind: str, request: Request) -> Answer:
+    """The call may have lain in a buffer or been held up by a cut, or another's was taken meanwhile: its
+    caller may have gone, and what it asks for may have been taken back. Who waits sends it again at once."""
+    tell(events.ORDER, kind=kind, status=307)
+    host = request.headers.get("host")
+    if not host:
+        return refusal(503, "it may be too old: send it again", AGAIN_S)
+    return Answer(307, {"error": "send it again"}, location=f"http://{host}{request.path}")
 
 
 class Lookup(Resource):
--- a/pegboard/routes.py
+++ b/pegboard/routes.py
@@ -5,11 +5,12 @@
 from urllib.parse import unquote
 
 from pegboard import events
+from pegboard.asking import UNDONE
 from pegboard.door import Answer, Request, Resource, refusal
 from pegboard.records import read_json
 from pegboard.registry import Registry
 from pegboard.resources import AGAIN_S
-from pegboard.store import ELSEWHERE, Store
+from pegboard.store import Store
 from workbench.events import tell
 from workbench.faults import Fault
 
@@ -93,7 +94,7 @@
         if not isinstance(answer, Fault):
             return _told(answer, edit.id, name)
         book, _ = self._desk.waiting()
-        waits = kept(map, book, edit, answer.reason not in ELSEWHERE)
+        waits = kept(map, book, edit, answer.reason not in UNDONE)
         if isinstance(waits, dict):
             return _told({"status": 409, "reason": "the route has changed since", **waits}, edit.id, name)
         _, held = self._desk.waiting((waits.wire(),))
--- a/pegboard/store.py
+++ b/pegboard/store.py
@@ -5,16 +5,17 @@
 from typing import Any
 
 import gevent
+from gevent.queue import Empty, Queue
 
+from pegboard.asking import Asking
 from workbench.bench import Callers
-from workbench.faults import UNANSWERED, UNKNOWN, UNREACHED, UNREADY, Fault
+from workbench.faults import LATE, UNANSWERED, UNREACHED, Fault
 
 ANSWER_S = 0.9  # callers move on after a second
 BYTE_S = 1e-5  # s more for each byte of a body: callers wait longer for large ones
 LATE_S = 0.6  # s for a watch's answer beyond its wait
+NOW = {"have": 1 << 62, "wait": 0.0}  # a watch that is answered at once, with nothing but the round
 DRAFTS_S = 0.6  # s for all stores' answers about edits of routes
-HOP_S = 0.25  # s kept for a further store
-ELSEWHERE = frozenset((UNREACHED, UNREADY, UNKNOWN))  # not done, and another store may do it
 
 
 class Store:
@@ -24,15 +25,26 @@
         self._watchers = Callers()  # apart: closed when it says nothing, and orders must not go with it
         self._turn = 0
         self._hangs = False  # the own store takes calls and says nothing: its disk hangs, or it is frozen
+        self._round, self._index = [0, 0], 0  # the newest known, for the fence of orders
 
-    def submit(self, kind: str, if_match: str | None, body: Any, size: int = 0) -> Any:
-        """`{status, reason?, index?}` or a Fault: no clear answer. `size`: bytes of the body as it came."""
-        call = {"kind": kind, "if_match": if_match, "body": body}
-        return self._call("submit", call, ANSWER_S + size * BYTE_S)
+    def submit(
+        self, kind: str, if_match: str | None, body: Any, size: int = 0, since: float | None = None
+    ) -> Any:
+        """`{status, reason?, index?}` or a Fault: no clear answer. `size`: bytes of the body as it came;
+        `since`: steady time before which the call was not written, None: now."""
+        now, index = time.monotonic(), self._index
+        until = (now if since is None else since) + ANSWER_S + size * BYTE_S
+
+        def call() -> dict[str, Any]:
+            """With a fence of this moment, so many s before the caller gives up."""
+            fence = [*self._round, index, until - time.monotonic()]
+            return {"kind": kind, "if_match": if_match, "body": body, "fence": fence}
+
+        return self._call("submit", call, until)
 
     def read(self) -> Any:
         """The operator's word as committed, or a Fault."""
-        return self._call("read", {}, ANSWER_S)
+        return self._call("read", dict, time.monotonic() + ANSWER_S)
 
     def watch(self, have: int, wait: float, own: bool) -> Any:
         """News of the operator's word from the own store, or from the next of the others."""
@@ -50,8 +62,14 @@
             caller.close()
         if own:
             self._hangs = silent
+        self._note(answer)
         return answer
 
+    def _note(self, news: Any) -> None:
+        if not isinstance(news, Fault):
+            self._round = max(self._round, news.get("round", [0, 0]))
+            self._index = max(self._index, news.get("index", 0))
+
     def drafts(self, add: list[dict[str, Any]]) -> dict[str, Any]:
         """By IP, what every store answers to `drafts`, or its Fault."""
         ips = dict.fromkeys([self._own, *self._members()])
@@ -61,15 +79,30 @@
         }
         return {ip: one.get() for ip, one in asked.items()}
 
-    def _call(self, method: str, body: Any, within: float) -> Any:
-        until = time.monotonic() + within
+    def _call(self, method: str, body: Callable[[], dict[str, Any]], until: float) -> Any:
+        """The first clear answer of a store; else the least clear Fault."""
         others = [ip for ip in self._members() if ip != self._own]
-        answer: Any = Fault(UNREACHED, "there is no store")
-        for ip in [*others, self._own] if self._hangs else [self._own, *others]:
-            left = until - time.monotonic()
-            if left < HOP_S:
-                break
-            answer = self._callers.to((ip, self._port)).call(method, body, left)
-            if not isinstance(answer, Fault) or answer.reason not in ELSEWHERE:
-                break
-        return answer
+        stores = [*others, self._own] if self._hangs else [self._own, *others]
+        asking, answers = Asking(stores, time.monotonic(), until), Queue[tuple[str, Any]]()
+
+        def ask(ip: str) -> None:
+            caller = self._callers.to((ip, self._port))
+            answer = caller.call(method, body(), until - time.monotonic())
+            if isinstance(answer, Fault) and answer.reason == LATE:  # what is known of rounds here may be old
+                self._note(caller.call("watch", NOW, until - time.monotonic()))
+                answer = caller.call(method, body(), until - time.monotonic())
+            answers.put((ip, answer))
+
+        asked = []
+        while wait := asking.wait(time.monotonic()):
+            ip = asking.due(time.monotonic())
+            if ip is not None:
+                asked.append(gevent.spawn(ask, ip))
+                continue
+            try:
+                heard, answer = answers.get(timeout=wait)
+            except Empty:
+                continue
+            asking.heard(heard, answer, time.monotonic())
+        gevent.killall(asked, block=False)
+        return asking.answer
--- a/trials/mutants.py
+++ b/trials/mutants.py
@@ -1,4 +1,5 @@
-"""Single lines of the store's core changed so that an invariant breaks: what the explorer must find.
+"""Single lines of the store's core changed so that an invariant breaks: what the explorer must find; and of
+what guards orders: what the scenes of orders must find.
 
 `python -m trials.mutants MOST CELLS [NAME...]` looks for each in all cases.
 """
@@ -10,7 +11,11 @@
 from contextlib import contextmanager
 from typing import Any
 
+from dovetail import board
 from dovetail.explore import CASES, explore
+from jig import configuration
+from pegboard.asking import Asking
+from vise import orders
 from vise.agreement import Member
 from vise.leading import Lead
 from vise.mending import Mending
@@ -82,12 +87,45 @@
         Mending, "_parts", "elif sent[1] == entries.digest_in(digests, one):", "else:",
     ),
 }  # fmt: skip
+EIGHT = "eight operators on one base all the time, answers lost before and after the commit, resends anywhere"
+# What guards orders against calls that come late or again, and the scene (`scenes/orders_*.txt`) that finds
+# a breach of it.
+GUARDS: dict[str, tuple[Any, str, str, str, str]] = {
+    "an order of any age is begun": (
+        Lead, "_late", "began is None or self.seat.now - began >= fence.left", "False",
+        "an evacuation that its operator has given up does not come into force 20 s later",
+    ),
+    "an order is begun whatever has changed since": (
+        Lead, "_late", "self.seat.news.touched(key, fence.known)", "False",
+        "taken back within the second: a call held up for half of it is void, and so are its copies at other "
+        "stores",
+    ),
+    "a registry vouches for any call": (
+        board.Board, "_order", 'self.written if body["kind"] in ("evacuate", "restore") else None', "None",
+        "an evacuation held up between the operator and a registry",
+    ),
+    "a registry vouches for what came while it was frozen": (
+        board.Board, "_order", 'self.written if body["kind"] in ("evacuate", "restore") else None', "None",
+        "an evacuation in the buffers of a frozen registry, given up by its operator",
+    ),
+    "a silent store is waited for alone": (
+        Asking, "due", "now + HEDGE_S", "self.until",
+        "a machine hears the leader and cannot call it: every order is passed on within a second",
+    ),
+    "what was taken is not known again": (orders, "_configured", "_mark(taken) == mark", "False", EIGHT),
+    "a record of another order counts": (orders, "_configured", "_mark(taken) == mark", "True", EIGHT),
+    "no base is compared": (configuration, "apply", "base != now", "False", EIGHT),
+    "a refusal is forgotten before its base comes": (
+        orders, "_stale", "base < now", "True",
+        "refused before its base came: the same order is refused for good, whoever sends it again",
+    ),
+}  # fmt: skip
 
 
 @contextmanager
 def mutated(name: str) -> Iterator[None]:
     """While it lasts, that line is changed."""
-    owner, method, old, new = {**MUTANTS, **LATE}[name]
+    owner, method, old, new, *_ = {**MUTANTS, **LATE, **GUARDS}[name]
     kept = getattr(owner, method)
     source = textwrap.dedent(inspect.getsource(kept))
     assert source.count(old) == 1, f"{name}: the line is not there any more"
--- a/trials/test_linear.py
+++ b/trials/test_linear.py
@@ -8,7 +8,8 @@
 from dovetail.linear import DOUBT, STALE, TAKEN, Call, Change, items, unexplained
 
 # One call a word: `w1@0-1:200` writes version 1 on 0 (`w3on1@...` on another base), `p2` patches, `r1` reads,
-# `w2b` writes something else as version 2; `?`: in doubt.
+# `w2b` writes something else as version 2; `?`: in doubt. `+z@0-1` evacuates z, `-z@0-?2` takes it back, in
+# doubt and by 2 or never; `s1z@2-3` reads version 1 with z evacuated, `s1@...` with no zone.
 GOOD = {
     "a write, read back": "w1@0-1:200 r1@2-3",
     "a read beside a write sees either": "w1@0-9:200 r0@1-2 r1@3-4",
@@ -18,6 +19,11 @@
     "in doubt, and in force much later": "w1@0-1:200 w2@2-? r1@3-4 r2@5-6 r2@7-8",
     "in doubt, and never in force": "w1@0-1:200 w2@2-? w2b@3-4:200 r2b@5-6",
     "refused beside the one that wins": "w2b@0-9:412 w1@1-2:200 w2@3-4:200",
+    "refused before its base came, and not taken later": "w1@0-1:200 w3@2-3:412 w2@4-5:200 w3@6-? r2@7-8",
+    "a zone evacuated and taken back": "+z@0-1 s0z@2-3 -z@4-5 s0@6-7",
+    "a first call in doubt, in force before the second": "+z@0-?1 s0z@0.5-0.8 +z@1.5-2 -z@3-4 s0@5-6",
+    "a call in doubt, never in force": "+z@0-?1 s0@1-2 s0@5-6",
+    "a call in doubt behind a read that does not tell": "w1@0-1:200 +z@2-?3 r1@4-5 s1z@6-7",
 }
 BAD = {
     "a stale read": "w1@0-1:200 w2@2-3:200 r1@4-5",
@@ -31,6 +37,11 @@
     "read as it never was": "w1@0-1:200 r1b@2-3",
     "a patch that drops the rest": "w1@0-1:200 p2@2-3:200 r2@4-5",
     "in force before it was sent": "r1@0-1 w1@2-3:200",
+    "refused before its base came, and taken later": "w1@0-1:200 w3@2-3:412 w2@4-5:200 w3@6-? r3@7-8",
+    "a late call brings an evacuation back": "+z@0-?1 +z@1.5-2 -z@3-4 s0z@23-24",
+    "a late call takes an evacuation back": "+z@0-1 -z@2-?3 s0z@4-5 s0@23-24",
+    "an acknowledged evacuation is gone": "+z@0-1 s0@2-3",
+    "an evacuation that nobody sent": "+z@0-1 s0zy@2-3",
 }
 
 
@@ -38,7 +49,14 @@
     what, _, rest = word.partition("@")
     span, _, status = rest.partition(":")
     begun, _, ended = span.partition("-")
-    times = float(begun), math.inf if ended == "?" else float(ended)
+    times = float(begun), math.inf if ended.startswith("?") else float(ended)
+    if what[0] in "+-":
+        until = float(ended[1:]) if ended.startswith("?") else math.inf
+        return Call(*times, zone=(what[1:], what[0] == "+"), until=until)
+    if what[0] == "s":
+        number = int(what[1])
+        seen = number, items({f"k{number}": str(number)} if number else {})
+        return Call(*times, seen=seen, zones=frozenset(what[2:]))
     name, _, base = what.partition("on")
     name, _, more = name.partition("+")
     number = int(name[1:].rstrip("b"))
--- /dev/null
+++ b/trials/test_orders.py
@@ -0,0 +1,182 @@
+"""The operator's orders: resends, refusals that stay, calls that come too late. Pure, no sockets."""
+
+import json
+import random
+from typing import Any
+
+from ward import each, test
+
+from dovetail.world import Plan, first_configuration
+from jig.configuration import digest
+from pegboard.asking import AGAIN_S, HEDGE_S, Asking
+from pegboard.door import SETTLE_S, STILL_S, Awake
+from pegboard.records import read_json
+from vise.interface import Settled, Work
+from vise.orders import FORGOTTEN, REFUSED, REFUSED_MOST, TAKEN_MOST, decide
+from workbench.faults import LATE, UNANSWERED, UNREACHED, UNREADY, Fault
+
+FIRST = first_configuration(Plan())
+Map = dict[str, Any]
+
+
+def patch(version: int, name: str = "a") -> Map:
+    service = {"HealthCheck": "/", "MaxConnections": 2}
+    one = {"ObjectType": "Services", "Metadata": {"Name": name}, "Specification": service}
+    return {"ConfigVersion": f"{version:08x}", "Upsert": {"Objects": [one]}, "Withdraw": {}}
+
+
+class Register:
+    """The map under orders."""
+
+    def __init__(self) -> None:
+        self.map: Map = {}
+        assert self.ask(0, FIRST, "put") == 200
+
+    def ask(self, base: int, body: Map, kind: str = "patch") -> int:
+        made = decide(self.map, {"kind": kind, "if_match": f"{base:08x}", "body": body})
+        if isinstance(made, Work):
+            kept = {key: value for key, value in self.map.items() if key not in made.gone}
+            self.map = {**kept, **made.set}
+        return int(made.answer["status"])
+
+    @property
+    def version(self) -> int:
+        return int(self.map["Version"], 16)
+
+
+@test("what was taken is acknowledged again, after as many changes as are kept, and never refused after more")
+def _() -> None:
+    register, sent = Register(), []
+    for number in range(TAKEN_MOST + 40):
+        base = register.version
+        sent.append((base, patch(base + 1 + number % 3, f"s{number % 9}")))
+        assert register.ask(*sent[-1]) == 200
+    before = dict(register.map)
+    told = [register.ask(*one) for one in sent]
+    assert told == [503] * 40 + [200] * TAKEN_MOST and register.map == before
+    lost = [register.ask(base, patch(int(body["ConfigVersion"], 16), "other")) for base, body in sent]
+    assert lost == [503] * 40 + [412] * TAKEN_MOST and register.map == before
+    assert register.map[FORGOTTEN] == int(sent[39][1]["ConfigVersion"], 16)
+    kept = [key for key in register.map if key.startswith("Taken/")]
+    assert len(kept) == TAKEN_MOST and all(len(register.map[key]) == 8 for key in kept)
+
+
+@test("a record of an earlier release is known again")
+def _() -> None:
+    register = Register()
+    assert register.ask(1, patch(2)) == 200
+    register.map["Taken/00000002"] = digest("patch", "1", patch(2))
+    assert register.ask(1, patch(2)) == 200 and register.ask(1, patch(2, "b")) == 412
+
+
+def written(value: Any, chance: random.Random) -> str:
+    """The same JSON value in other bytes."""
+    match value:
+        case dict():
+            items = list(value.items())
+            chance.shuffle(items)
+            inner = " ,".join(f"{written(key, chance)}:\n {written(one, chance)}" for key, one in items)
+            return "{ " + inner + "}"
+        case list():
+            return "[" + ",\t".join(written(one, chance) for one in value) + " ]"
+        case bool() | None:
+            return json.dumps(value)
+        case int() | float() if value == int(value):
+            return chance.choice([f"{int(value)}", f"{int(value)}.0", f"{int(value)}e0"])
+        case str() if value:
+            return f'"\\u{ord(value[0]):04x}{value[1:]}"'
+    return json.dumps(value)
+
+
+@test("the same configuration in other bytes is the same order; another one under its number is not")
+def _() -> None:
+    chance = random.Random(3)
+    register = Register()
+    spec = {"HealthCheck": "/", "MaxConnections": 2, "Warmup": "3s", "WarmupRateS": 5.25, "Tls": True}
+    one = {"ObjectType": "Services", "Metadata": {"Name": "a"}, "Specification": spec}
+    body = {**patch(10), "Upsert": {"Objects": [one]}}
+    assert register.ask(1, body) == 200
+    before = dict(register.map)
+    for version in ("0000000a", "0000000A", "a"):
+        text = written({**body, "ConfigVersion": version}, chance)
+        order = {"kind": "patch", "if_match": "1", "body": read_json(text.encode())}
+        assert decide(register.map, order) == Settled({"status": 200}), text
+    for other in ({**spec, "Tls": 1}, {**spec, "MaxConnections": 3}, {**spec, "WarmupRateS": 5.5}):
+        changed = {**body, "Upsert": {"Objects": [{**one, "Specification": other}]}}
+        assert register.ask(1, changed) == 412
+    assert register.ask(1, body, "put") == 412 and register.map == before
+
+
+@test("what was refused before its base was current is refused for good, in any order of arrival")
+def _() -> None:
+    register = Register()
+    assert register.ask(5, patch(6)) == 412 and register.ask(5, patch(6)) == 412
+    assert register.ask(1, patch(5, "b")) == 200, "the base comes"
+    assert register.ask(5, patch(6)) == 412, "refused once, and taken by a late copy"
+    assert register.ask(5, patch(6, "c")) == 200
+    assert not [key for key in register.map if key.startswith(REFUSED)], "kept though its base has passed"
+    assert register.ask(5, patch(6)) == 412
+    for number in range(REFUSED_MOST):
+        assert register.ask(9, patch(10, f"s{number}")) == 412
+    assert register.ask(9, patch(10, "more")) == 503 and register.ask(9, patch(10, "s1")) == 412
+    assert register.ask(6, patch(9)) == 200 and register.ask(9, patch(10, "more")) == 200
+
+
+@test("an evacuation changes its zone whatever it holds, and says so; a configuration is guarded by its base")
+def _() -> None:
+    for kind, map in (("evacuate", {}), ("restore", {"Evacuations/z": True})):
+        made = decide(map, {"kind": kind, "if_match": None, "body": "z"})
+        assert isinstance(made, Work) and made.unguarded == ("Evacuations/z",)
+    made = decide({}, {"kind": "put", "if_match": "0", "body": FIRST})
+    assert isinstance(made, Work) and not made.unguarded
+
+
+@test("stores are asked in turn: at once after a refusal, beside a silent one, until one answers: {story}")
+def _(
+    story: str = each("a refused, b answers", "a silent, b answers", "a silent, alone", "none is ready"),
+) -> None:
+    now, asking = 10.0, Asking(["a"] if "alone" in story else ["a", "b"], 10.0, 10.9)
+    assert asking.due(now) == "a" and asking.due(now) is None
+    match story:
+        case "a refused, b answers":
+            asking.heard("a", Fault(UNREADY), now + 0.1)
+            assert asking.due(now + 0.1) == "b"
+            asking.heard("b", {"status": 412}, now + 0.2)
+            assert asking.over and asking.answer == {"status": 412}
+        case "a silent, b answers":
+            assert asking.due(now + HEDGE_S - 0.01) is None and asking.due(now + HEDGE_S) == "b"
+            asking.heard("b", {"status": 200}, now + 0.4)
+            asking.heard("a", {"status": 503}, now + 0.5)
+            assert asking.answer == {"status": 200} and asking.wait(now + 0.5) == 0.0
+        case "a silent, alone":
+            assert asking.due(now + 0.5) is None and asking.wait(now + 0.5) > 0.3
+            assert asking.wait(10.9) == 0.0 and asking.answer.reason == UNANSWERED
+        case _:
+            asking.heard("a", Fault(UNREADY), now)
+            assert asking.due(now) == "b"
+            asking.heard("b", Fault(UNREACHED), now)
+            assert asking.answer.reason == UNREACHED and asking.due(now) is None
+            assert asking.due(now + AGAIN_S) == "a"
+            asking.heard("a", Fault(UNANSWERED), now + 0.5)
+            asking.heard("b", Fault(UNREADY), now + 0.6)
+            assert asking.answer.reason == UNANSWERED, "in doubt goes before not done"
+            asking.heard("a", Fault(LATE), now + 0.7)
+            assert asking.over and asking.answer.reason == UNANSWERED
+            asking = Asking(["a"], now, 10.9)
+            assert asking.due(now) == "a"
+            asking.heard("a", Fault(LATE), now + 0.1)
+            assert asking.over and asking.answer.reason == LATE, "void: the caller may say it again"
+
+
+@test("a connection that may have waited for a process that stood is as old as the stand")
+def _() -> None:
+    awake = Awake(0.0)
+    for tenth in range(1, 20):
+        awake.beat(tenth / 10)
+    assert awake.since(1.95) == 1.95
+    assert awake.since(22.0) == 1.95, "the bytes came first"
+    awake.beat(22.01)
+    assert awake.since(22.0 + SETTLE_S - 0.01) == 1.95 and awake.since(22.0 + SETTLE_S) == 22.0 + SETTLE_S
+    awake = Awake(0.0)
+    awake.beat(STILL_S + 20.0)
+    assert awake.since(STILL_S + 20.0) == 0.0, "the timer came first"
--- /dev/null
+++ b/trials/test_orders_scenes.py
@@ -0,0 +1,23 @@
+"""Orders on the worst days by text scenes (scenes/orders_*.txt), on the real cores, with every checker."""
+
+from pathlib import Path
+
+from ward import each, test
+
+from dovetail.scene import Play, read_file
+from trials.mutants import GUARDS, mutated
+
+FOLDER = Path(__file__).parent / "scenes"
+SCENES = {scene.title: scene for path in sorted(FOLDER.glob("orders_*.txt")) for scene in read_file(path)}
+
+
+@test("orders: {title}")
+def _(title: str = each(*SCENES)) -> None:
+    found = Play(SCENES[title]).run()
+    assert found is None, str(found)
+
+
+@test("orders without their guard, {broken}: found")
+def _(broken: str = each(*GUARDS)) -> None:
+    with mutated(broken):
+        assert Play(SCENES[GUARDS[broken][-1]]).run() is not None
--- a/trials/test_pegboard_parts.py
+++ b/trials/test_pegboard_parts.py
@@ -4,11 +4,12 @@
 import random
 import time
 from typing import Any, cast
+from unittest.mock import patch
 
 from ward import each, test
 
 from jig.settings import Settings
-from pegboard.door import Answer, Request, _Reading
+from pegboard.door import Answer, Door, Request, _Reading
 from pegboard.records import Worker, read_beat
 from pegboard.lookup import LOOKS_MOST
 from pegboard.loops import CALLERS_FEW, GATHER_S, PEERS_FEW, WAIT_S, spread
@@ -195,7 +196,13 @@
 
 
 def call(method: str, path: str, body: bytes = b"", **headers: str) -> Request:
-    return Request(method, path, {}, headers, body)
+    return Request(method, path, {}, headers, body, time.monotonic())
+
+
+def plain(order: Any) -> Any:
+    """An order without its fence, which every order has."""
+    assert len(order["fence"]) == 4
+    return {key: value for key, value in order.items() if key != "fence"}
 
 
 @test("an order is answered as a store says, once one does")
@@ -205,15 +212,20 @@
         (done, done, 200, ["own"]),
         (away, done, 200, ["own", "other"]),
         (Fault(UNREADY), {"status": 412, "reason": "stale"}, 412, ["own", "other"]),
-        (Fault(UNANSWERED), done, 503, ["own"]),  # it may have been done: the operator asks again, unchanged
+        # It may have been done: it is asked for again, unchanged, as the operator would.
+        (Fault(UNANSWERED), done, 200, ["own", "other"]),
+        (Fault(UNANSWERED), Fault(UNANSWERED), 503, ["own", "other"]),
+        (Fault(UNANSWERED), {"status": 412, "reason": "stale"}, 412, ["own", "other"]),
         (Fault(INVALID), done, 413, ["own"]),  # too large for a frame
         (away, away, 503, ["own", "other"]),
     ):
         way, stores = store(own=own, other=other)
         request = call("PUT", "/config", b'{"ConfigVersion":"00000001"}', **{"if-match": ' "5" '})
         answer = Config(way).take(request)
-        assert (answer.status, [ip for ip, _ in stores.asked]) == (status, asked)
-        assert stores.asked[0][1] == {"kind": "put", "if_match": "5", "body": {"ConfigVersion": "00000001"}}
+        assert (answer.status, [ip for ip, _ in stores.asked][: len(asked)]) == (status, asked)
+        assert len(stores.asked) == len(asked) or own is other is away, "asked again though it was answered"
+        wanted = {"kind": "put", "if_match": "5", "body": {"ConfigVersion": "00000001"}}
+        assert all(plain(order) == wanted for _, order in stores.asked)
         assert (answer.retry_after is not None) == (status == 503)
         json.loads(answer.wire(False).partition(b"\r\n\r\n")[2])
 
@@ -251,7 +263,71 @@
     resource = Config(way) if request.path == "/config" else Evacuation(way, lambda: settings)
     assert resource.take(request).status == status and not stores.asked
     Evacuation(way, lambda: settings).take(call("DELETE", "/evacuation/za"))
-    assert stores.asked == [("own", {"kind": "restore", "if_match": None, "body": "za"})]
+    found = {(ip, *plain(order).values()) for ip, order in stores.asked}
+    assert found == {("own", "restore", None, "za")}
+
+
+class Wire:
+    """A connection: what comes on it and when; what is sent."""
+
+    def __init__(self, clock: "Clock", *coming: tuple[float, bytes]) -> None:
+        self.clock, self.coming, self.sent = clock, list(coming), list[bytes]()
+
+    def settimeout(self, _: float) -> None: ...
+
+    def recv(self, _: int) -> bytes:
+        if not self.coming:
+            return b""
+        self.clock.now, data = self.coming.pop(0)
+        return data
+
+    def sendall(self, data: bytes) -> None:
+        self.sent.append(data)
+
+
+class Clock:
+    def __init__(self, now: float) -> None:
+        self.now = now
+
+    def monotonic(self) -> float:
+        return self.now
+
+
+POST = b"POST /evacuation/za HTTP/1.1\r\nHost: 10.0.0.4:8200\r\n\r\n"
+
+
+@test("an evacuation goes on only from a call that cannot be old; who still waits says it again: {story}")
+def _(story: str = each("fresh", "held up", "after an answer", "the process stood")) -> None:
+    clock, seen = Clock(10.0), list[Any]()
+
+    class Sure(Store):
+        def submit(self, *order: Any) -> Any:
+            seen.append(order[-1])
+            return {"status": 200, "index": 2}
+
+    settings = Settings(node_name="n", ip="own", internal_ports=(1, 2), seeds=(), zones={"za": "ra"})
+    way = Sure("own", 7600, list, Callers())
+    with patch("pegboard.door.time", clock), patch("pegboard.resources.time", clock):
+        door = Door(("127.0.0.1", 0), {"evacuation": Evacuation(way, lambda: settings)})
+        match story:
+            case "fresh":
+                wire = Wire(clock, (10.1, POST))
+            case "held up":
+                wire = Wire(clock, (30.0, POST))
+            case "after an answer":
+                wire = Wire(clock, (10.1, POST), (29.0, POST), (29.1, POST), (29.2, POST + POST))
+            case _:
+                clock.now = 30.0  # it is taken now, and came at any time while the process stood
+                wire = Wire(clock, (30.01, POST))
+        door._open[wire] = False  # type: ignore[index]
+        door._serve(wire)  # type: ignore[arg-type]
+    told = [answer.split(b"\r\n")[0].split()[1] for answer in wire.sent]
+    wanted = {"fresh": [200], "held up": [307], "after an answer": [200, 307, 200, 200, 200]}
+    assert [int(status) for status in told] == wanted.get(story, [307])
+    assert seen == {"fresh": [10.0], "after an answer": [10.0, 29.0, 29.1, 29.1]}.get(story, [])
+    if b"307" in told:
+        answer = wire.sent[told.index(b"307")]
+        assert b"\r\nLocation: http://10.0.0.4:8200/evacuation/za\r\n" in answer
 
 
 @test("a worker that starts again with its id: no acknowledgement before it is known, no mixing")
--- a/trials/test_vise_agreement.py
+++ b/trials/test_vise_agreement.py
@@ -13,12 +13,12 @@
 from trials.vise_scenes import Play, scenes
 from vise.agreement import Member
 from vise.interface import (
-    BEHIND, CALL_S, DELTA, RANGES, PROMOTE, MUTE_S, LEARNER, UNHEARD_S, Answered, Called, Kept, Read,
-    Reply, Send, State, Submit, Tick, Vote,
+    BEHIND, CALL_S, DELTA, RANGES, PROMOTE, MUTE_S, LEARNER, UNHEARD_S, Answered, Called, Fence, Kept, Read,
+    Reply, Send, Settled, State, Submit, Tick, Vote, Work,
 )  # fmt: skip
 from vise.ranges import RangedMap
 from vise.seat import Broken, pack, unpack
-from workbench.faults import Fault
+from workbench.faults import LATE, Fault
 
 SCENES = dict(scenes(Path(__file__).parent / "scenes" / "vise_agreement.txt"))
 
@@ -221,6 +221,73 @@
     assert one.lead is None, "it leads on though it hears nobody"
 
 
+def settled() -> tuple[Member, int]:
+    """A leader that has committed at index `[1]`, one order decided by `zones`; time is 2.0 s."""
+    one = elected()
+    index = one.state.term_index[1]
+    for peer in "23":
+        feed(one, 2.0, Answered(peer, "append", 2.0, (2, 1, index, True), [2, 1, 5]))
+    assert one.lead is not None and one.lead.commit == index
+    one.lead.decide = zones
+    return one, index
+
+
+def zones(current: Any, order: Any) -> Work | Settled:
+    """`+z` evacuates, `-z` takes it back."""
+    on, key = order[0] == "+", f"Evacuations/{order[1:]}"
+    if (key in current) == on:
+        return Settled({"status": 200})
+    return Work({key: True} if on else {}, [] if on else [key], {"status": 200}, (key,))
+
+
+def taken(one: Member, now: float, round_: int) -> list[Any]:
+    """All replies once a majority has what is under way and has answered that round."""
+    assert one.lead is not None
+    index, found = one.lead.naming.term_index[1], []
+    for peer in "23":
+        yes = Answered(peer, "append", now, (2, round_, index, True), [2, 1, 7])
+        found += replies(feed(one, now, yes))
+    return found
+
+
+@test("an order is begun while its caller waits and never later: {story}")
+def _(
+    story: str = each("in time", "held up", "of another leader", "of no round", "behind another", "void"),
+) -> None:
+    one, index = settled()
+    lead = one.lead
+    assert lead is not None
+    feed(one, 2.05, Tick())
+    known = lead.round
+    match story:
+        case "in time":
+            feed(one, 2.6, Submit("a", "+z", Fence(2, known, index, 0.9)))
+            assert lead.under_way and taken(one, 2.61, lead.round) == [{"status": 200, "index": index + 1}]
+        case "held up":
+            found = replies(feed(one, 2.96, Submit("a", "+z", Fence(2, known, index, 0.9))))
+            assert [fault.reason for fault in found] == [LATE] and not lead.under_way
+        case "of another leader":
+            found = replies(feed(one, 2.06, Submit("a", "+z", Fence(1, known, index, 0.9))))
+            assert [fault.reason for fault in found] == [LATE] and not lead.under_way
+        case "of no round":
+            found = replies(feed(one, 2.06, Submit("a", "+z", Fence(2, 0, index, 0.9))))
+            assert [fault.reason for fault in found] == [LATE] and not lead.under_way
+        case "behind another":
+            feed(one, 2.1, Submit("a", "+y", Fence(2, known, index, 0.9)))
+            assert not replies(feed(one, 2.1, Submit("b", "+z", Fence(2, known, index, 0.9))))
+            done, late = taken(one, 3.0, lead.round)
+            assert done["status"] == 200 and late.reason == LATE and not lead.under_way
+        case "void":
+            for at, order in ((2.1, "+z"), (2.15, "-z")):
+                feed(one, at, Submit("a", order, Fence(2, lead.round, lead.commit, 0.9)))
+                taken(one, at, lead.round)
+            assert lead.commit == index + 2 and "Evacuations/z" not in lead.naming.entries.map
+            found = replies(feed(one, 2.2, Submit("b", "+z", Fence(2, known, index, 0.9))))
+            assert [fault.reason for fault in found] == [LATE], "taken back meanwhile, and in force again"
+            feed(one, 2.2, Submit("c", "+z", Fence(2, known, index + 2, 0.9)))
+            assert lead.under_way, "who knows of it may evacuate again"
+
+
 @test("I2 I4: a member says yes only to what it holds durably and whole, and is promoted only in this life")
 def _() -> None:
     one = member(Vote(2, "2", True), held())
--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -13,7 +13,8 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, DELTA, PARTS, RANGES, ELECTION_S, FIRST_S, HANDING_S, PROMOTE, MUTE_S, LEARNER, OLD,
+    BEHIND, CALL_S, DELTA, PARTS, RANGES, ELECTION_S, FIRST_S, HANDING_S, HEARTBEAT_S, PROMOTE, MUTE_S,
+    LEARNER, OLD,
     UNHEARD_S, YES, Answered, Called, Effect, Event, Gone, Keep, Kept, Leave, Read, State, Submit, Tick, Vote,
 )  # fmt: skip
 from vise.leading import Decide, Lead
@@ -23,6 +24,8 @@
 
 JOIN_S = 0.5  # between two calls of one that is not a member
 AGAIN_S = (0.3, 0.7)  # by chance between these after an attempt: all others have been waiting as well
+SILENT_S = 3 * HEARTBEAT_S  # a leader that is not heard for so long is not asked
+LOST_S = 2 * ELECTION_S[1]  # by then another one leads, if one can
 GRACE_S = 0.3  # a granted (pre-)vote puts off attempts by so much: two that try at once elect nobody
 ECHOES = 32  # rounds and steady times remembered for the proof
 
@@ -66,6 +69,7 @@
         self._token = chance.getrandbits(30)
         self._tokens: dict[int, float] = {}
         self._echoes: list[tuple[int, int, int]] = []  # (round, token, commit told) of this term
+        self._round_heard = 0, 0  # (term, round) of the newest append
 
     # ---- running
     def begin(self, now: float) -> list[Effect]:
@@ -109,6 +113,14 @@
             self.effects.append(Gone())
         return sorted(self.effects, key=lambda effect: isinstance(effect, Keep))
 
+    def round_known(self) -> tuple[int, int]:
+        """The newest round of a leader known here, with its term (`Fence`)."""
+        return (self.lead.term, self.lead.round) if self.lead else self._round_heard
+
+    def silent(self, now: float) -> bool:
+        """Whether no leader is to be expected here: who wants one had better ask another member."""
+        return self.lead is None and now - self.heard_at > (SILENT_S if self.leader else LOST_S)
+
     def due(self) -> float:
         """When the next Tick is wanted, if nothing comes before."""
         if self.lead:
@@ -129,7 +141,7 @@
                 self.send(leader, "join", [self.me, self.incarnation], None)
             case Submit():
                 if self.lead:
-                    self.lead.submit(event.ref, event.order)
+                    self.lead.submit(event.ref, event.order, event.fence)
                 else:
                     self.reply(event.ref, Fault(UNREADY, "leads not"))
             case Read():
@@ -302,6 +314,7 @@
             self.step_down("another leads")
             self.tell(events.FOLLOWS, term=term, leader=leader)
         self.attempt, self.leader, self.heard_at = None, leader, self.now
+        self._round_heard = max(self._round_heard, (term, round_))
         self._put_off()
         named = (term, index)
         self._learn(term, commit)
--- a/vise/changes.py
+++ b/vise/changes.py
@@ -78,6 +78,20 @@
             end = number - 1
         return None
 
+    def below(self, index: int) -> int | None:
+        """The newest state held at that index or before it; None: none that is known."""
+        end = self.number
+        for _, first, number in reversed(self._runs):
+            if first <= index:
+                found = min(end, number + index - first)
+                return found if found >= self._floor else None
+            end = number - 1
+        return None
+
+    def last(self, key: str) -> int:
+        """The state that changed the key last; 0: none that is known."""
+        return self._at.get(key, 0)
+
     def since(self, number: int) -> list[str]:
         """The keys that changed after that state, gone ones too."""
         found = []
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -18,7 +18,7 @@
     CALL_S, Answered, Called, Effect, Gone, Keep, Kept, Leave, Read, Reply, Send, Settled, State, Submit,
     Tell, Tick, Vote, Work,
 )  # fmt: skip
-from vise.orders import decide
+from vise.orders import decide, read_fence
 from vise.ranges import RangedMap
 from vise.shelf import Shelf
 from workbench.bench import Callers, serve
@@ -197,10 +197,11 @@
 
     # ---- calls of pegboards
     def submit(self, body: Any) -> Any:
-        """`{kind, if_match, body}` -> `{status, reason?, index}`; a Fault: no clear answer."""
-        if not isinstance(body, dict):
-            return Fault(INVALID, "submit")
-        return self._led("submit", body, lambda ref: Submit(ref, body), ORDER_S)
+        """`{kind, if_match, body, fence}` -> `{status, reason?, index}`; a Fault: no clear answer."""
+        fence = read_fence(body)
+        if isinstance(fence, Fault):
+            return fence
+        return self._led("submit", body, lambda ref: Submit(ref, body, fence), ORDER_S)
 
     def read(self, body: Any) -> Any:
         """-> `{version, objects}`: the committed map, seen after the call came."""
@@ -239,6 +240,8 @@
         found: Any = Fault(UNREADY, "no leader")
         while True:
             leader = self.member.leader
+            if self.member.silent(self.clock()):
+                return Fault(UNREADY, "no leader is heard here")
             if self.member.lead is not None:
                 found = self._ask(event, timeout)
             elif leader is not None and not body.get("passed"):
@@ -251,7 +254,8 @@
             gevent.sleep(PAUSE_S)
 
     def watch(self, body: Any) -> Any:
-        """`{have, wait}` -> `{index, set, gone, full, age, term, leader}`, once there is more than `have`."""
+        """`{have, wait}` -> `{index, set, gone, full, age, term, leader, round}`, once there is more than
+        `have`; `round`: the newest known, with its term."""
         try:
             have, wait = int(body["have"]), min(float(body["wait"]), WATCH_MOST_S)
         except (LookupError, TypeError, ValueError):
@@ -262,7 +266,8 @@
         news = self.member.news
         age = self.clock() - news.lease
         known = age if age != float("inf") else None
-        return {**news.since(have), "age": known, "term": self.member.vote.term, "leader": self.member.leader}
+        told = {"age": known, "term": self.member.vote.term, "leader": self.member.leader}
+        return {**news.since(have), **told, "round": [*self.member.round_known()]}
 
 
 def stop_on_broken(hub: Any) -> None:
--- a/vise/interface.py
+++ b/vise/interface.py
@@ -20,6 +20,7 @@
 HANDING_S: Final = 0.4  # at most this long to hand over after SIGTERM
 CHUNK: Final = 32 << 10  # bytes of a call's payload, about: it must pass a narrow link within CALL_S
 WAITING_MOST: Final = 64  # proposals waiting at the leader
+ROUNDS_S: Final = 1.2  # s for which a leader knows when its rounds began: no order is begun later than that
 
 # Answers to `append`: `[term, code, token, *more]`.
 YES: Final = 1  # holds what is named, durably
@@ -51,12 +52,25 @@
     entries: RangedMap
 
 
+class Fence(NamedTuple):
+    """What keeps an order from being begun once its caller may have gone: `(term, round)` is the newest round
+    known to the registry when it sent the order on, `left`: s that the caller was to wait from then on;
+    `known` is the newest committed index known to it when it took the order."""
+
+    term: int
+    round: int
+    known: int
+    left: float
+
+
 class Work(NamedTuple):
-    """What an order changes, and its answer once that is committed."""
+    """What an order changes, and its answer once that is committed. `unguarded`: keys that it changes
+    whatever they hold; if one has changed since the order was taken, the order is void."""
 
     set: dict[str, Any]
     gone: list[str]
     answer: Any
+    unguarded: tuple[str, ...] = ()
 
 
 class Settled(NamedTuple):
@@ -100,10 +114,12 @@
 
 @frozen
 class Submit:
-    """An order; answered by a Reply: its answer, or a Fault: UNREADY not begun, UNANSWERED in doubt."""
+    """An order; answered by a Reply: its answer, or a Fault: UNREADY not begun, LATE never to be begun,
+    UNANSWERED in doubt. `fence` None: it may be begun whenever it comes."""
 
     ref: Any
     order: Any
+    fence: Fence | None = None
 
 
 @frozen
--- a/vise/leading.py
+++ b/vise/leading.py
@@ -8,12 +8,12 @@
 
 from vise import events
 from vise.interface import (
-    BEHIND, CALL_S, EARLY_S, HANDING_S, HEARTBEAT_S, LEARNER, OLD, PROMOTE,
-    UNHEARD_S, WAITING_MOST, YES, Settled, State, Work,
+    BEHIND, CALL_S, EARLY_S, HANDING_S, HEARTBEAT_S, LEARNER, OLD, PROMOTE, ROUNDS_S, UNHEARD_S,
+    WAITING_MOST, YES, Fence, Settled, State, Work,
 )  # fmt: skip
 from vise.mending import Copy, Mending
 from vise.seat import MEMBERS, Seat, pack, quorum
-from workbench.faults import UNANSWERED, UNREACHED, UNREADY, Fault
+from workbench.faults import LATE, UNANSWERED, UNREACHED, UNREADY, Fault
 
 Decide = Callable[[Mapping[str, Any], Any], Work | Settled]
 LEARNER_S = 3.0  # a joining process that has not asked again, nor answered, for so long is forgotten
@@ -47,7 +47,7 @@
         self.round_at: dict[int, float] = {}
         self.next_beat = seat.now
         self.under_way: tuple[Any, Any] | None = None  # (ref, answer) of the one proposal
-        self.queue: deque[tuple[Any, Any]] = deque()
+        self.queue: deque[tuple[Any, Any, Fence | None]] = deque()
         self.waiting: list[tuple[int, Any, Any]] = []  # (round to be confirmed, ref, answer; None: the map)
         self.leave_by: float | None = None
         self.handed = False
@@ -69,10 +69,10 @@
         if now >= self.next_beat:
             self._round()
 
-    def submit(self, ref: Any, order: Any) -> None:
+    def submit(self, ref: Any, order: Any, fence: Fence | None = None) -> None:
         if self.leave_by is not None or len(self.queue) >= WAITING_MOST:
             return self.seat.reply(ref, Fault(UNREADY, "full or leaving"))
-        self.queue.append((ref, order))
+        self.queue.append((ref, order, fence))
         self._advance()
 
     def read(self, ref: Any) -> None:
@@ -187,7 +187,8 @@
         newest = answered[quorum(len(answered)) - 1]
         if newest > self.confirmed:
             self.confirmed = newest
-            for old in [number for number in self.round_at if number < newest]:
+            known = self.seat.now - ROUNDS_S
+            for old in [number for number, at in self.round_at.items() if number < newest and at < known]:
                 del self.round_at[old]
         if not self.commit or not self.confirmed:
             return
@@ -221,8 +222,11 @@
                 return self._propose({MEMBERS + joining: {}}, [], None, None)
             if not self.queue:
                 break
-            ref, order = self.queue.popleft()
+            ref, order, fence = self.queue.popleft()
             outcome = self.decide(self.naming.entries.map, order)
+            if fence is not None and self._late(fence, outcome):
+                self.seat.reply(ref, Fault(LATE, "its caller may have gone"))
+                continue
             if isinstance(outcome, Work):
                 return self._propose(outcome.set, outcome.gone, ref, outcome.answer)
             self.waiting.append((self.round + 1, ref, outcome.answer))
@@ -230,6 +234,17 @@
         if ask:
             self._round()
 
+    def _late(self, fence: Fence, outcome: Work | Settled) -> bool:
+        """Whether the order may have been on its way for longer than its caller waits, or is void.
+
+        A round began before anybody could know of it, so the order is at most as old as that.
+        """
+        began = self.round_at.get(fence.round) if fence.term == self.term else None
+        if began is None or self.seat.now - began >= fence.left:
+            return True
+        keys = outcome.unguarded if isinstance(outcome, Work) else ()
+        return any(self.seat.news.touched(key, fence.known) for key in keys)
+
     def _joining(self) -> str | None:
         members = self._members()
         index = self.naming.term_index[1]
--- a/vise/news.py
+++ b/vise/news.py
@@ -31,6 +31,11 @@
         self.changes.advance(state.term_index, state.entries)
         return True
 
+    def touched(self, key: str, index: int) -> bool:
+        """Whether the key may have changed after that index."""
+        number = self.changes.below(index)
+        return number is None or self.changes.last(key) > number
+
     def since(self, have: int) -> dict[str, Any]:
         """`{index, set, gone, full}` for one who has the map at index `have`; 0: nothing."""
         map = self.state.entries.map
--- a/vise/orders.py
+++ b/vise/orders.py
@@ -4,11 +4,15 @@
 from typing import Any, Final
 
 from jig import configuration
-from vise.interface import Settled, Work
-from workbench.faults import Fault
+from vise.interface import Fence, Settled, Work
+from workbench.faults import INVALID, Fault
 
-TAKEN: Final = "Taken/"  # + version: the digest of the call that brought it, for equal resends
-TAKEN_MOST: Final = 64
+TAKEN: Final = "Taken/"  # + version: the mark of the call that brought it, for equal resends
+TAKEN_MOST: Final = 512  # a day's changes and more
+FORGOTTEN: Final = "Taken"  # the highest version whose mark is not kept any more
+REFUSED: Final = "Refused/"  # + base + mark: refused before its base was current, so never to be taken
+REFUSED_MOST: Final = 64
+MARK: Final = 8  # bytes of a call's digest
 EVACUATIONS: Final = "Evacuations/"  # + zone
 ZONE_MOST: Final = 200  # characters
 
@@ -26,6 +30,18 @@
     return Settled({"status": 400, "reason": f"no order: {str(kind)[:40]}"})
 
 
+def read_fence(body: Any) -> Fence | Fault | None:
+    """An order's fence. None: of a `merge`, which a store sends by itself, again and again, and whose edits
+    are settled once by their ids."""
+    if isinstance(body, dict) and body.get("kind") == "merge":
+        return None
+    try:
+        term, round_, index, left = body["fence"]
+        return Fence(int(term), int(round_), int(index), float(left))
+    except (LookupError, TypeError, ValueError):
+        return Fault(INVALID, "submit")
+
+
 def _edited(current: Mapping[str, Any], order: Any) -> Work | Settled:
     from mitre import settling  # seldom needed
 
@@ -36,20 +52,49 @@
 def _emptied(current: Mapping[str, Any], wanted: bool, key: str) -> Work | Settled:
     if (key in current) == wanted:
         return Settled({"status": 200})
-    return Work({key: True}, [], {"status": 200}) if wanted else Work({}, [key], {"status": 200})
+    return Work({key: True} if wanted else {}, [] if wanted else [key], {"status": 200}, (key,))
 
 
 def _configured(current: Mapping[str, Any], kind: str, if_match: Any, body: Any) -> Work | Settled:
     if_match = if_match if isinstance(if_match, str) else ""
+    mark = bytes.fromhex(configuration.digest(kind, if_match, body))[:MARK]
     version = configuration.number_of(body.get("ConfigVersion") if isinstance(body, dict) else None)
-    if isinstance(version, int):
+    if isinstance(version, int) and mark:
         taken = current.get(f"{TAKEN}{version:08x}")
-        if taken and taken == configuration.digest(kind, if_match, body):
+        if taken is not None and _mark(taken) == mark:
             return Settled({"status": 200})
+        if taken is None and version <= current.get(FORGOTTEN, 0):
+            why = f"version {version:08x} is too old to be told from one that was taken"
+            return Settled({"status": 503, "reason": why})
     change = configuration.apply(current, kind, if_match, body)
+    if isinstance(change, Fault) and change.reason == configuration.STALE:
+        return _stale(current, if_match, mark, {"status": 412, "reason": change.detail})
     if isinstance(change, Fault):
-        status = 412 if change.reason == configuration.STALE else 400
-        return Settled({"status": status, "reason": change.detail})
+        return Settled({"status": 400, "reason": change.detail})
+    if f"{REFUSED}{configuration.current_version(current)}/{mark.hex()}" in current:
+        return Settled({"status": 412, "reason": "it was refused before what it builds on was current"})
     # Versions only rise, so the least are the oldest.
     old = sorted(key for key in current if key.startswith(TAKEN))[: -(TAKEN_MOST - 1)]
-    return Work({**change.set, TAKEN + change.version: change.digest}, [*change.gone, *old], {"status": 200})
+    least = {FORGOTTEN: int(old[-1].removeprefix(TAKEN), 16)} if old else {}
+    past = [key for key in current if key.startswith(REFUSED) and key < REFUSED + change.version]
+    set = {**change.set, **least, TAKEN + change.version: mark}
+    return Work(set, [*change.gone, *old, *past], {"status": 200})
+
+
+def _stale(current: Mapping[str, Any], if_match: str, mark: bytes, answer: dict[str, Any]) -> Work | Settled:
+    """It builds on another version. What is refused must never be in force: if its base may still come, the
+    refusal is kept until that has passed."""
+    base, now = (configuration.number_of(one) for one in (if_match, configuration.current_version(current)))
+    if not mark or not isinstance(base, int) or not isinstance(now, int) or base < now:
+        return Settled(answer)
+    key = f"{REFUSED}{base:08x}/{mark.hex()}"
+    if key in current:
+        return Settled(answer)
+    if sum(one.startswith(REFUSED) for one in current) >= REFUSED_MOST:
+        return Settled({"status": 503, "reason": f"{REFUSED_MOST} orders wait for versions to come"})
+    return Work({key: True}, [], answer)
+
+
+def _mark(taken: str | bytes) -> bytes:
+    """Of a `Taken/VERSION`; earlier releases kept the whole digest as a text."""
+    return bytes.fromhex(taken)[:MARK] if isinstance(taken, str) else taken
--- a/vise/seat.py
+++ b/vise/seat.py
@@ -10,6 +10,7 @@
 from vise.changes import Changes
 from vise.interface import Effect, Keep, Reply, Send, TermIndex, State, Tell, Vote
 from vise.news import News
+from vise.ranges import RangedMap
 
 MEMBERS = "Members/"
 WRITE_MOST_S = 0.4  # a slower disk is not waited for by others
@@ -52,6 +53,7 @@
         self.then: Callable[[bool], None] | None = None
         self.write_s = 0.0  # what the last write took
         self._kept_from = 0.0
+        self._listed: tuple[RangedMap, list[str]] | None = None  # the members of the map asked for last
         self._keeping: tuple[Vote | None, State | None] = (None, None)
 
     # ---- effects
@@ -101,8 +103,11 @@
 
     def members(self, state: State | None = None) -> list[str]:
         """The members of the newest accepted map, in order."""
-        map = (state or self.state).entries.map
-        return sorted(key.removeprefix(MEMBERS) for key in map if key.startswith(MEMBERS))
+        entries = (state or self.state).entries
+        if self._listed is None or self._listed[0] is not entries:
+            found = sorted(key.removeprefix(MEMBERS) for key in entries.map if key.startswith(MEMBERS))
+            self._listed = entries, found
+        return [*self._listed[1]]
 
     def committed(self, state: State) -> None:
         self.news.advance(state)
--- a/workbench/faults.py
+++ b/workbench/faults.py
@@ -30,3 +30,4 @@
 REFUSED: Final = "refused"  # understood, and not done
 UNKNOWN: Final = "unknown"  # what was named is not there
 UNREADY: Final = "unready"  # not now: come again
+LATE: Final = "late"  # not done, and will not be: whoever asked may have gone meanwhile
