--- a/dovetail/__main__.py
+++ b/dovetail/__main__.py
@@ -4,7 +4,7 @@
 first breach of each that fails, and the shortest schedule found that still fails; the exit status is 1 then.
 
 `python -m dovetail explore [CASE...] [--most N] [--cells N]`: all ways of a few members of the store.
-`python -m dovetail members SIZE... [--seeds N]`: many of them in long worlds by chance.
+`python -m dovetail members SIZE... [--seeds N] [--turnover SHARE]`: many of them in long worlds by chance.
 `python -m dovetail --figures failover|repair|catching [--seeds N] [--jobs N]`: a table, least, median, most.
 """
 
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from dovetail import catching, explore, members, worst
+from dovetail import catching, explore, turnover, worst
 from dovetail.chance import drawn, shrunk
 from dovetail.checks import Breach
 from dovetail.figures import TABLES
@@ -24,7 +24,7 @@
     if arguments[:1] == ["explore"]:
         return explore.main(arguments[1:])
     if arguments[:1] == ["members"]:
-        return members.main(arguments[1:])
+        return turnover.main(arguments[1:])
     parser = argparse.ArgumentParser(
         prog="python -m dovetail", description=__doc__.splitlines()[0] if __doc__ else ""
     )
--- a/dovetail/cell.py
+++ b/dovetail/cell.py
@@ -22,7 +22,7 @@
 from vise.mending import Copy, Mending
 from vise.news import News
 from vise.ranges import RangedMap
-from vise.seat import MEMBERS
+from vise.membership import MEMBERS
 
 PAUSE_S = 0.1  # between two ends of one timer at least
 PLAIN: Final = (int, str, bytes, bool, type(None))
@@ -163,11 +163,13 @@
     seeds: int = 3
     budgets: dict[Kind, int] = field(factory=dict)
     most: int = 1
-    script: tuple[str, ...] = ()  # `put BASE NAME...` (at once), `read`: at all that lead, one after another
+    script: tuple[str, ...] = ()  # `put BASE NAME...` (at once), `read`, `add IP`, `remove IP` (or leader),
+    # `replace IP`: at all that lead, one after another
     span: float = 0.1  # s in which trouble comes; then the cell must agree (`AGREE`)
     first: bool = False  # from the very first start; else from a leader with all members voting
     turned: bool = False  # a process that starts again is told other seeds: the last ones
     free: bool = False
+    held: int = 0  # the last of the members were taken off, and have learnt all since
     wiped: int = 1  # disks that may be lost, their members learners, at a time
 
 
--- a/dovetail/explore.py
+++ b/dovetail/explore.py
@@ -31,6 +31,12 @@
     "begin": Rules(budgets={**ALL, "power": 9}, first=True, span=0.6),
     "begin 5": Rules(5, budgets=ALL, first=True, turned=True, span=1.5, wiped=2),
     "change 5": Rules(5, budgets=ALL, script=("put 0 a", "read"), span=0.06, wiped=2),
+    "add": Rules(4, budgets=ALL, held=1, script=("add 4", "put 0 a", "read"), span=0.06),
+    "remove": Rules(4, budgets=ALL, script=("remove 4", "put 0 a", "read"), span=0.06),
+    "remove leader": Rules(4, budgets=ALL, script=("remove leader", "put 0 a", "read"), span=0.08),
+    "replace": Rules(4, budgets=ALL, held=1, script=("replace 2", "add 4", "put 0 a"), span=0.1),
+    "add+": Rules(4, budgets={"power": 1}, held=1, script=("add 4", "put 0 a", "put 1 b"), span=0.08),
+    "remove+": Rules(4, budgets={"power": 1}, script=("remove 4", "put 0 a", "put 1 b"), span=0.08),
     "order": Rules(budgets={"timer": 2}, most=2, script=("put 0 a", "read"), free=True),
     "order+": Rules(budgets={"timer": 2, "double": 1, "crash": 1, "refuse": 1, "wipe": 1}, most=3,
                     script=("put 0 a", "read"), free=True),
@@ -87,7 +93,11 @@
 def explore(rules: Rules, most: int | None = None, cells: int = 100_000, depth: int = 1000) -> Report:
     """Stops at the first thing that is wrong."""
     began, report = time.perf_counter(), Report()
-    start = begun(rules if most is None else evolve(rules, most=most))
+    try:
+        start = begun(rules if most is None else evolve(rules, most=most))
+    except (Wrong, Broken) as error:
+        report.wrong, report.way = f"{error}", ("before any trouble",)
+        return report
     todo: deque[tuple[Cell, Way, int]] = deque([(start, None, 0)])
     seen = {start.key()}
     while todo and not report.wrong:
--- a/dovetail/members.py
+++ b/dovetail/members.py
@@ -5,11 +5,9 @@
 (`dovetail.sworn`), I4, I5 and I6 at its end by the history of all calls (`dovetail.linear`).
 """
 
-import argparse
 import functools
 import heapq
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -34,7 +32,7 @@
     Tick,
     Vote,
 )  # fmt: skip
-from vise.seat import MEMBERS, Broken
+from vise.membership import MEMBERS, Membership, life_fits, named, quorum
 from workbench.faults import UNANSWERED, UNREACHED, UNREADY, Fault
 
 SEED_MOST = 3
@@ -54,6 +52,8 @@
 
     def told(self) -> Call | None:
         """As the checker of linearizability takes it; None: it tells nothing."""
+        if self.kind == "members":
+            return None
         if self.kind == "read":
             if not isinstance(self.answer, list):
                 return None
@@ -79,6 +79,9 @@
         self.inbox: list[Any] | None = None  # not None: frozen
         self.disk_fails = False
         self.slow_s = 0.0  # more of a write
+        self.seeds: list[str] = []  # as its settings name them; none: the first ones
+        self.gone = False  # a machine that does not start again
+        self.older: tuple[Vote | None, State | None] = None, None  # its disk as it was when it was lost
 
 
 class World:
@@ -98,6 +101,7 @@
         # (from, to, kind) -> drop, double, late or None
         self.fate: Callable[[str, str, str], str | None] | None = None
         self.sworn = Sworn()
+        self.turns = 0  # changes of who votes
         self._open: set[tuple[str, int, int]] = set()  # calls still waited for
         self._calls = 0
         for ip in self.ips:
@@ -129,12 +133,13 @@
     # ---- what befalls machines
     def start(self, ip: str, bootstrap: bool = False) -> None:
         node = self.nodes[ip]
-        if node.member is not None:
+        if node.member is not None or node.gone:
             return
         node.life += 1
         node.inbox, node.disk_fails = None, False
         node.offset = self.chance.uniform(0, 1000)  # another steady clock in each life
-        node.member = Member(ip, self.seeds, bootstrap, node.vote, node.state, decide, self.chance)
+        seeds = node.seeds or self.seeds
+        node.member = Member(ip, seeds, bootstrap, node.vote, node.state, decide, self.chance)
         self._do(node, node.member.begin(self._clock(node)))
         self._tick(node, node.life)
 
@@ -152,9 +157,36 @@
     def wipe(self, ip: str) -> None:
         self.kill(ip)
         node = self.nodes[ip]
+        if node.state is not None:
+            node.older = node.vote, node.state
         node.vote = node.state = None
         node.disk_life += 1
 
+    def lose(self, ip: str) -> None:
+        """A machine is gone, with its disk, until `bring_back`."""
+        self.kill(ip)
+        self.nodes[ip].gone = True
+
+    def bring_back(self, ip: str) -> None:
+        self.nodes[ip].gone = False
+        self.start(ip)
+
+    def add(self) -> str:
+        """A new machine at a new address."""
+        ip = str(len(self.ips) + 1)
+        self.ips.append(ip)
+        self.nodes[ip] = Node(ip)
+        self.nodes[ip].seeds = [one for one in self.ips if not self.nodes[one].gone][:SEED_MOST]
+        self.start(ip)
+        return ip
+
+    def put_back(self, ip: str) -> None:
+        """The disk that was lost last comes into its machine again."""
+        self.kill(ip)
+        node = self.nodes[ip]
+        node.vote, node.state = node.older
+        node.disk_life += 1
+
     def freeze(self, ip: str) -> None:
         self.nodes[ip].inbox = self.nodes[ip].inbox or []
 
@@ -191,6 +223,19 @@
         newest = max(states, key=lambda state: state.term_index, default=None)
         return sum(key.startswith(MEMBERS) for key in newest.entries.map) if newest else 0
 
+    def map(self) -> Any:
+        """The newest map on a disk."""
+        states = [node.state for node in self.nodes.values() if node.state]
+        return max(states, key=lambda state: state.term_index).entries.map
+
+    def spare(self) -> int:
+        """How many voters may still be lost, a change of members that may be under way counted in."""
+        map = self.map()
+        voters = named(map, MEMBERS)
+        there = {ip: self.nodes[ip].vote for ip in voters if not self.nodes[ip].gone}
+        counting = [ip for ip, vote in there.items() if vote and vote.voter and life_fits(map, ip, vote.life)]
+        return len(counting) - quorum(len(voters) + 1)
+
     def leader(self) -> str | None:
         """One that believes that it leads; of several the newest."""
         up = [(ip, node.member) for ip, node in self.nodes.items() if node.member]
@@ -210,6 +255,13 @@
         self._feed(self.nodes[ip], self.nodes[ip].life, Read(op))
         return op
 
+    def order(self, do: str, which: str) -> Op:
+        """A change of members, ordered at the leader."""
+        op, ip = Op("members", self.now), self.leader() or self.ips[0]
+        self.ops.append(op)
+        self._feed(self.nodes[ip], self.nodes[ip].life, Submit(op, Membership(do, which)))
+        return op
+
     # ---- the shell's part
     def _clock(self, node: Node) -> float:
         return self.now + node.offset
@@ -244,8 +296,8 @@
                     node.writing = effect
                     done = functools.partial(self._written, node, node.life)
                     self.later(self.chance.uniform(0.002, 0.012) + node.slow_s, done)
-                case Tell(event=events.LEADS):
-                    self.sworn = self.sworn.led(effect.fields["term"], node.ip, node.life)
+                case Tell(event=events.LEADS) if node.member is not None:
+                    self.sworn = self.sworn.led(effect.fields["term"], node.member, node.life)
                 case Gone():
                     self.kill(node.ip)
                     return self.later(0.5, lambda: self.start(node.ip))
@@ -325,6 +377,9 @@
     def _check(self, node: Node) -> None:
         if node.member is not None:
             self.sworn = self.sworn.seen(self.now, node.member, node.offset, node.vote)
+            disks = [(ip, one.vote, one.state) for ip, one in self.nodes.items()]
+            before, self.sworn = self.sworn.config[1], self.sworn.counted(node.member, disks)
+            self.turns += before != self.sworn.config[1]
 
     def judge(self) -> None:
         """The whole history, at the end."""
@@ -348,84 +403,3 @@
             if op.done and isinstance(read.answer, list):
                 return self.judge()
         raise Wrong("no agreement though all are well")
-
-
-def mixed(members: int, seed: int, seconds: float = 40.0) -> World:
-    """A long run of troubles by chance, at most a minority of members learners at a time; judged."""
-    chance = random.Random(seed * 7 + members)
-    rates = chance.choice([0, 0.02, 0.15]), chance.choice([0, 0.1]), chance.choice([0, 0.05])
-    world = World(members, seed, *rates)
-    world.run(5)
-    while world.now < seconds:
-        world.run(chance.uniform(0.02, 0.6))
-        ip, other = chance.sample(world.ips, 2)
-        node = world.nodes[ip]
-        count = world.count()
-        may_wipe = world.learners() < (count - 1) // 2
-        match chance.choices(range(14), [30, 15, 7, 12, 5, 10, 9, 4, 3, 2, 2, 2, 5, 3])[0]:
-            case 0 | 1 as kind:
-                for one in world.ips:
-                    member = world.nodes[one].member
-                    if member and (member.lead or chance.random() < 0.1):
-                        world.read(one) if kind else world.put(one)
-            case 2:
-                world.kill(ip)
-            case 3:
-                world.start(ip)
-            case 4 if may_wipe:
-                world.wipe(ip)
-            case 5:
-                world.thaw(ip) if node.inbox is not None else world.freeze(ip)
-            case 6:
-                world.cut(ip, other)
-            case 7:
-                world.cuts.clear()
-            case 8:
-                for one in set(world.ips) - {ip}:
-                    world.cut(ip, one)
-                    world.cut(one, ip)
-            case 9:
-                node.disk_fails = not node.disk_fails
-            case 10:
-                world.leave(ip)
-            case 11:  # a closing fault: right after a change, one disk is gone and all lose power
-                leader = world.leader()
-                if leader:
-                    world.put(leader)
-                    world.run(chance.uniform(0, 0.06))
-                    if world.learners() < (world.count() - 1) // 2:
-                        world.wipe(chance.choice([leader, ip]))
-                for one in world.ips:
-                    world.kill(one)
-                if chance.random() < 0.5:
-                    world.heal()
-            case 12:  # what had no yes comes again, anywhere
-                doubtful = [op for op in world.ops if op.kind == "put" and not op.done][-3:]
-                for op in doubtful:
-                    world.put(chance.choice(world.ips), op.base, op.name)
-            case 13:
-                node.slow_s = chance.choice([0.0, 0.1, 0.5])
-    world.settle(20)
-    return world
-
-
-def main(arguments: list[str]) -> int:
-    parser = argparse.ArgumentParser(prog="python -m dovetail members", description="Worlds by chance.")
-    parser.add_argument("sizes", nargs="+", type=int, metavar="MEMBERS")
-    parser.add_argument("--seeds", type=int, default=10, help="how many worlds of each size")
-    parser.add_argument("--first", type=int, default=1, help="the first seed")
-    told = parser.parse_args(arguments)
-    failed = 0
-    for size in told.sizes:
-        began, calls, changes = time.perf_counter(), 0, 0
-        for seed in range(told.first, told.first + told.seeds):
-            try:
-                world = mixed(size, seed)
-            except (Wrong, Broken) as error:
-                failed += 1
-                print(f"{size} members, seed {seed}: {error}", flush=True)
-            else:
-                calls, changes = calls + len(world.ops), changes + len(world.chain)
-        took = time.perf_counter() - began
-        print(f"{size} members, {told.seeds} worlds: {calls} calls, {changes} changes, {took:.0f} s")
-    return 1 if failed else 0
--- a/dovetail/moves.py
+++ b/dovetail/moves.py
@@ -18,12 +18,14 @@
 from vise.interface import (
     CALL_S, Answered, Called, Gone, Keep, Kept, Read, Reply, Send, State, Submit, Tell, Tick,
 )  # fmt: skip
+from vise.membership import LEARNERS, Membership
 from workbench.faults import UNANSWERED, UNREADY, Fault
 
 TRIP_S = 0.004  # of a message, when nothing befalls it
 FROZEN_S = 1.6  # long enough for another to lead meanwhile
 DOWN_S = 0.3  # a process that is gone comes back after so long
 PATIENCE_S = 1.0  # of a client
+BEGUN_S = 30.0  # within this all are members
 AGREE_S = 8.0  # within this, once nothing befalls anybody any more, all is well again
 AGREE: Final = ("agree", "settled")  # the last of a script: a change is taken, and read back
 LATE_S: Final = {"behind": 0.002, "later": 0.3, "too late": CALL_S + 0.1}
@@ -38,7 +40,11 @@
         work.post("start", ip, None, 0.01 * number, True)
     cell = work.done()
     while not rules.first and not _ready(cell):
-        cell = next(after(cell, coming(cell)))[1]
+        cell = _on(cell)
+    for ip in ips[len(ips) - rules.held :]:
+        cell = Work(cell).order(Membership("remove", ip)).done()
+        while not _held(cell, ip):
+            cell = _on(cell)
     if rules.free:
         work = Work(cell)
         for ip in ips:
@@ -51,6 +57,12 @@
     return evolve(cell, most=rules.most, script=script, calm_at=cell.now + rules.span)
 
 
+def _on(cell: Cell) -> Cell:
+    if cell.now > BEGUN_S:
+        raise Wrong("it does not come to its beginning")
+    return next(after(cell, coming(cell)))[1]
+
+
 def _ready(cell: Cell) -> bool:
     """A leader has committed, all are members and vote, and all know it."""
     for place in cell.places.values():
@@ -61,6 +73,16 @@
     return len(term_indexes) == 1 and (0, 0) not in term_indexes
 
 
+def _held(cell: Cell, ip: str) -> bool:
+    """It was taken off, has learnt all from the start, and all know it."""
+    member = cell.places[ip].member
+    if member is None or not member.vote.voter:
+        return False
+    known = {one.member.news.term_index for one in cell.places.values() if one.member}
+    held = {one.state.term_index for one in cell.places.values() if one.state}
+    return len(known) == 1 and known == held and LEARNERS + ip in member.state.entries.map
+
+
 def coming(cell: Cell) -> Mail | str:
     """The next thing by time: a message, or whose timer ends."""
     due, ip = min((one.due(), ip) for ip, one in cell.places.items())
@@ -286,6 +308,9 @@
     def _do(self, ip: str, member: Member, effects: list[Any]) -> None:
         todo = deque(effects)
         while todo:
+            if member.lead is not None:  # before a write that it may not outlive
+                disks = [(at, one.vote, one.state) for at, one in self.places.items()]
+                self.sworn = self.sworn.counted(member, disks)
             effect = todo.popleft()
             match effect:
                 case Send():
@@ -311,7 +336,7 @@
                         return
                     todo.extend(member.handle(self.now, Kept(fate == "kept")))
                 case Tell(event=events.LEADS):
-                    self.sworn = self.sworn.led(effect.fields["term"], ip, self.places[ip].life)
+                    self.sworn = self.sworn.led(effect.fields["term"], member, self.places[ip].life)
                 case Gone():
                     self.kill(ip)
                     return
@@ -346,6 +371,8 @@
         if word == "put":
             base, names = int(rest[0]), rest[1:]
         self.asked_at, self.line, self.heard = self.now, self.count, False
+        if word in ("add", "remove", "replace"):
+            return self.order(Membership(word, rest[0]))
         for ip in [ip for ip, one in self.places.items() if one.leads()]:
             if word in ("read", "settled"):
                 self._call(ip, None, Read)
@@ -355,6 +382,13 @@
                 self._call(ip, change, lambda ref, name=name: Submit(ref, (base, name)))  # type: ignore[misc]
         return self
 
+    def order(self, order: Membership) -> "Work":
+        """A change of members, ordered of every member that believes that it leads."""
+        for ip in [ip for ip, one in self.places.items() if one.leads()]:
+            to = ip if order.ip == "leader" else order.ip
+            self._call(ip, None, lambda ref, to=to: Submit(ref, order._replace(ip=to)))  # type: ignore[misc]
+        return self
+
     def _call(self, ip: str, change: Change | None, event: Callable[[int], Any]) -> None:
         number, begun = self.count, float(self.moments)
         self.count += 1
--- a/dovetail/sworn.py
+++ b/dovetail/sworn.py
@@ -3,12 +3,14 @@
 `dovetail.members` (worlds by chance) and `dovetail.cell` (the explorer) tell it what they see.
 """
 
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from attrs import evolve, frozen
 
 from vise.agreement import Member
-from vise.interface import Settled, State, Vote, Work
+from vise.interface import Settled, State, TermIndex, Vote, Work
+from vise.membership import MEMBERS, life_fits, named, quorum
 
 
 class Wrong(AssertionError):  # noqa: N818  (it is a finding)
@@ -33,12 +35,19 @@
 @frozen
 class Sworn:
     leaders: frozenset[tuple[int, str, int]] = frozenset()  # term, who, life
-    votes: frozenset[tuple[str, int, int, str]] = frozenset()  # who, disk, term, for whom
+    votes: frozenset[tuple[str, int, int, str, int]] = frozenset()  # who, disk, term, for whom, incarnation
     chain: tuple[str, ...] = ()  # the longest committed history
     known_at: tuple[float, ...] = ()  # when each of its changes was first committed anywhere
+    config: tuple[TermIndex, tuple[str, ...]] = ((0, 0), ())  # the newest committed map, and who votes by it
 
-    def led(self, term: int, ip: str, life: int) -> "Sworn":
-        """I1. A life of a process leads a term."""
+    def led(self, term: int, member: Member, life: int) -> "Sworn":
+        """I1, M3. A life of a process leads a term."""
+        ip, map = member.me, member.state.entries.map
+        yes = {(who, disk) for who, _, at, whom, disk in self.votes if (at, whom) == (term, ip)}
+        yes.add((ip, member.vote.life))
+        voters, votes = named(map, MEMBERS), {who for who, disk in yes if life_fits(map, who, disk)}
+        if len(votes) < quorum(len(voters)):
+            raise Wrong(f"M3: {ip} is elected in term {term} by {sorted(votes)} of {voters}")
         if any(one[0] == term and one[1:] != (ip, life) for one in self.leaders):
             raise Wrong(f"I1: two leaders in term {term}: {sorted(self.leaders)}")
         return evolve(self, leaders=self.leaders | {(term, ip, life)})
@@ -49,12 +58,14 @@
             raise Wrong(f"I2: {ip} votes a second time in term {term}")
         if held is None or not held.voter or held.term < term:
             raise Wrong(f"I2: the vote of {ip} in term {term} is not durable")
-        return evolve(self, votes=self.votes | {(ip, disk, term, candidate)})
+        return evolve(self, votes=self.votes | {(ip, disk, term, candidate, held.life)})
 
     def seen(self, now: float, member: Member, offset: float, held: Vote | None) -> "Sworn":
         """I3, I7, I8. After each event of a member; its clock is `now + offset`, `held` is on its disk."""
         if member.lead and not (member.vote.voter and held is not None and held.voter):
             raise Wrong(f"I8: {member.me} leads, and is a learner")
+        if member.lead and not life_fits(member.lead.naming.entries.map, member.me, member.vote.life):
+            raise Wrong(f"M4: {member.me} leads, and is no voter")
         history, sworn = tuple(history_of(member.news.state)), self
         shorter = min(len(history), len(self.chain))
         if history[:shorter] != self.chain[:shorter]:
@@ -67,3 +78,29 @@
         if len(history) < due:
             raise Wrong(f"I7: {member.me} is proven current at {proof:.3f} with {len(history)} of {due}")
         return sworn
+
+    def counted(self, member: Member, disks: Iterable[tuple[str, Vote | None, State | None]]) -> "Sworn":
+        """M1, M2. After each event of a member that leads, with what all disks hold then."""
+        known = member.news.state
+        if member.lead is None or known.term_index <= self.config[0]:
+            return self
+        map, before = known.entries.map, self.config[1]
+        voters = tuple(named(map, MEMBERS))
+        if before and len({*voters} ^ {*before}) > 1:
+            raise Wrong(f"M1: {voters} vote after {before}")
+        if min(len(before), 2) > len(voters):
+            raise Wrong(f"M1: {voters} are too few after {before}")
+        at = known.term_index
+        held = [ip for ip, vote, state in disks if ip in voters and _counts(map, ip, vote, state, at)]
+        if len(held) < quorum(len(voters)):
+            raise Wrong(f"M2: {known.term_index} is committed by {held} of {voters}")
+        return evolve(self, config=(known.term_index, voters))
+
+
+def _counts(
+    map: Mapping[str, Any], ip: str, vote: Vote | None, state: State | None, term_index: TermIndex
+) -> bool:
+    """Whether a voter's disk holds a committed map; one that was lost after its yes may stand for it."""
+    if vote is None or not vote.voter:
+        return True
+    return life_fits(map, ip, vote.life) and state is not None and state.term_index >= term_index
--- a/trials/mutants.py
+++ b/trials/mutants.py
@@ -76,6 +76,23 @@
     ),
     "a proposal before the term's first is committed": (Lead, "_advance", "and self.commit and", "and"),
     "in doubt told as not begun": (Lead, "end", "Fault(UNANSWERED,", "Fault(UNREADY,"),
+    "a quorum of the old members": (
+        Lead, "_count", "members = self._members()",
+        "members = self.seat.members(self.seat.news.state) or self._members()",
+    ),
+    "a learner that counts": (
+        Lead, "_count", "for ip in members)", "for ip in [*members, *self._learners()])",
+    ),
+    "a removed one is asked": (
+        Member, "_ask", "for ip in attempt.members:", "for ip in {*attempt.members, *self.seeds}:",
+    ),
+    "whoever votes counts": (Member, "_elected", "attempt.votes & {*attempt.members}", "attempt.votes"),
+    "an old disk votes": (
+        Member, "_voted", "attempt.members.get(event.peer) not in (None, *life)", "False",
+    ),
+    "a removed one stands": (
+        Member, "_stands", "life_fits(self.state.entries.map, self.me, self.vote.life)", "True",
+    ),
     "two proposals at a time": (Lead, "_advance", "not self.under_way and ", ""),
 }  # fmt: skip
 # These break no invariant: one that was away does not catch up (`trials/test_catching_up.py`).
--- /dev/null
+++ b/trials/test_members.py
@@ -0,0 +1,152 @@
+"""Members of the store change: arithmetic, scenes, all ways of four, worlds by chance, planted breaches."""
+
+import itertools
+import random
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+from ward import each, test
+
+from dovetail.explore import CASES, explore
+from dovetail.sworn import Wrong, decide
+from dovetail.turnover import mixed
+from trials.mutants import mutated
+from trials.vise_scenes import Play, scenes
+from vise.agreement import Member
+from vise.interface import Answered, Kept, Send, State, Tick, Vote, Work
+from vise.membership import (
+    GONE_S, LEARNERS, LOST_S, MEMBERS, MOVE_S, View, borne, named, next_change, quorum, refusal,
+)  # fmt: skip
+from vise.ranges import RangedMap
+from vise.seat import Broken
+
+SCENES = dict(scenes(Path(__file__).parent / "scenes" / "vise_members.txt"))
+ABLE, SILENT, MOVED, LOST, GONE = View(0.1, True, 7), View(2.0), View(MOVE_S), View(LOST_S), View(GONE_S)
+
+
+@test("members scene: {scene}")
+def _(scene: str = each(*SCENES)) -> None:
+    for seed in (1, 2):
+        play = Play(seed)
+        for line in SCENES[scene]:
+            play.line(line)
+
+
+def after(map: dict[str, Any], change: Work) -> dict[str, Any]:
+    return {key: value for key, value in {**map, **change.set}.items() if key not in change.gone}
+
+
+@test("no change that a leader makes by itself lowers what may be lost, nor hangs on the newcomer")
+def _() -> None:
+    changed = 0
+    for count, learners, tolerated in itertools.product(range(2, 9), range(3), (1, 2)):
+        for others in itertools.combinations_with_replacement((ABLE, SILENT, MOVED, LOST, GONE), count - 1):
+            views = {str(number): view for number, view in enumerate([ABLE, *others])}
+            map: dict[str, Any] = {MEMBERS + ip: {} for ip in views}
+            for number in range(learners):
+                map[f"{LEARNERS}x{number}"], views[f"x{number}"] = {"life": 7}, ABLE
+            for _ in range(12):
+                voters = named(map, MEMBERS)
+                change = next_change(map, "0", {}, views, tolerated)
+                if change is None:
+                    break
+                changed += 1
+                map = after(map, change)
+                now = named(map, MEMBERS)
+                assert len({*now} ^ {*voters}) == 1 and "0" in now
+                assert borne(now, views) >= borne(voters, views), (voters, now, views)
+                assert borne(now, views) >= 0, "nobody could commit it"
+                promoted = {*now} - {*voters}
+                able = sum(views[ip].able for ip in now if ip not in promoted)
+                assert able >= quorum(len(now)), "it hangs on the newcomer alone"
+                assert len(now) + len(named(map, LEARNERS)) >= min(count, max(3, 2 * tolerated + 1))
+            else:
+                raise AssertionError("it goes on for ever")
+    assert changed > 500
+
+
+@test("why a voter may not be taken off is told in words")
+def _() -> None:
+    voters: dict[str, Any] = {MEMBERS + ip: {} for ip in "12345"}
+    views = dict.fromkeys("12345", ABLE)
+    assert refusal(voters, "5", views, 1) is None
+    assert refusal(voters, "5", views, 2) == "4 voters would be left, and 5 are needed to lose 2"
+    assert refusal(voters, "9", views, 1) == "9 is no voter"
+    two = {**views, "1": SILENT, "2": SILENT}
+    assert refusal(voters, "5", two, 1) == "4 would be left, and 1 more of them must be heard and up to date"
+    assert refusal(voters, "5", {**views, "1": SILENT}, 1) == "only 0 more could be lost then"
+    waits = {**voters, MEMBERS + "5": {"leaving": "replace", "until": 5}}
+    assert refusal(waits, "5", views, 1, "replace") == "5 others must vote first, and 4 do"
+
+
+@test("explored, one trouble at every step of a change of members: {case}")
+def _(case: str = each("add+", "remove+")) -> None:
+    report = explore(CASES[case])
+    assert not report.wrong, "\n".join([report.wrong, *report.way])
+    assert not report.cut and report.ends > 50, str(report)
+
+
+@test("M1 to M4 in long worlds of {members} in which members change")
+def _(members: int = each(5, 7)) -> None:
+    worlds = [mixed(members, seed, turnover=0.1) for seed in range(5)]
+    assert sum(world.turns for world in worlds) > 20, "too few changes of voters to tell"
+
+
+BREACHES = (
+    "a quorum of the old members", "two proposals at a time", "a learner that counts",
+    "a removed one is asked, whoever votes counts", "a removed one stands, whoever votes counts",
+)  # fmt: skip
+
+
+@test("planted, {breach}: found")
+def _(breach: str = each(*BREACHES)) -> None:
+    with ExitStack() as planted:
+        for name in breach.split(", "):
+            planted.enter_context(mutated(name))
+        for seed in range(12):
+            try:
+                mixed(5, seed, turnover=0.15)
+            except (Wrong, Broken):
+                return
+    raise AssertionError("not found")
+
+
+def elects(entries: dict[str, Any], peer: str, life: int) -> bool:
+    """Whether member 1 of these is elected by that one's vote beside its own."""
+    state = State((1, 3), RangedMap(entries))
+    one = Member("1", ["1", "2"], False, Vote(1, None, True, 11), state, decide, random.Random(4))
+    one.begin(0.0)
+    effects = one.handle(2.0, Tick())
+    for _ in range(2):  # asked beforehand, then voted
+        asked = [one for one in effects if isinstance(one, Send) and one.method == "request_vote"]
+        effects = []
+        for send in asked:
+            if send.peer == peer:
+                effects += one.handle(2.0, Answered(peer, "request_vote", 2.0, send.context, [1, True, life]))
+        if one.then is not None:
+            effects += one.handle(2.0, Kept(True))
+    return one.lead is not None
+
+
+def with_disks(**lives: int) -> dict[str, Any]:
+    return {MEMBERS + ip[1:]: {"life": life} for ip, life in lives.items()}
+
+
+@test("a vote counts only of the newest accepted map's voters, and of the disk that is named there")
+def _() -> None:
+    three = with_disks(m1=11, m2=12, m3=13)
+    assert elects(three, "2", 12)
+    assert not elects(three, "2", 99), "the disk of an earlier life has voted"
+    assert not elects({**three, MEMBERS + "4": {}}, "2", 12), "two of four are no majority"
+    assert not elects({**three, LEARNERS + "4": {"life": 14}}, "4", 14), "a learner has voted"
+    assert not elects(with_disks(m2=12, m3=13), "2", 12), "one that was taken off stands"
+
+
+@test("planted, {breach}: found by the votes that count")
+def _(breach: str = each("an old disk votes", "a removed one stands, whoever votes counts")) -> None:
+    with ExitStack() as planted:
+        for name in breach.split(", "):
+            planted.enter_context(mutated(name))
+        three = with_disks(m1=11, m2=12, m3=13)
+        assert elects(three, "2", 99) or elects(with_disks(m2=12, m3=13), "2", 12)
--- a/trials/test_vise_agreement.py
+++ b/trials/test_vise_agreement.py
@@ -8,8 +8,9 @@
 
 from ward import each, raises, test
 
-from dovetail.members import World, mixed
+from dovetail.members import World
 from dovetail.sworn import decide
+from dovetail.turnover import mixed
 from trials.vise_scenes import Play, scenes
 from vise.agreement import Member
 from vise.interface import (
@@ -304,7 +305,7 @@
         feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, payload]))
         assert not lost.vote.voter
     feed(lost, 5.0, Called("r", "append", [2, "2", 1, 4, 0, 0, 0, pack([PROMOTE, lost.incarnation])]))
-    assert lost.vote == Vote(2, "2", True) and lost.term_index == (2, 4)
+    assert lost.vote == Vote(2, "2", True, lost.incarnation) and lost.term_index == (2, 4)
 
 
 @test("I7: an echoed time proves nothing before its round is confirmed, nor while its commit is not held")
--- a/trials/vise_scenes.py
+++ b/trials/vise_scenes.py
@@ -11,6 +11,12 @@
     cut A B, oneway A B, join     links: none both ways, none from A to B, all
     leader in 2                   one that has committed in its term, within so many s
     learners 0                    how many disks do not count
+    lose WHO, back WHO            the machine is gone; it comes back, with its disk
+    new                           a machine at a new address, with the next number
+    old WHO                       the disk that was lost last is put back
+    order remove 3 -> 200         of the members, at the leader; replace, add; 409, unready, none
+    voters 1 2 3 in 12            exactly these vote, by the newest map on a disk, within so many s
+    term same                     nobody has been elected since the last such line
     settle                        all well again: agreement, then all invariants
 """
 
@@ -18,6 +24,7 @@
 from typing import Any
 
 from dovetail.members import Op, World
+from vise.membership import MEMBERS, named
 from workbench.faults import Fault
 
 ANSWER_S = 1.0
@@ -49,6 +56,7 @@
 class Play:
     def __init__(self, seed: int = 1) -> None:
         self.seed = seed
+        self.term = 0
         self.world = World(1, seed)
 
     def leads(self) -> bool:
@@ -81,6 +89,25 @@
             case "kill" | "wipe" | "start" | "freeze" | "thaw" | "leave":
                 for ip in self.who(rest):
                     getattr(world, word)(ip)
+            case "lose" | "back" | "old":
+                acts = {"lose": world.lose, "back": world.bring_back, "old": world.put_back}
+                for ip in self.who(rest):
+                    acts[word](ip)
+            case "new":
+                world.add()
+            case "order":
+                op = world.order(rest[0], self.who(rest[1:])[0])
+                world.run(ANSWER_S, lambda: op.answer is not None)
+                assert told(op) == wanted, f"{text}: {told(op)} {op.answer}"
+            case "voters":
+                *ips, _, within = rest
+                wants = sorted(self.who(ips))
+                came = world.run(float(within), lambda: named(world.map(), MEMBERS) == wants)
+                assert came, f"{text}: {named(world.map(), MEMBERS)}"
+            case "term":
+                term, before = max(one[0] for one in world.sworn.leaders), self.term
+                self.term = term
+                assert rest[0] != "same" or term == before, f"term {term} after {before}"
             case "break":
                 for ip in self.who(rest):
                     world.nodes[ip].disk_fails = True
--- a/vise/agreement.py
+++ b/vise/agreement.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from vise import events
+from vise.changes import Changes
 from vise.interface import (
     BEHIND, CALL_S, DELTA, PARTS, RANGES, ELECTION_S, FIRST_S, HANDING_S, HEARTBEAT_S, PROMOTE, MUTE_S,
     LEARNER, OLD,
@@ -19,14 +20,17 @@
 )  # fmt: skip
 from vise.leading import Decide, Lead
 from vise.ranges import RangedMap
-from vise.seat import MEMBERS, Broken, Seat, quorum, unpack
+from vise.membership import MEMBERS, displaced, life_fits, lives, quorum
+from vise.seat import Broken, Seat, unpack
 from workbench.faults import INVALID, REFUSED, UNREADY, Fault
 
-JOIN_S = 0.5  # between two calls of one that is not a member
+JOIN_S = 0.5  # between two calls of one that is no voter
+LONELY_S = 3.0  # a voter that nobody leads for so long asks whether it is one still
 AGAIN_S = (0.3, 0.7)  # by chance between these after an attempt: all others have been waiting as well
 SILENT_S = 3 * HEARTBEAT_S  # a leader that is not heard for so long is not asked
 LOST_S = 2 * ELECTION_S[1]  # by then another one leads, if one can
 GRACE_S = 0.3  # a granted (pre-)vote puts off attempts by so much: two that try at once elect nobody
+LIVES = 1 << 31  # incarnations
 ECHOES = 32  # rounds and steady times remembered for the proof
 
 
@@ -36,7 +40,7 @@
 
     term: int
     pre: bool
-    members: list[str]
+    members: dict[str, int | None]  # who votes, and with which incarnation of its disk; None: any
     started: float
     votes: set[str] = field(factory=set)
 
@@ -55,7 +59,8 @@
         self._first = vote is None and state is None and bootstrap and me in seeds
         self._was_voter = held_vote.voter and not voter  # on the disk: to be taken back
         voted = held_vote.voted_for if term == held_vote.term else None
-        super().__init__(me, chance, Vote(term, voted, voter), held if voter else State((0, 0), RangedMap()))
+        kept = Vote(term, voted, True, held_vote.life) if voter else Vote(0, None, False)
+        super().__init__(me, chance, kept, held if voter else State((0, 0), RangedMap()))
         self.seeds, self.decide = seeds, decide
         self.incarnation = chance.getrandbits(31)
         self.leader: str | None = None
@@ -80,7 +85,7 @@
             members: dict[str, Any] = {MEMBERS + ip: {} for ip in self.seeds}
             state = State((0, 0), RangedMap(members))
             self.tell(events.BEGUN, members=len(members))
-            self.keep(Vote(0, None, True), state, self._begun)
+            self.keep(Vote(0, None, True, self.incarnation), state, self._begun)
         elif not self.vote.voter:
             self._become_learner()
             if self._was_voter:
@@ -137,8 +142,8 @@
                 self.lead.answered(event.peer, event.sent_at, event.context, event.body)
             case Answered(method="request_vote"):
                 self._voted(event)
-            case Answered(method="join", body=[str(leader)]) if leader != event.peer:
-                self.send(leader, "join", [self.me, self.incarnation], None)
+            case Answered(method="join", body=[leader, evidence]):
+                self._told(event.peer, leader, evidence)
             case Submit():
                 if self.lead:
                     self.lead.submit(event.ref, event.order, event.fence)
@@ -161,15 +166,49 @@
             return self.lead.tick()
         if not self._stands():
             if self.now >= max(self.join_at, self.mute_until) and self.now - self.heard_at >= UNHEARD_S:
-                self.join_at = self.now + JOIN_S
-                for ip in sorted({*self.seeds, *self.members()} - {self.me}):
-                    self.send(ip, "join", [self.me, self.incarnation], None)
+                self._join()
         elif self.now >= self.deadline and self.leaving is None:
+            if self.now >= max(self.join_at, self.heard_at + LONELY_S):
+                self._join()  # it may have been taken off meanwhile
             self._try()
 
+    def _join(self) -> None:
+        self.join_at = self.now + JOIN_S
+        for ip in sorted({*self.seeds, *self.members()} - {self.me}):
+            self._ask_to_join(ip)
+
+    def _ask_to_join(self, ip: str) -> None:
+        """With its disk's incarnation (a learner: this process's); and whether it believes itself a voter."""
+        life = self.vote.life if self.vote.voter else self.incarnation
+        self.send(ip, "join", [self.me, life, self._stands()], None)
+
+    def _told(self, peer: str, leader: str | None, evidence: Any) -> None:
+        """An answer to `join`: who leads, and which committed map says that nothing of this disk counts."""
+        if evidence is not None and self._stands() and tuple(evidence) > self.term_index:
+            return self._give_up()
+        if leader not in (None, peer, self.me):
+            self._ask_to_join(str(leader))
+
+    def _give_up(self) -> None:
+        """Nothing of this disk counts any more: on from here as with an empty one, in a new incarnation."""
+        self.step_down("is no voter any more")
+        self.tell(events.TAKEN_OFF, life=self.vote.life, term=self.term_index[0], index=self.term_index[1])
+        self.incarnation = max(self.incarnation, self.vote.life) % LIVES + 1
+        self.staged, self.state = self.state.entries, State((0, 0), RangedMap())
+        self.changes = Changes()
+        self.vote, self.leader = Vote(0, None, False), None
+        self._become_learner()
+        self.keep(self.vote, None, lambda ok: None)
+
+    def _evidence(self, ip: str, life: int) -> list[int] | None:
+        """The committed map's term and index, if by it nothing of that disk counts."""
+        known = self.news.state
+        told = known.term_index != (0, 0) and displaced(known.entries.map, ip, life)
+        return [*known.term_index] if told else None
+
     def _stands(self) -> bool:
         """Whether this member may stand for election."""
-        return self.vote.voter and MEMBERS + self.me in self.state.entries.map
+        return self.vote.voter and life_fits(self.state.entries.map, self.me, self.vote.life)
 
     def _put_off(self, span: tuple[float, float] = ELECTION_S) -> None:
         slow = 2 * self.write_s if span is AGAIN_S else 0.0  # votes are written before they are given
@@ -184,10 +223,11 @@
                     self._append(event.ref, event.body)
                 case "request_vote", [int(), str(), int(), int(), bool()]:
                     self._request_vote(event.ref, *event.body)
-                case "join", [str(), int()]:
-                    if self.lead:
-                        self.lead.learn(event.body[0])
-                    self.reply(event.ref, [self.leader])
+                case "join", [str(), int(), bool()]:
+                    ip, life, stands = event.body
+                    if self.lead and not stands:
+                        self.lead.learn(ip, life)
+                    self.reply(event.ref, [self.leader, self._evidence(ip, life) if stands else None])
                 case "succeed", [int()]:
                     self._succeed(event.ref, event.body[0])
                 case _:
@@ -200,21 +240,24 @@
         """Ask whether a majority would vote for this member."""
         self._put_off(AGAIN_S)
         self.leader = None
-        self.attempt = Attempt(self.vote.term + 1, True, self.members(), self.now, {self.me})
+        self.attempt = self._attempt(self.vote.term + 1, True)
         self._ask()
 
+    def _attempt(self, term: int, pre: bool) -> Attempt:
+        return Attempt(term, pre, lives(self.state.entries.map), self.now, {self.me})
+
     def _stand(self) -> None:
         """Ask for votes, having voted for oneself."""
         self._put_off(AGAIN_S)
         self.leader = None
         self.attempt = None
         term = self.vote.term + 1
-        self.keep(Vote(term, self.me, True), None, lambda ok: self._stood(ok, term))
+        self.keep(self.vote._replace(term=term, voted_for=self.me), None, lambda ok: self._stood(ok, term))
 
     def _stood(self, ok: bool, term: int) -> None:
         if ok:
             self._put_off(AGAIN_S)
-            self.attempt = Attempt(term, False, self.members(), self.now, {self.me})
+            self.attempt = self._attempt(term, False)
             self._ask()
         else:
             self._put_off()
@@ -250,32 +293,35 @@
             granted = fit and calm and term > self.vote.term
             if granted:
                 self.deadline = max(self.deadline, self.now + GRACE_S)
-            return self.reply(ref, [self.vote.term, granted])
+            return self.reply(ref, [self.vote.term, granted, self.vote.life])
         if term < self.vote.term:
             return self.reply(ref, [self.vote.term, False])
         if term == self.vote.term and self.vote.voted_for is not None:
-            return self.reply(ref, [term, self.vote.voted_for == candidate])
+            return self.reply(ref, [term, self.vote.voted_for == candidate, self.vote.life])
         self.step_down("a higher term")
         self.leader = None
         if fit:
             self._put_off()
             self.calm_from = self.now + GRACE_S + 2 * self.write_s
-        vote = Vote(term, candidate if fit else None, True)
+        vote = self.vote._replace(term=term, voted_for=candidate if fit else None)
         if vote == self.vote:
             return self.reply(ref, [term, False])
-        self.keep(vote, None, lambda ok: self.reply(ref, [term, fit] if ok else Fault(REFUSED, "disk")))
+        yes = [term, fit, vote.life]
+        self.keep(vote, None, lambda ok: self.reply(ref, yes if ok else Fault(REFUSED, "disk")))
 
     def _voted(self, event: Answered) -> None:
         attempt = self.attempt
         if isinstance(event.body, Fault) or not self.vote.voter:
             return
-        theirs, granted = event.body
+        theirs, granted, *life = event.body
         if theirs > (self.vote.term if attempt is None or attempt.pre else attempt.term):
             return self.higher(theirs)
         if attempt is None or event.context != (attempt.term, attempt.pre):
             return
         if granted is not True or self.now - event.sent_at >= CALL_S or self.now - attempt.started >= CALL_S:
             return
+        if attempt.members.get(event.peer) not in (None, *life):
+            return  # the disk of an earlier life: what it has said since is forgotten there
         attempt.votes.add(event.peer)
         self._elected()
 
@@ -291,7 +337,7 @@
             return
         self.step_down("a higher term")
         self.leader = None
-        self.keep(Vote(term, None, self.vote.voter), None, lambda ok: None)
+        self.keep(self.vote._replace(term=term, voted_for=None), None, lambda ok: None)
 
     def step_down(self, why: str) -> None:
         self.attempt = None
@@ -319,7 +365,7 @@
         named = (term, index)
         self._learn(term, commit)
         entries = self._received(payload, named)
-        vote = Vote(term, leader, self.vote.voter) if newer else None
+        vote = self.vote._replace(term=term, voted_for=leader) if newer else None
         restored = self._promoted(payload, named)
         state = State(named, entries) if entries is not None and named > self.term_index else None
 
@@ -335,9 +381,11 @@
             self._learn(term, commit)
             self._renew(round_, echo, commit, proved)
             self.reply(ref, self._answer(term, named, payload))
+            if self._displaced():
+                self._give_up()
 
         if restored:
-            self.keep(Vote(term, self.vote.voted_for or leader, True), self.state, on)
+            self.keep(Vote(term, self.vote.voted_for or leader, True, self.incarnation), self.state, on)
         elif not self.vote.voter:  # in memory only: on the disk nothing of it may count before it votes
             self.vote = vote or self.vote
             self.accept(state or self.state)
@@ -383,9 +431,16 @@
             digests = (self.staged or self.state.entries).digests()
         if not self.vote.voter:
             return [term, LEARNER, self._token, self.incarnation, holds, digests, [*self.term_index]]
-        if holds:
-            return [term, YES, self._token]
-        return [term, BEHIND, self._token, digests, [*self.term_index]]
+        if not holds:
+            return [term, BEHIND, self._token, digests, [*self.term_index]]
+        return [term, YES, self._token, *([] if self._stands() else [self.vote.life])]
+
+    def _displaced(self) -> bool:
+        """Whether the map that it holds is committed, and says that nothing of this disk counts."""
+        return (
+            self.vote.voter and self.news.term_index == self.term_index
+            and displaced(self.state.entries.map, self.me, self.vote.life)
+        )  # fmt: skip
 
     def _learn(self, term: int, commit: int) -> None:
         """A leader proposes one at a time: what it proposed up to its `commit` is committed."""
--- a/vise/interface.py
+++ b/vise/interface.py
@@ -23,7 +23,7 @@
 ROUNDS_S: Final = 1.2  # s for which a leader knows when its rounds began: no order is begun later than that
 
 # Answers to `append`: `[term, code, token, *more]`.
-YES: Final = 1  # holds what is named, durably
+YES: Final = 1  # holds what is named, durably; more, of one that is no voter: its incarnation
 BEHIND: Final = 2  # follows, but does not hold it; more: digests if asked for, else null
 OLD: Final = 3  # is at a higher term
 LEARNER: Final = 4  # non-voting learner; more: incarnation, whether it holds the named map, digests or null
@@ -43,6 +43,7 @@
     term: int
     voted_for: str | None
     voter: bool
+    life: int = 0  # the disk's incarnation: drawn with its first write, and anew once nothing of it counts
 
 
 class State(NamedTuple):
--- a/vise/leading.py
+++ b/vise/leading.py
@@ -6,17 +6,22 @@
 
 from attrs import define
 
-from vise import events
+from vise import events, membership
 from vise.interface import (
     BEHIND, CALL_S, EARLY_S, HANDING_S, HEARTBEAT_S, LEARNER, OLD, PROMOTE, ROUNDS_S, UNHEARD_S,
     WAITING_MOST, YES, Fence, Settled, State, Work,
 )  # fmt: skip
+from vise.membership import (
+    LEARNERS, MEMBERS, MOVE_S, Membership, View, entry, named, next_change, quorum, refusal,
+)  # fmt: skip
 from vise.mending import Copy, Mending
-from vise.seat import MEMBERS, Seat, pack, quorum
+from vise.seat import Seat, pack
 from workbench.faults import LATE, UNANSWERED, UNREACHED, UNREADY, Fault
 
 Decide = Callable[[Mapping[str, Any], Any], Work | Settled]
-LEARNER_S = 3.0  # a joining process that has not asked again, nor answered, for so long is forgotten
+LEARNER_S = 3.0  # a learner that has not asked again, nor answered, for so long is not called any more
+CLOSE = 2  # changes that one may be behind to be up to date, while they go on
+AGAIN_S = 1.0  # a leader that leaves and leads still names a successor again
 
 
 @define
@@ -30,6 +35,7 @@
     token: int = 0  # its newest steady time, as it named it
     learning: tuple[int, int] | None = None  # (incarnation, index to be committed before it votes)
     learner_at: float = float("-inf")  # when it last asked to join
+    life: int = 0  # the incarnation that it named then
 
 
 class Lead:
@@ -39,6 +45,7 @@
         self.seat, self.decide = seat, decide
         self.term = seat.vote.term
         self.naming: State = seat.state  # newest proposed map; `seat.state` once it is kept here
+        self._roles: tuple[State | None, tuple[list[str], list[str]]] = (None, ([], []))
         self.commit = 0  # newest committed index of this term
         self.peers: dict[str, Peer] = {}
         self.mending = Mending(seat.changes)
@@ -52,6 +59,8 @@
         self.leave_by: float | None = None
         self.handed = False
         self.since = seat.now
+        self.handed_at = seat.now
+        self.told = ""  # why a leaving voter stays, as it was told last
 
     def begin(self) -> None:
         """Commit the accepted map again, under this term."""
@@ -64,6 +73,8 @@
         heard = sorted((max(self._heard_at(ip), self.since) for ip in self._members()), reverse=True)
         if heard[quorum(len(heard)) - 1] < now - UNHEARD_S:
             return self.seat.step_down("no majority heard")
+        if self.handed and self.leave_by is None and now - self.handed_at >= AGAIN_S:
+            self.handed = False  # its successor did not come to lead: on as before
         if self.leave_by is not None and not self.handed and (now >= self.leave_by or not self.under_way):
             self._hand()
         if now >= self.next_beat:
@@ -79,12 +90,12 @@
         self.waiting.append((self.round + 1, ref, None))
         self._round()
 
-    def learn(self, ip: str) -> None:
-        """A process asks to join."""
+    def learn(self, ip: str, life: int) -> None:
+        """A process asks to join, that is no voter as far as it knows."""
         known = self._peer(ip)
-        if known.learner_at < self.seat.now - LEARNER_S and ip not in self._members():
-            self.seat.tell(events.JOINED, ip=ip)
-        known.learner_at = self.seat.now
+        known.learner_at, known.life = self.seat.now, life
+        if self.seat.then is None:
+            self._advance()
 
     def leave(self) -> None:
         self.leave_by = self.seat.now + HANDING_S / 2
@@ -119,7 +130,9 @@
             return
         theirs, code, token, *more = body
         if code == OLD or theirs > self.term:
-            return self.seat.higher(theirs)
+            if entry(self.naming.entries.map, ip) is not None:  # whoever was taken off disturbs nobody
+                self.seat.higher(theirs)
+            return
         newest = round_ >= peer.round
         if newest:
             peer.token = token
@@ -136,6 +149,7 @@
         else:
             peer.learning = None
             peer.match = max(peer.match, index) if holds else peer.match
+            peer.life = more[0] if holds and more else peer.life
         if newest:
             self._mend(ip, peer, digests)
         self._confirm()
@@ -146,7 +160,17 @@
 
     # ---- rounds
     def _members(self) -> list[str]:
-        return self.seat.members(self.naming)
+        return self._named()[0]
+
+    def _learners(self) -> list[str]:
+        return self._named()[1]
+
+    def _named(self) -> tuple[list[str], list[str]]:
+        """Voters and learners of the newest proposed map."""
+        if self._roles[0] is not self.naming:
+            map = self.naming.entries.map
+            self._roles = self.naming, (named(map, MEMBERS), named(map, LEARNERS))
+        return self._roles[1]
 
     def _peer(self, ip: str) -> Peer:
         peer = self.peers.get(ip)
@@ -155,10 +179,14 @@
         return peer
 
     def _targets(self) -> list[str]:
-        members = self._members()
         late = self.seat.now - LEARNER_S
-        learners = [ip for ip, one in self.peers.items() if ip not in members and one.learner_at > late]
-        return [ip for ip in [*members, *learners] if ip != self.seat.me]
+        learners = [ip for ip in self._learners() if self._spoke(ip) > late]
+        return [ip for ip in [*self._members(), *learners] if ip != self.seat.me]
+
+    def _spoke(self, ip: str) -> float:
+        """When it last said anything, learner or not; in this term at the earliest."""
+        peer = self._peer(ip)
+        return max(peer.heard_at, peer.learner_at, self.since)
 
     def _round(self) -> None:
         """Begin a round of heartbeats, each with what the other lacks."""
@@ -217,13 +245,17 @@
         """Begin what waits: one proposal at a time, none before this term's first is committed."""
         ask = False
         while not self.under_way and self.commit and not self.handed:
-            joining = self._joining()
-            if joining:
-                return self._propose({MEMBERS + joining: {}}, [], None, None)
-            if not self.queue:
+            change = self._change_of_members()
+            if change is not None:
+                return self._propose(change.set, change.gone, None, None)
+            if self.handed or not self.queue:
                 break
             ref, order, fence = self.queue.popleft()
-            outcome = self.decide(self.naming.entries.map, order)
+            map = self.naming.entries.map
+            if isinstance(order, Membership):
+                outcome = membership.decide(map, order, self.views(), self.seat.tolerated)
+            else:
+                outcome = self.decide(map, order)
             if fence is not None and self._late(fence, outcome):
                 self.seat.reply(ref, Fault(LATE, "its caller may have gone"))
                 continue
@@ -245,13 +277,64 @@
         keys = outcome.unguarded if isinstance(outcome, Work) else ()
         return any(self.seat.news.touched(key, fence.known) for key in keys)
 
-    def _joining(self) -> str | None:
-        members = self._members()
-        index = self.naming.term_index[1]
-        for ip, peer in self.peers.items():
-            if ip not in members and not peer.learning and peer.match == index:
-                return ip
-        return None
+    def views(self) -> dict[str, View]:
+        """Of every voter and learner, as seen from here."""
+        now, newest = self.seat.now, self.naming.term_index
+        found = {self.seat.me: View(0.0, self.seat.term_index == newest)}
+        for ip in [*self._members(), *self._learners()]:
+            peer = self._peer(ip)
+            if ip != self.seat.me:
+                level = peer.learning is None and peer.match + CLOSE >= newest[1]
+                able = level and peer.heard_at > now - UNHEARD_S
+                found[ip] = View(now - self._spoke(ip), able, peer.life if able else None)
+        return found
+
+    def _change_of_members(self) -> Work | None:
+        """The next one, if any. A leader that leaves hands over instead: its successor takes it off."""
+        now, map, members = self.seat.now, self.naming.entries.map, self._members()
+        asked = {ip: one.life for ip, one in self.peers.items() if one.learner_at > now - LEARNER_S}
+        lost = any(self._spoke(ip) <= now - MOVE_S for ip in members if ip != self.seat.me)
+        goes = [ip for ip in members if map[MEMBERS + ip].get("leaving")]
+        lives = {
+            ip: peer.learning[0] for ip, peer in self.peers.items()
+            if peer.learning and (told := entry(map, ip)) is not None and told.get("life") != peer.learning[0]
+        }  # fmt: skip
+        if lives:
+            return self._name(lives)
+        if not (lost or goes or asked or self._learners()):
+            return None
+        views, tolerated = self.views(), self.seat.tolerated
+        change = next_change(map, self.seat.me, asked, views, tolerated)
+        if change is not None:
+            self._tell_change(change)
+        elif self.seat.me in goes and any(views[ip].able for ip in members if ip != self.seat.me):
+            self._hand()
+        elif goes:
+            why = refusal(map, goes[0], views, tolerated, map[MEMBERS + goes[0]]["leaving"]) or ""
+            if why != self.told:
+                self.told = why
+                self.seat.tell(events.STAYS, ip=goes[0], why=why)
+        return change
+
+    def _name(self, lives: dict[str, int]) -> Work:
+        """What was learning from the start counts with these disks from now on, once it holds this."""
+        map, index, set = self.naming.entries.map, self.naming.term_index[1] + 1, {}
+        for ip, life in lives.items():
+            self._peer(ip).learning = (life, index)
+            key = MEMBERS + ip if MEMBERS + ip in map else LEARNERS + ip
+            set[key] = {**map[key], "life": life}
+        return Work(set, [], None)
+
+    def _tell_change(self, change: Work) -> None:
+        for key in change.set:
+            if key.startswith(MEMBERS):
+                self.seat.tell(events.VOTES, ip=key.removeprefix(MEMBERS))
+            else:
+                self.seat.tell(events.JOINED, ip=key.removeprefix(LEARNERS))
+        for key in change.gone:
+            if key.startswith(MEMBERS):
+                ip = key.removeprefix(MEMBERS)
+                self.seat.tell(events.REMOVED, ip=ip, voters=len(self._members()) - 1)
 
     def _propose(self, set: dict[str, Any], gone: list[str], ref: Any, answer: Any) -> None:
         old = self.naming
@@ -306,8 +389,9 @@
             peer.copy.anew()
             self.seat.tell(events.RESTORING, ip=ip, index=newest)
         term, index = peer.copy.held or (0, 0)
-        if term != self.term or peer.copy.busy:
-            return
+        told = entry(self.naming.entries.map, ip)
+        if term != self.term or peer.copy.busy or told is None or told.get("life") != incarnation:
+            return  # `_change_of_members` names its disk first
         if peer.learning[1] <= index <= self.commit:
             held = [] if index == newest else [term, index]
             self._append(ip, peer, pack([PROMOTE, incarnation, *held]))
@@ -316,7 +400,7 @@
 
     # ---- handing over
     def _hand(self) -> None:
-        self.handed = True
+        self.handed, self.handed_at = True, self.seat.now
         fresh = self.seat.now - UNHEARD_S
         able = [
             (peer.match, peer.round, ip) for ip in self._members()
--- a/vise/seat.py
+++ b/vise/seat.py
@@ -8,11 +8,11 @@
 import cbor2
 
 from vise.changes import Changes
-from vise.interface import Effect, Keep, Reply, Send, TermIndex, State, Tell, Vote
+from vise.interface import Effect, Keep, Reply, Send, State, Tell, TermIndex, Vote
+from vise.membership import MEMBERS, named
 from vise.news import News
 from vise.ranges import RangedMap
 
-MEMBERS = "Members/"
 WRITE_MOST_S = 0.4  # a slower disk is not waited for by others
 
 
@@ -35,16 +35,13 @@
     return value
 
 
-def quorum(members: int) -> int:
-    return members // 2 + 1
-
-
 class Seat:
     """Durable state changes only through `keep`; nothing that depends on it is said before it is kept."""
 
     def __init__(self, me: str, chance: random.Random, vote: Vote, state: State) -> None:
         self.me, self.chance = me, chance
         self.vote, self.state = vote, state
+        self.tolerated = 1  # losses at once that the voters must bear
         self.now = 0.0
         self.news = News()
         self.changes = Changes()  # of all that was accepted in this life
@@ -102,11 +99,10 @@
         return self.state.term_index
 
     def members(self, state: State | None = None) -> list[str]:
-        """The members of the newest accepted map, in order."""
+        """The voters of the newest accepted map, in order."""
         entries = (state or self.state).entries
         if self._listed is None or self._listed[0] is not entries:
-            found = sorted(key.removeprefix(MEMBERS) for key in entries.map if key.startswith(MEMBERS))
-            self._listed = entries, found
+            self._listed = entries, named(entries.map, MEMBERS)
         return [*self._listed[1]]
 
     def committed(self, state: State) -> None:
