A large configuration comes in pieces that fit a call and a narrow line

Change: `workbench.pieces` packs once, tells 48 KB a call (256 KB from a store to its registry), keeps 8 packs at most, shares a pack of the last 5 s among all who lack the same whatever changes meanwhile; what changed since comes after. Until then, or while there is a newer version (`late`), no proof of being current is taken. An answer that cannot be read is as none; a loop of the gatekeeper that ends by an error ends the process with 70. `News` answers a difference only from an index that it has itself held.

test_lathe_pulling: `unpacked` is `workbench.pieces.opened` now; the same is asserted.

--- a/bench/scale/cores.py
+++ b/bench/scale/cores.py
@@ -37,7 +37,7 @@
 from lathe.gate import Gate
 from lathe.ledger import Ledger
 from lathe import pulling as pullings
-from lathe.pulling import Pulling, unpacked
+from lathe.pulling import Pulling
 from pegboard.door import Answer
 from pegboard.records import read_beat
 from pegboard.registry import Registry, Self
@@ -49,6 +49,7 @@
 from workbench import bench as frames
 from workbench.bench import ANSWERS, CALLS, FRAME_MOST, pack
 from workbench.faults import Fault
+from workbench.pieces import unpacked
 
 NOW = 1000.0  # steady time of all, s
 TOLD_S = 0.25  # between two pulls of one gatekeeper
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -28,6 +28,7 @@
 from lathe.gate import Gate
 from lathe.ledger import WORD, Change, Ledger
 from lathe.news import News
+from workbench import pieces
 from workbench.faults import Fault
 
 Json = dict[str, Any]
@@ -35,20 +36,16 @@
 WARMUP_S = 3.0
 MISSED_S = 0.2  # and then so long until it tries again, elsewhere
 EMPTY = Table.build({})
-_unpack = pulling.unpacked
+_open = pieces.opened
 _packs: dict[bytes, Json] = {}  # the newest pack, opened once for all of this process
 
 
-def _unpacked(sources: Mapping[str, Json]) -> dict[str, Json]:
-    found = dict(sources)
-    for name, news in sources.items():
-        if "pack" in news:
-            data = news["pack"]
-            if data not in _packs:
-                _packs.clear()
-                _packs[data] = _unpack({name: news})[name]
-            found[name] = _packs[data]
-    return found
+def _opened(told: Json) -> Json:
+    data = told["pack"]
+    if data not in _packs:
+        _packs.clear()
+        _packs[data] = _open(told)
+    return _packs[data]
 
 
 class HollowLedger(Ledger):
@@ -318,7 +315,7 @@
 
 
 def main() -> None:
-    pulling.unpacked = _unpacked
+    pieces.opened = _opened
     host = Host()
     for line in FileObject(sys.stdin.fileno(), "rb"):
         print(json.dumps(host.order(json.loads(line))), flush=True)
--- a/dovetail/board.py
+++ b/dovetail/board.py
@@ -79,7 +79,7 @@
         until = began + min(WAIT_S, max(LEAST_S, body["wait"]))
         while not registry.lacks(have) and self.clock() < until:
             yield self._bell.wait(until - self.clock())
-        if have and registry.lacks(have):
+        if have and registry.lacks(have) and not body.get("part"):
             yield GATHER_S
         registry.pulled(body["node"])
         return registry.answer(body, began, self.clock())
@@ -132,9 +132,10 @@
         while True:
             sent, have = self.clock(), registry.word.version
             wait, ip = (WATCH_S, self.name) if own else (WAIT_S, self._other())
+            body = {"have": have, "wait": wait, "part": registry.watches()}
             answer: Any = Fault(UNREACHED, "there is no other store")
             if ip is not None:
-                answer = yield self.call(ip, store.KIND, "watch", {"have": have, "wait": wait}, wait + LATE_S)
+                answer = yield self.call(ip, store.KIND, "watch", body, wait + LATE_S)
             now, fresh = self.clock(), False
             if own:
                 self._hangs = isinstance(answer, Fault) and answer.reason == UNANSWERED
--- a/dovetail/store.py
+++ b/dovetail/store.py
@@ -6,7 +6,9 @@
 
 from dovetail.engine import Future, Loop, Machine, Net, Process, Signal, Steps
 from vise.agreement import Member
-from vise.daemon import MERGE_S, ORDER_S, PAUSE_S, READ_S, SEEK_S, STEP_S, WATCH_MOST_S
+from vise.daemon import (
+    MERGE_S, ORDER_S, PAUSE_S, READ_S, SEEK_S, STEP_S, WATCH_MOST_S, WATCH_PIECE, watched,
+)  # fmt: skip
 from vise.drafts import NAME, Drafts
 from vise.interface import (
     CALL_S,
@@ -26,6 +28,7 @@
 )
 from vise.orders import decide, read_fence
 from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
+from workbench.pieces import Cutter
 
 KIND = "vise"
 SYNC_S = (0.002, 0.012)  # a durable write takes between these
@@ -74,6 +77,7 @@
         self._held = []
         self._news, self._seen = Signal(self), 0
         self._do(self.member.begin(self.clock()))
+        self._cutter = Cutter(str(self.member.incarnation), WATCH_PIECE, WATCH_PIECE)
         self.drafts = None
         if NAME in disk:
             self._waiting()
@@ -230,4 +234,5 @@
         age = self.clock() - member.news.lease
         known = age if age != float("inf") else None
         told = {"age": known, "term": member.vote.term, "leader": member.leader}
-        return {**member.news.since(have), **told, "round": [*member.round_known()]}
+        news = watched(self._cutter, member.news.since(have), body, self.clock())
+        return {**news, **told, "round": [*member.round_known()]}
--- a/lathe/__main__.py
+++ b/lathe/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -17,7 +18,9 @@
 from lathe.front import Front, serve_readiness
 from lathe.gate import Gate
 from lathe.news import News
-from workbench.events import ERROR, SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell
+from workbench.events import (
+    BROKEN, CRITICAL, ERROR, SETTINGS_BAD, SETTINGS_READ, STARTED, STOPPING, set_up, tell,
+)  # fmt: skip
 
 PATH = "/etc/ashlift/settings.toml"
 LOOK_S = 1.0  # between looks at the settings file
@@ -38,6 +41,7 @@
         self._ready = False
         self._held: dict[str, Tenant] | None = None  # tenants
         self._stop = Event()
+        self.broken = False
         self._read_again = Event()
 
     def _limits(self) -> Limits:
@@ -73,9 +77,8 @@
         self.front.listen(front)
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGHUP, self._read_again.set)
-        gevent.spawn(self.news.run)
-        gevent.spawn(self._sweep)
-        gevent.spawn(self._watch)
+        for loop in (self.news.run, self._sweep, self._watch):
+            self._spawn(loop)
         tell(STARTED, zone=self.settings.zone)
         self._stop.wait()
         return self._leave()
@@ -90,7 +93,19 @@
         while self.desk.busy and time.monotonic() < began + END_SHARE * grace:
             gevent.sleep(0.02)
         gevent.sleep(0.05)
-        return 0
+        return 70 if self.broken else 0
+
+    def _spawn(self, loop: Callable[[], None]) -> "gevent.Greenlet[[], None]":
+        """A loop that ends by an error ends the process, in order: what it keeps up would go stale unseen."""
+
+        def ended(greenlet: "gevent.Greenlet[[], None]") -> None:
+            tell(BROKEN, level=CRITICAL, error=repr(greenlet.exception))
+            self.broken = True
+            self._stop.set()
+
+        greenlet = gevent.spawn(loop)
+        greenlet.link_exception(ended)
+        return greenlet
 
     def _sweep(self) -> None:
         while True:
--- a/lathe/pulling.py
+++ b/lathe/pulling.py
@@ -1,17 +1,16 @@
 """Which pegboard a gatekeeper pulls from, what it says there, and what it makes of the answer. Pure."""
 
 import random
-import zlib
-from collections.abc import Mapping
 from typing import Any
 
-import cbor2
 from attrs import frozen
 
 from jig.settings import Settings
 from lathe.gate import Gate
-from workbench.bench import DIAL_S, FRAME_MOST
-from workbench.faults import UNREACHED, Fault
+from lathe.ledger import WORD
+from workbench.bench import DIAL_S
+from workbench.faults import INVALID, UNREACHED, Fault
+from workbench.pieces import Joiner
 
 WAIT_S = 0.25
 ANSWER_S = 0.6  # beyond the wait: so late, another pegboard is asked
@@ -33,20 +32,6 @@
     dial: float
 
 
-def unpacked(sources: Mapping[str, Json]) -> dict[str, Json]:
-    """What an answer tells of the sources, `pack` opened to `set` and `gone`. ValueError: it is no pack."""
-    found = dict(sources)
-    for name, news in sources.items():
-        if "pack" in news:
-            opening = zlib.decompressobj()
-            data = opening.decompress(news["pack"], FRAME_MOST)
-            if not opening.eof:
-                raise ValueError(f"{name}: a pack that is cut or too large")
-            values, gone = cbor2.loads(data)
-            found[name] = {"version": news["version"], "full": news["full"], "set": values, "gone": gone}
-    return found
-
-
 class Pulling:
     def __init__(self, settings: Settings, gate: Gate, incarnation: str, rng: random.Random) -> None:
         self._settings, self._gate, self._incarnation, self._rng = settings, gate, incarnation, rng
@@ -55,6 +40,7 @@
         self._at: str | None = None
         self._controls: list[str] = []  # IPs, near ones first
         self._number = 0
+        self._joiner = Joiner()  # of what the operator's word has become, if that is large
         self._dial = DIAL_FIRST_S  # a silent seed must not hold up the start
         self.seeds = [host for host, _ in settings.seeds]
 
@@ -89,7 +75,7 @@
             "ready": gate.ready(now),
             "have": gate.ledger.have(), "wait": 0.0 if gate.ledger.table is None else WAIT_S,
             "outs": gate.crew.outs(), "faults": gate.crew.jury.fresh(now),
-            "packs": True, "eager": gate.ledger.age(now) > EAGER_S,
+            "packs": True, "part": self._joiner.asks(), "eager": gate.ledger.age(now) > EAGER_S,
             "adds": {"number": self._number, "counts": gate.limiter.fresh()},
         }  # fmt: skip
         return Pull(ip, now, body, self._dial)
@@ -97,6 +83,7 @@
     def ended(self, pull: Pull, now: float, answer: Json | Fault) -> bool:
         """Take the answer; False: there was none, and the next call is to wait a little."""
         gate, counts = self._gate, pull.body["adds"]["counts"]
+        answer = answer if isinstance(answer, Fault) else self._joined(answer)
         if isinstance(answer, Fault):
             if answer.reason == UNREACHED:
                 gate.limiter.unsent(counts)
@@ -110,14 +97,25 @@
         gate.limiter.confirmed(counts)
         self._dial = DIAL_FIRST_S
         self._at, self._controls = pull.ip, answer["controls"]
-        change = gate.ledger.take(pull.sent, now, {**answer, "sources": unpacked(answer["sources"])})
+        change = gate.ledger.take(pull.sent, now, answer)
         gate.news(now, change)
         gate.crew.heard(gate.ledger.outs(), pull.body["outs"])
         teller = next(iter(answer["alive"]), None)  # the registry itself comes first
         near = gate.ledger.faults(teller) if teller else {}
         gate.crew.jury.heard(now, gate.ledger.faults(), near, pull.body["faults"])
         gate.limiter.heard(now, gate.ledger.sums(), gate.ledger.behind(), gate.ledger.born())
-        if answer.get("age") is None or answer["age"] > STALE_S:
+        if not answer["late"] and (answer.get("age") is None or answer["age"] > STALE_S):
             self._avoid[pull.ip] = now + AVOID_S
             self._stale.add(pull.ip)
         return True
+
+    def _joined(self, answer: Json) -> Json | Fault:
+        """The answer with the operator's word whole, or without it while pieces of it are to come. Then, and
+        if there is a newer one already (`late`), its proof is none of what is held here."""
+        try:
+            sources, late = dict(answer["sources"]), bool(answer.get("late"))
+            if WORD in sources and (word := self._joiner.take(sources.pop(WORD))) is not None:
+                sources[WORD] = word
+        except (LookupError, TypeError, ValueError) as error:
+            return Fault(INVALID, f"pull: {error!r}")
+        return {**answer, "sources": sources, "late": late, "age": None if late else answer.get("age")}
--- a/pegboard/loops.py
+++ b/pegboard/loops.py
@@ -81,7 +81,7 @@
             while not (registry.lacks(have) or (eager and registry.proves(time.monotonic()))):
                 if not bell.wait(until):
                     break
-            if have and registry.lacks(have) and not bell.leaving:
+            if have and registry.lacks(have) and not bell.leaving and not body.get("part"):
                 apart = spread(registry.callers, CALLERS_FEW)
                 gevent.sleep(max(GATHER_S, began + apart - time.monotonic()))
             return registry.answer(body, began, time.monotonic())
@@ -173,7 +173,7 @@
         own, missed = True, False
         while True:
             sent, have = time.monotonic(), self._registry.word.version
-            answer = self._store.watch(have, WATCH_S if own else WAIT_S, own)
+            answer = self._store.watch(have, WATCH_S if own else WAIT_S, own, self._registry.watches())
             now = time.monotonic()
             fresh = False
             if isinstance(answer, Fault):
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -4,18 +4,17 @@
 other than a sum has changed: whoever holds a call open looks again.
 """
 
-import zlib
 from collections.abc import Mapping
 from typing import Any, Final
 
 import attrs
-import cbor2
 
 from pegboard.lookup import Looks
 from pegboard.records import GONE, GONE_SEQ, Session, Worker, worker
 from pegboard.source import SUM, Difference, Source
 from pegboard.tallies import Said, Tallies
 from workbench.faults import INVALID, UNREADY, Fault
+from workbench.pieces import Cutter, Joiner
 
 STORES_OWN = ("Taken", "Refused/")  # what the store keeps to know resends by: no gatekeeper needs it
 WORD: Final = "vise"  # the source of the operator's word
@@ -27,7 +26,6 @@
 EAGER_S: Final = 1.0  # a proof not older than this ends the wait of one that has none
 PROOF_S: Final = 10.0  # an older proof says nothing
 YOUNG_S: Final = 1.5  # a registry that has run for less may know few of those there are
-PACK_LEAST: Final = 2000  # bytes of the operator's word from which on it is worth compressing
 ALONE_S: Final = 1.5  # others unheard for so long are out of reach
 STILL_S: Final = 1.0  # no tick for so long: this process stood still, the others did not fall silent
 Json = dict[str, Any]
@@ -100,7 +98,8 @@
         self._looks = Looks(self.sessions)
         self._counted = -1, 0  # at which news, gatekeepers
         self._told: tuple[int, dict[str, Any]] = (-1, {})  # at which version of the word, members
-        self._pack: tuple[tuple[int | None, int], bytes | None] = (None, -1), None
+        self._cutter = Cutter(me.source)
+        self._joiner = Joiner()
 
     # ---- workers
 
@@ -210,7 +209,7 @@
 
     def answer(self, body: Json, began: float, now: float) -> Json:
         """What a gatekeeper is told whose call came at `began`."""
-        have, found = body["have"], {}
+        have, found, late = body["have"], {}, False
         for name, source in self._named():
             difference = source.since(have.get(name))
             if difference:
@@ -218,8 +217,11 @@
                 if difference.full:
                     found[name]["run"] = round(now - self._born(name), 2)
         if self.word.version and (difference := self.word.since(have.get(WORD))):
-            told = self._wire(difference, now)
-            found[WORD] = self._packed(have.get(WORD), told) if body.get("packs") else told
+            told = found[WORD] = self._wire(difference, now)
+            if body.get("packs"):
+                told = self._cutter.next(have.get(WORD), told, body.get("part"), now, "part" in body)
+                found[WORD] = told
+            late = told["version"] < self.word.version or "part" in told
         age = self.age(now)
         alive = [name for name, one in self.copies.items() if not self._late(one.heard, NAMED_S, now)]
         return {
@@ -228,6 +230,7 @@
             "age": None if age is None else round(age, 4),
             "held": round(now - began, 4),
             "ran": self.ran(now),
+            "late": late,
             "controls": self.controls(body["zone"], body["region"], now),
             "members": self._members(),
         }
@@ -247,14 +250,6 @@
             self._counted = self.news, len(names)
         return self._counted[1]
 
-    def _packed(self, have: int | None, told: Json) -> Json:
-        """The same, `set` and `gone` compressed where they are large: many lack the same at once."""
-        if (have, told["version"]) != self._pack[0]:
-            data = cbor2.dumps([told["set"], told["gone"]])
-            self._pack = (have, told["version"]), zlib.compress(data, 6) if len(data) > PACK_LEAST else None
-        pack = self._pack[1]
-        return {"version": told["version"], "full": told["full"], "pack": pack} if pack else told
-
     def sessions(self, now: float) -> dict[str, Session]:
         """Gatekeepers whose leases stand, each as it was last heard."""
         found: dict[str, Session] = {}
@@ -392,9 +387,21 @@
 
     # ---- the operator's word
 
+    def watches(self) -> list[Any] | None:
+        """The `part` that a `watch` call is to ask for."""
+        return self._joiner.asks()
+
     def watched(self, answer: Json, sent: float, now: float) -> bool:
-        """A store has answered `watch`, called at `sent`; whether its proof is fresh."""
-        index, age = answer["index"], answer.get("age")
+        """A store has answered `watch`, called at `sent`; whether its proof is fresh, or more is to come."""
+        try:
+            told = self._joiner.take(answer)
+        except ValueError:
+            return False
+        if told is None:
+            return True
+        answer = {**answer, **told, "index": told.get("version", answer["index"])}
+        late = bool(answer.get("late"))  # what is told is not the newest that the store has: nor is it proven
+        index, age = answer["index"], None if late else answer.get("age")
         if index > self.word.version:
             told = {key: value for key, value in answer["set"].items() if not key.startswith(STORES_OWN)}
             if answer.get("full"):
@@ -411,7 +418,7 @@
                 self.news += 1  # some wait for a proof
             proven = sent + answer.get("held", 0.0) - age
             self.proven = proven if self.proven is None else max(self.proven, proven)
-        return age is not None and age <= STILL_S
+        return late or (age is not None and age <= STILL_S)
 
     def age(self, now: float) -> float | None:
         """s since the word held was proven to be the newest; None: too long, or never."""
--- a/pegboard/store.py
+++ b/pegboard/store.py
@@ -46,8 +46,10 @@
         """The operator's word as committed, or a Fault."""
         return self._call("read", dict, time.monotonic() + ANSWER_S)
 
-    def watch(self, have: int, wait: float, own: bool) -> Any:
-        """News of the operator's word from the own store, or from the next of the others."""
+    def watch(self, have: int, wait: float, own: bool, part: list[Any] | None = None) -> Any:
+        """News of the operator's word from the own store, or from the next of the others.
+
+        `part`: the piece that is wanted of a large one."""
         address = self._own, self._port
         if not own:
             others = [ip for ip in self._members() if ip != self._own]
@@ -56,7 +58,7 @@
             self._turn += 1
             address = others[self._turn % len(others)], self._port
         caller = self._watchers.to(address)
-        answer = caller.call("watch", {"have": have, "wait": wait}, wait + LATE_S)
+        answer = caller.call("watch", {"have": have, "wait": wait, "part": part}, wait + LATE_S)
         silent = isinstance(answer, Fault) and answer.reason == UNANSWERED
         if silent:
             caller.close()
--- a/trials/test_catching_up.py
+++ b/trials/test_catching_up.py
@@ -12,6 +12,7 @@
 from vise.changes import Changes
 from vise.interface import CHUNK, DELTA, PARTS, RANGES, State, TermIndex
 from vise.mending import Copy, Mending
+from vise.news import News
 from vise.ranges import RangedMap
 from vise.seat import unpack
 
@@ -80,6 +81,17 @@
     assert len(changes) <= 120 + 3 * kept.RUNS_MOST and changes.at((11, 1011)) is None
 
 
+@test("news: who has an index that was passed over is told everything: a key may have changed, and back")
+def _() -> None:
+    news, entries = News(), RangedMap({"a": 1, "b": 1})
+    for index, value in ((4, 1), (5, 2), (7, 2), (8, 3)):  # at 6, known to others, b was 9
+        news.advance(State((1, index), entries := entries.changed({"a": value, "c": index}, [])))
+    assert [news.since(have)["full"] for have in (3, 4, 5, 6, 7)] == [True, False, False, True, False]
+    assert news.since(5)["set"] == {"a": 3, "c": 8} and news.since(6)["set"] == {"a": 3, "b": 1, "c": 8}
+    news.advance(State((2, 9), entries))
+    assert not news.since(8)["full"] and news.since(8)["set"] == {}
+
+
 class Other:
     """The other end of `Mending`: a member's copy, as `vise.agreement` goes on by payloads."""
 
--- a/trials/test_lathe_pulling.py
+++ b/trials/test_lathe_pulling.py
@@ -7,10 +7,11 @@
 
 from jig.settings import Settings, parse
 from lathe.gate import Gate
-from lathe.pulling import AVOID_S, Pulling, unpacked
+from lathe.pulling import AVOID_S, Pulling
 from pegboard.registry import Registry, Self
 from workbench.bench import ANSWERS, DIAL_S, MORE_S, Patience, pack
 from workbench.faults import UNANSWERED, UNREACHED, Fault
+from workbench.pieces import opened
 
 NEAR, NEXT, FAR = "10.1.0.1", "10.2.0.1", "10.3.0.1"
 TEXT = f"""NodeName = "edge-1"
@@ -87,11 +88,13 @@
     packer.watched({"index": 7, "full": True, "set": word, "gone": [], "age": 0.0}, 0.0, 0.0)
     body = {"have": {}, "zone": "a", "region": "r"}
     plain, packed = packer.answer(body, 0.0, 0.0), packer.answer({**body, "packs": True}, 0.0, 0.0)
-    assert unpacked(packed["sources"]) == plain["sources"]
+    packed["sources"]["vise"] = opened(told := packed["sources"]["vise"])
+    assert packed["sources"] == plain["sources"]
+    packed["sources"]["vise"] = told
     assert 8 * len(pack(ANSWERS, packed)) < len(pack(ANSWERS, plain))
     packed["sources"]["vise"]["pack"] = packed["sources"]["vise"]["pack"][:-9]
     with raises(ValueError):
-        unpacked(packed["sources"])
+        opened(packed["sources"]["vise"])
 
 
 @test("an answer is waited for while its bytes come, and no longer than it may take")
--- /dev/null
+++ b/trials/test_pieces.py
@@ -0,0 +1,187 @@
+"""A configuration too large for one call comes in pieces over a narrow line, while it goes on changing."""
+
+import random
+from typing import Any
+
+import cbor2
+from ward import each, raises, test
+
+from jig.settings import Settings, parse
+from lathe.__main__ import Program
+from lathe.gate import Gate
+from lathe.pulling import ANSWER_S, MOST_S, STALE_S, WAIT_S, Pulling
+from pegboard.registry import Registry, Self
+from trials.test_lathe_pulling import TEXT
+from vise.daemon import watched
+from vise.interface import State
+from vise.news import News
+from vise.ranges import RangedMap
+from workbench.faults import UNANSWERED, Fault
+from workbench.pieces import KEPT_MOST, PIECE, Cutter, Joiner
+
+LINE = 2e6 / 8  # bytes a second of a gatekeeper's line
+TRIP_S = 0.04
+
+
+ME = Self("core-1", "0", "10.1.0.1", "a", "r", 80, 1.5)
+
+
+def route(chance: random.Random, size: int) -> dict[str, Any]:
+    text = chance.randbytes(size // 2).hex()
+    return {"Host": "h.example", "PathPrefix": "/x/", "Timeout": "2s", "Note": text}
+
+
+def registry() -> Registry:
+    return Registry(ME, [ME.ip], {"a": "r"}, 0.0)
+
+
+def pulling(seed: int) -> Pulling:
+    settings = parse(TEXT.replace("edge-1", f"edge-{seed}"))
+    assert isinstance(settings, Settings)
+    rng = random.Random(seed)
+    return Pulling(settings, Gate(settings, rng, 0.0), str(seed), rng)
+
+
+class Line:
+    """A registry whose word changes `rate` times a second, and gatekeepers that pull over their lines."""
+
+    def __init__(self, routes: int, size: int, rate: float) -> None:
+        self.chance, self.rate, self.now, self.index = random.Random(1), rate, 0.0, 1
+        self.registry = registry()
+        self.size, self.routes, self.longest = size, routes, 0.0
+        word: dict[str, Any] = {f"Routes/{number}": route(self.chance, size) for number in range(routes)}
+        word |= {"Version": "00000001", "Members/10.1.0.1": {}}
+        self.tell(word, True)
+
+    def tell(self, set_: dict[str, Any], full: bool = False) -> None:
+        answer = {"index": self.index, "full": full, "set": set_, "gone": [], "age": 0.05, "term": 1}
+        self.registry.watched(answer, self.now, self.now)
+
+    def change(self) -> None:
+        self.index += 1
+        key = f"Routes/{self.chance.randrange(self.routes)}"
+        self.tell({key: route(self.chance, self.size), "Version": f"{self.index:08x}"})
+
+    def until(self, now: float) -> None:
+        while self.now + 1 / self.rate <= now:
+            self.now += 1 / self.rate
+            self.change()
+
+    def pull(self, one: Pulling, at: float, whole: bool = False) -> float:
+        """One pull begun at `at` -> when it has ended. `whole`: as one does that can join no pieces."""
+        call = one.begin(at)
+        assert call is not None
+        if whole:
+            del call.body["part"]
+        self.until(at + TRIP_S)
+        answer: Any = self.registry.answer(call.body, self.now, self.now)
+        took = 2 * TRIP_S + len(cbor2.dumps(answer)) / LINE
+        self.longest = max(self.longest, took)
+        if took > MOST_S:
+            took, answer = MOST_S, Fault(UNANSWERED)
+        one.ended(call, at + took, answer)
+        ledger = one._gate.ledger
+        if ledger.index != self.index and ledger.age(at + took) < 0.05:
+            raise AssertionError("a proof was taken of a word that is not held")
+        return at + took
+
+
+@test("a whole configuration of {routes} routes of {size} bytes over 2 Mbit/s, 10 changes a second: level")
+def _(routes: int = each(1000, 2500), size: int = each(250, 1000)) -> None:
+    line, gates = Line(routes, size, 10.0), [pulling(seed) for seed in (1, 2, 3)]
+    due = {0: 0.0, 1: 0.7, 2: 3.1}  # they start one after the other
+    level: dict[int, float] = {}
+    while any(at < 14.0 for at in due.values()):
+        who = min(due, key=lambda one: due[one])
+        due[who] = line.pull(gates[who], due[who])
+        index = gates[who]._gate.ledger.index
+        if who not in level and index > 1 and index >= line.index - 5:
+            level[who] = due[who]
+        elif who in level:  # and it stays so
+            assert index >= line.index - 5
+            assert gates[who]._gate.ledger.age(due[who]) < STALE_S
+    packed = routes * (size * 0.55 + 60)
+    assert {*level} == {0, 1, 2}
+    took = [level[0], level[1] - 0.7, level[2] - 3.1]
+    assert max(took) < 2.0 + 2.5 * packed / LINE, took
+    assert line.longest < WAIT_S + ANSWER_S, "an answer is too large for a call"
+    assert len(line.registry._cutter._packs) <= KEPT_MOST
+
+
+@test("what it was before: in one answer, such a configuration never comes through")
+def _() -> None:
+    line, one = Line(2500, 1000, 10.0), pulling(1)
+    at = 0.0
+    for _ in range(5):
+        at = line.pull(one, at, whole=True)
+    assert one._gate.ledger.index == 0 and line.longest > MOST_S
+
+
+@test("an answer that cannot be read is as none: the next registry is asked")
+def _() -> None:
+    one = pulling(1)
+    good = {"sources": {}, "alive": [], "age": 0.1, "held": 0.0, "controls": ["10.1.0.1"], "members": 1}
+    for sources in ({"vise": {"version": 1, "full": True, "pack": b"none"}}, None, {"vise": {"part": b""}}):
+        call = one.begin(10.0)
+        assert call is not None
+        assert not one.ended(call, 10.0, {**good, "sources": sources})
+    call = one.begin(20.0)
+    assert call is not None and one.ended(call, 20.0, good)
+
+
+@test("a loop of the gatekeeper that ends by an error ends the process: it does not go stale unseen")
+def _() -> None:
+    settings = parse(TEXT)
+    assert isinstance(settings, Settings)
+    program = Program("none", settings)
+
+    def loop() -> None:
+        raise LookupError("what nobody has thought of")
+
+    program._spawn(loop).join(1.0)
+    program._stop.wait(1.0)
+    assert program.broken and program._stop.is_set()
+
+
+@test("pieces: joined as they were cut, from another place anew, and none of another pack's")
+def _() -> None:
+    chance = random.Random(1)
+    many = {str(number): chance.randbytes(900) for number in range(300)}
+    told = {"version": 3, "full": True, "set": many, "gone": []}
+    one, other, joiner = Cutter("a"), Cutter("b"), Joiner()
+    calls, joined = 0, None
+    while joined is None:
+        calls += 1
+        cutter = other if calls == 3 else one  # it goes to another for one call
+        joined = joiner.take(cutter.next(None, told, joiner.asks(), 0.1 * calls))
+    assert joined == told and calls == 3 + -(-300 * 900 // PIECE)
+    assert joiner.asks() is None
+    piece = one.next(None, told, None, 1.0)
+    assert joiner.take({**piece, "at": 7}) is None and joiner.asks() is None
+    joiner.take(piece)
+    with raises(ValueError):
+        joiner.take({**piece, "at": len(piece["part"]), "size": 2 * len(piece["part"])})
+    assert joiner.asks() is None
+    small = {**told, "version": 4, "full": False, "set": {"a": 1}}
+    assert one.next(2, small, None, 1.0) == small
+
+
+@test("a store tells a registry a large map in pieces, and its proof only with the newest")
+def _() -> None:
+    chance, news = random.Random(1), News()
+    news.advance(State((1, 5), RangedMap({f"Routes/{n}": route(chance, 1000) for n in range(3000)})))
+    mine = registry()
+    cutter, calls, now = Cutter("1", 256 << 10, 256 << 10), 0, 0.0
+    while mine.word.version < news.index:
+        calls, now = calls + 1, now + 0.1
+        if calls == 2:
+            map = news.state.entries.changed({"Routes/7": {"Host": "new"}}, ["Routes/8"])
+            news.advance(State((1, 6), map))
+        have = mine.word.version
+        body = {"have": have, "wait": 0.1, "part": mine.watches()}
+        answer = watched(cutter, news.since(have), body, now)
+        assert len(cbor2.dumps(answer)) < 300 << 10
+        fresh = mine.watched({**answer, "age": 0.01, "term": 1, "leader": None}, now, now)
+        assert fresh and (mine.age(now) is None or mine.word.version == news.index)
+    assert mine.word.values == news.state.entries.map and 5 < calls < 14
+    assert abs((mine.age(now) or 0.0) - 0.01) < 1e-6
--- a/vise/daemon.py
+++ b/vise/daemon.py
@@ -24,6 +24,7 @@
 from workbench.bench import Callers, serve
 from workbench.events import BROKEN, CRITICAL, ERROR, WARNING, tell
 from workbench.faults import INVALID, UNANSWERED, UNREACHED, UNREADY, Fault
+from workbench.pieces import Cutter
 
 if TYPE_CHECKING:
     from vise.drafts import Drafts
@@ -36,6 +37,7 @@
 WATCH_MOST_S = 30.0
 MERGE_S = 1.0  # between two attempts to have edits of routes merged
 SLOW_S = 0.5  # a write that took so long is told: the whole process has stood still
+WATCH_PIECE = 256 << 10  # bytes; what is smaller packed or not is told whole, as it is
 FLUSH_S = 0.05  # for the last answers to leave before the process ends
 
 
@@ -76,6 +78,16 @@
         return None if keep.vote is None else self._votes.write({"vote": cbor2.dumps([*keep.vote])})
 
 
+def watched(cutter: Cutter, told: dict[str, Any], body: Any, now: float) -> dict[str, Any]:
+    """What a watcher lacks, in pieces if it is large."""
+    if "part" not in body or not told["set"]:
+        return told
+    difference = {"version": told["index"], **told}
+    index = difference.pop("index")
+    cut = cutter.next(body["have"], difference, body["part"], now)
+    return {**cut, "index": index, "late": cut["version"] < index or "part" in cut}
+
+
 def decide_safely(current: Mapping[str, Any], order: Any) -> Work | Settled:
     """A fault in the checks must not take the store down, one leader after the other."""
     try:
@@ -110,6 +122,7 @@
         self._doing = False
         self._folder = folder
         self._drafts: Drafts | None = None
+        self._cutter = Cutter(str(self.member.incarnation), WATCH_PIECE, WATCH_PIECE)
         self._do(self.member.begin(self.clock()))
         if os.path.exists(os.path.join(folder, "edits-b.dat")):  # the shelf's first generation
             self._waiting()
@@ -254,8 +267,9 @@
             gevent.sleep(PAUSE_S)
 
     def watch(self, body: Any) -> Any:
-        """`{have, wait}` -> `{index, set, gone, full, age, term, leader, round}`, once there is more than
-        `have`; `round`: the newest known, with its term."""
+        """`{have, wait, part}` -> `{index, set, gone, full, age, term, leader, round}`, once there is more than
+        `have`; `round`: the newest known, with its term. Who tells a `part` can join pieces: a large one comes
+        as `workbench.pieces` tells it."""
         try:
             have, wait = int(body["have"]), min(float(body["wait"]), WATCH_MOST_S)
         except (LookupError, TypeError, ValueError):
@@ -267,7 +281,10 @@
         age = self.clock() - news.lease
         known = age if age != float("inf") else None
         told = {"age": known, "term": self.member.vote.term, "leader": self.member.leader}
-        return {**news.since(have), **told, "round": [*self.member.round_known()]}
+        return {
+            **watched(self._cutter, news.since(have), body, self.clock()), **told,
+            "round": [*self.member.round_known()],
+        }  # fmt: skip
 
 
 def stop_on_broken(hub: Any) -> None:
