--- a/dovetail/catching.py
+++ b/dovetail/catching.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from multiprocessing import Pool
 from typing import Any
 
@@ -18,6 +19,7 @@
 from dovetail.figures import Spread
 from dovetail.world import ZONES
 from vise.interface import Settled, Work
+from vise.mending import Mending
 from vise.orders import TAKEN, TAKEN_MOST
 from workbench.faults import INVALID, Fault
 
@@ -59,7 +61,8 @@
     acked: int  # changes acknowledged while it was away
     acked_after: int  # and afterwards
     wanted_after: int  # and how many would have come at the rate
-    leader_ms: float  # processor time of the leader's core after its return, by change
+    leader_ms: float  # processor time of the leader's core from its return on, by change
+    payloads_ms: float  # of which for what all others are sent
 
 
 class Lines(Net):
@@ -108,6 +111,25 @@
         self.spent += time.process_time() - began
 
 
+@contextmanager
+def timed() -> Iterator[list[float]]:
+    """s of processor time that leaders spend on payloads while it lasts."""
+    spent: list[float] = []
+    real = Mending.next
+
+    def next_(self: Mending, *what: Any) -> bytes | bool:
+        began = time.process_time()
+        found = real(self, *what)
+        spent.append(time.process_time() - began)
+        return found
+
+    Mending.next = next_  # type: ignore[method-assign]
+    try:
+        yield spent
+    finally:
+        Mending.next = real  # type: ignore[method-assign]
+
+
 def decide(map: Mapping[str, Any], order: Any) -> Work | Settled:
     """`{set, base}`: on the version that is current."""
     version, base = int(map.get("Version", "0"), 16), order["base"]
@@ -284,21 +306,24 @@
         machine.powered = True
         self.net.rates[name], self.net.far[name] = case.mbit * 1e6 / 8, case.far_s
         self.net.sent.clear()
-        spent = sum(self.store(one).spent for one in self.names if one != name)
+        leader = self.leader()
+        assert leader is not None
+        spent = self.store(leader).spent
         since, acked, last, worst = self.loop.now, len(self.acked), self.loop.now, 0.0
         self.store(name).start()
-        while self.loop.now < since + case.after_s:
-            self.run(0.01)
-            late = self.late(name)
-            worst = max(worst, late)
-            if late > LATE_S or not self.votes(name):
-                last, worst = self.loop.now, 0.0
+        with timed() as payloads:
+            while self.loop.now < since + case.after_s:
+                self.run(0.01)
+                late = self.late(name)
+                worst = max(worst, late)
+                if late > LATE_S or not self.votes(name):
+                    last, worst = self.loop.now, 0.0
         level = last - since if self.loop.now - last > 1.0 else float("inf")
         after = len(self.acked) - acked
         sent = self.net.sent.get(name, [])
-        core = sum(self.store(one).spent for one in self.names if one != name) - spent
+        core = self.store(leader).spent - spent
         return Found(level, worst, sum(sent), len(sent), away, after, round(case.rate * case.after_s),
-                     1000 * core / max(1, after))  # fmt: skip
+                     1000 * core / max(1, after), 1000 * sum(payloads) / max(1, after))  # fmt: skip
 
 
 def played(case: Case) -> Found:
@@ -332,10 +357,10 @@
 
 
 def table(seeds: range, jobs: int) -> Iterator[str]:
-    """Least, median, most: s until level, the lateness after, kB and calls, ms of the others' processors."""
-    heads = "level, s", "late after, s", "kB sent to it", "calls", "acknowledged after"
+    """Least, median, most: s until level, how late after, kB, calls, ms of the leader's processor."""
+    heads = "level, s", "late after, s", "kB sent to it", "calls", "leader, ms a change", "acknowledged"
     yield f"| {len(seeds)} seeds; least, **median**, most | {' | '.join(heads)} |"
-    yield "| --- | --- | --- | --- | --- | --- |"
+    yield "| --- | --- | --- | --- | --- | --- | --- |"
     tasks = [Case(**{**more, "seed": seed}) for more in ROWS.values() for seed in seeds]
     with Pool(jobs) as pool:
         played_ = pool.imap(played, tasks, chunksize=1)
@@ -346,6 +371,7 @@
                 for values in (
                     [one.level_s for one in found], [one.worst_s for one in found],
                     [one.sent / 1000 for one in found], [one.calls for one in found],
+                    [one.leader_ms for one in found],
                 )
             ]  # fmt: skip
             taken = f"{sum(one.acked_after for one in found)} of {sum(one.wanted_after for one in found)}"
--- a/trials/test_catching_up.py
+++ b/trials/test_catching_up.py
@@ -3,14 +3,17 @@
 import random
 from typing import Any
 
-from ward import each, test
+from ward import each, raises, test
 
 from dovetail import catching
 from dovetail.catching import Case, played
 from trials.mutants import mutated
+from trials.test_vise_agreement import elected, feed, sends
 from vise import changes as kept
 from vise.changes import Changes
-from vise.interface import CHUNK, DELTA, PARTS, RANGES, State, TermIndex
+from vise.interface import (
+    CHUNK, DELTA, LEARNER, PARTS, PROMOTE, RANGES, YES, Answered, State, Submit, TermIndex,
+)  # fmt: skip
 from vise.mending import Copy, Mending
 from vise.news import News
 from vise.ranges import RangedMap
@@ -222,6 +225,44 @@
     assert 0.8 < long / short < 1.25 and 1.5 < more / short < 6, (short, long, more)
 
 
+def promoted(index_held: int, committed: int, proposed: int) -> list[list[Any]]:
+    """What promotes a learner that is said to hold one of a leader's proposals: those since it was heard of
+    are numbered from 1, so many are committed."""
+    one = elected()
+    first = one.state.term_index[1]
+    for peer in "34":
+        feed(one, 2.0, Answered(peer, "append", 2.0, (2, 1, first, True), [2, YES, 5]))
+
+    def heard(held: int) -> list[Any]:
+        body = [2, LEARNER, 6, 77, held == first, None, [2, held]]
+        return feed(one, 2.1, Answered("2", "append", 2.1, (2, 9, held, True), body))
+
+    heard(first)  # it proposes at once what is to be committed without that life
+    for number in range(1, proposed + 1):
+        if number > 1:
+            feed(one, 2.1, Submit(f"c{number}", (number - 2, f"c{number}")))
+        assert one.lead is not None and one.lead.naming.term_index == (2, first + number)
+        if number <= committed:
+            for peer in "34":
+                feed(one, 2.1, Answered(peer, "append", 2.1, (2, 9, first + number, True), [2, YES, 6]))
+    told = heard(first + index_held)
+    payloads = [unpack(send.body[7]) for send in sends(told, "append") if isinstance(send.body[7], bytes)]
+    return [payload for payload in payloads if payload[0] == PROMOTE]
+
+
+@test("a learner is promoted with a committed state, not older than what was committed after it was heard of")
+def _() -> None:
+    assert not promoted(0, 0, 1) and not promoted(0, 2, 2) and not promoted(1, 0, 1) and not promoted(2, 1, 2)
+    assert promoted(1, 1, 1)[0][:2] == [PROMOTE, 77]
+    held = promoted(1, 2, 3)[0]
+    assert held[:3] == [PROMOTE, 77, 2] and promoted(2, 2, 3)[0][3] == held[3] + 1
+    with mutated("promoted with what is not committed"):
+        assert promoted(1, 0, 1) and promoted(2, 1, 2)
+    # It is promoted at once, and nothing is committed before.
+    with mutated("promoted with what was committed before"), raises(AssertionError):
+        promoted(0, 2, 2)
+
+
 @test("broken on purpose, a learner is promoted only with the newest: one that is far never is level")
 def _() -> None:
     with mutated("promoted only with the newest"):
