--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -48,7 +48,7 @@
     return {str(size): found[size] for size in sizes}
 
 
-def _runs(sizes: tuple[int, ...], quick: bool, keep: Callable[[Json], None]) -> None:
+def _runs(sizes: tuple[int, ...], core: int, quick: bool, keep: Callable[[Json], None]) -> None:
     """`keep` is called after each size, so that it stays where a later one does not come to its end."""
     from bench.scale.runs import play
     from bench.scale.site import Options
@@ -62,13 +62,13 @@
         return keep(made)
     for size in [one for one in sizes if one in IN_PROPORTION]:
         _tell(f"{size} gatekeepers, all in proportion")
-        found = made["in proportion"][str(size)] = play(TARGET.part(size), Options(), _tell)
+        found = made["in proportion"][str(size)] = play(TARGET.part(size), Options(core=core), _tell)
         _tell(f"  broken: {found['broken']}")
         keep(made)
     for size in sizes:
         _tell(f"{size} gatekeepers, few objects")
         options = Options(
-            word=FEW, workers=FEW_WORKERS, a_second=A_SECOND, real=1, hosts=2 if size <= 300 else 3
+            core=core, word=FEW, workers=FEW_WORKERS, a_second=A_SECOND, real=1, hosts=2 if size <= 300 else 3
         )
         found = made["few objects"][str(size)] = play(TARGET.part(size), options, _tell)
         _tell(f"  broken: {found['broken']}")
@@ -112,6 +112,7 @@
     parser.add_argument("--out", type=Path, default=OUT)
     parser.add_argument("--sizes", default="")
     parser.add_argument("--repeats", type=int, default=5)
+    parser.add_argument("--core", type=int, default=3, help="core machines of the runs")
     parser.add_argument("--quick", action="store_true", help="one core machine, short windows: does it work?")
     asked = parser.parse_args(words)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))  # what was started is ended on the way out
@@ -130,7 +131,7 @@
     if asked.what in ("all", "compare"):
         _keep(asked.out, "compare", {"by size": _compared(COMPARED if not asked.quick else sizes)})
     if asked.what in ("all", "run"):
-        _runs(sizes, asked.quick, lambda found: _keep(asked.out, "run", found))
+        _runs(sizes, asked.core, asked.quick, lambda found: _keep(asked.out, "run", found))
     return 0
 
 
