--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -135,14 +135,20 @@
     return table(head, [row for _, row in rows])
 
 
+def _calm(one: Json) -> Json:
+    """The window with nothing to tell: before all that befalls the run, where it has one of these."""
+    found: Json = one.get("calm") or next(iter(one.get("windows", [])), {})
+    return found
+
+
 def processes_table(found: Json) -> str:
     """Few objects: what gatekeepers alone cost, nothing new to tell."""
     rows, points = [], dict[str, list[tuple[float, float]]]()
     for size, one in found["run"]["few objects"].items():
-        if not one.get("windows"):
-            rows.append([f"{int(size):,}", "; ".join(one["broken"]) or "-", *[""] * 9])
+        if not _calm(one):
+            rows.append([f"{int(size):,}", "; ".join(one["broken"]) or "-", *[""] * 10])
             continue
-        idle = one["windows"][0]
+        idle = _calm(one)
         registry, store, gate = idle["pegboard"], idle["vise"], idle.get("lathe", {})
         pulls = idle["gatekeepers"]["pulls_s"]
         hollow = idle["hollow"]["kinds"].get("pull", {})
@@ -154,6 +160,7 @@
         rows.append(
             [
                 f"{int(size):,}",
+                str(one["core"]),
                 shown(pulls / count),
                 shown(sent),
                 shown(received),
@@ -168,6 +175,7 @@
         )
     head = [
         "gatekeepers",
+        "core machines",
         "pulls/s of one",
         "its bytes/s out",
         "in",
@@ -197,17 +205,18 @@
     for size, one in found["run"]["few objects"].items():
         start, change, loss, churn = (one.get(key) or {} for key in ("start", "change", "loss", "churn"))
         more = ""
-        if churn and one.get("windows"):
+        if churn and _calm(one):
             count = one["size"]["gatekeepers"] - one["real"]
             hosts = churn["hollow"]["processes"]
             extra = (
                 churn["hollow"]["kinds"]["pull"]["received_s"]
-                - one["windows"][0]["hollow"]["kinds"]["pull"]["received_s"]
+                - _calm(one)["hollow"]["kinds"]["pull"]["received_s"]
             )
-            more = shown(extra * hosts / count / churn["rate"])
+            more = shown(extra * hosts / count / churn["rate"]) if extra > 0 else "not seen"
         rows.append(
             [
                 f"{int(size):,}",
+                str(one["core"]),
                 shown(one.get("core_up_s")),
                 f"{shown(start.get('half_s'))} / {shown(start.get('all_s'))}",
                 shown(change.get("s")),
@@ -221,6 +230,7 @@
         )
     head = [
         "gatekeepers",
+        "core machines",
         "core up, s",
         "a gatekeeper ready, s: half / last",
         "change: acknowledged, s",
@@ -255,7 +265,7 @@
                         shown(told["wait_ms"]),
                         shown(told["missed_s"]),
                         f"{told['ready']} of {count}",
-                        shown(told["proof_age_s"]),
+                        "none" if told["proof_age_s"] >= 1e6 else shown(told["proof_age_s"]),
                     ]
                 )
     head = [
--- a/bench/scale/runs.py
+++ b/bench/scale/runs.py
@@ -265,6 +265,8 @@
     made["start"] = until_ready(site, starts, within)
     tell(f"  start {made['start']}")
     gevent.sleep(options.settle)
+    made["calm"] = window(site)
+    tell(f"  calm: {made['calm']['gatekeepers']} registry {made['calm']['pegboard']['core']}")
     made["change"] = in_force(site)
     tell(f"  change { ({**made['change'], 'used': '-'}) }")
     if site.workers is not None and options.churn:
