Learn from the heard who asks more than a quota, not who found room under it

A request let in unasked of a customer that asks more than its quota earns nothing even where room is left: the room goes to one that is heard. So the heard tell whether their customer keeps to its quota by what is asked, by number of requests here, and by plan where enough were heard; the constant for tries that come again goes.

--- a/mintfront/control.py
+++ b/mintfront/control.py
@@ -15,7 +15,7 @@
     Send, ServerList, Settings, SetTimer, Sharing, StreamStarted, Subscribe, Timer,
 )  # fmt: skip
 from mintfront.overload import PRESSED
-from mintfront.quota import HARD_FACTOR
+from mintfront.quota import HARD_FACTOR, HEARD_KEPT
 from mintfront.servers import HANG_PASSED, LIST_PAUSE_MS, Servers
 from mintfront.state import Attempt, Customer, Live, ServerView
 
@@ -129,8 +129,8 @@
             customer.open -= live.reserved
             if live.ask.request in self.live:
                 self._decide(now, live, self._admit(now, live))
-                if customer.read_at == now:
-                    self._hear(customer, live.inside)
+                for tally in self._likes(customer) if customer.read_at == now else ():
+                    tally.add(self._seen(now, customer)[0] <= customer.plan.burst, HEARD_KEPT)
                 self._enter(now, live)
         if customer.plan.rate <= 0:
             self._open_changed(customer)
--- a/mintfront/quota.py
+++ b/mintfront/quota.py
@@ -9,9 +9,8 @@
 FADE_WINDOWS = 2.0  # windows after which a reading says nothing: most customers are calm most of the time
 FADE_GAPS = 6.0  # gaps between requests here, if longer: a customer seen seldom is read seldom
 HEARD_KEPT = 0.98  # of what the heard have shown, each heard one: some fifty of them weigh
-HEARD_FIRST = 3.0  # heard ones of its own kind that weigh as much as all others together
+HEARD_FIRST = 3.0  # heard ones of its own kind that weigh as much as all those of a wider one
 FEW = 3  # requests of a customer here from which on more of them tell nothing new
-COMES_AGAIN = 1 / 3  # of the worth of a refused request comes back with its next try, where advice is given
 OPEN_STALE_MS = 1_500.0  # ms after which a count of open attempts is no longer believed
 
 
@@ -60,18 +59,19 @@
             return False
         return live.chance >= window.suppression(plan.rate, customer.window, total, last)
 
-    def _hear(self, customer: Customer, inside: bool) -> None:
-        """Learn from a request whose count was awaited what others like it would have found."""
-        for key in (None, (customer.plan, min(customer.tries, FEW))):
-            self.inside.setdefault(key, Tally()).add(inside, HEARD_KEPT)
+    def _likes(self, customer: Customer) -> list[Tally]:
+        """What the heard have shown: all, those who came as often here, and those of them of its plan."""
+        often = min(customer.tries, FEW)
+        return [self.within.setdefault(key, Tally()) for key in (None, often, (customer.plan, often))]
 
     def _worth_a_guess(self, customer: Customer) -> bool:
         """Whether a request that no call can ask for earns more, by what the heard ones like it showed, than
-        it is charged beyond the quota. Who comes often to one gateway of many is most likely over it."""
-        plan, every = customer.plan, self.inside.get(None, Tally()).share(1.0, HEARD_FIRST)
-        share = self.inside.get((plan, min(customer.tries, FEW)), Tally()).share(every, HEARD_FIRST)
-        lost = 1 - COMES_AGAIN * self.settings.retry_after
-        return share * lost >= (1 - share) * (plan.over_cost - plan.over_worth)
+        it is charged beyond the quota. Where more is asked than the quota holds, it earns nothing: the room
+        goes to the heard. Who comes often to one gateway of many mostly asks too much at all of them."""
+        plan, share = customer.plan, 1.0
+        for tally in self._likes(customer):
+            share = tally.share(share, HEARD_FIRST)
+        return share >= (1 - share) * (plan.over_cost - plan.over_worth)
 
     def _record(self, now: float, customer: Customer, asked: float, accepted: float) -> None:
         window.record(customer.buckets, now, asked, accepted)
--- a/mintfront/state.py
+++ b/mintfront/state.py
@@ -182,7 +182,7 @@
         self.unseen = 1 - 1 / math.sqrt(settings.group_size)
         self.suspects: dict[str, ServerView] = {}  # left out until a probe (or else a request) is answered
         self.failed = 0  # calls to the counter in a row
-        self.inside: dict[tuple[Plan, int] | None, Tally] = {}  # of the heard; by plan and number
+        self.within: dict[tuple[Plan, int] | int | None, Tally] = {}  # of the heard: who keeps to the quota
         self.untold: dict[Plan, tuple[float, float]] = {}  # units that no call could tell of
         self.failing_at = math.inf  # when the counter last began to fail
         self.parts = 1  # processes that this gateway runs as, side by side
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -149,7 +149,7 @@
     # With all of the unheard let in and untold, 25 to 28 in 100 went beyond. Turning all of them away is no
     # mend either: what is left of the worth, less what is charged, must be as much as it was.
     assert over <= 0.21 * let_in
-    assert let_in - over - QUOTAS.plans[0].over_cost * over >= 1450
+    assert let_in - over - QUOTAS.plans[0].over_cost * over >= 1600
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
