--- a/trials/test_catching_up.py
+++ b/trials/test_catching_up.py
@@ -8,11 +8,11 @@
 from dovetail import catching
 from dovetail.catching import Case, played
 from trials.mutants import mutated
-from trials.test_vise_agreement import elected, feed, sends
+from trials.test_vise_agreement import elected, feed, held, member, sends
 from vise import changes as kept
 from vise.changes import Changes
 from vise.interface import (
-    CHUNK, DELTA, LEARNER, PARTS, PROMOTE, RANGES, YES, Answered, State, Submit, TermIndex,
+    CHUNK, DELTA, LEARNER, PARTS, PROMOTE, RANGES, YES, Answered, Called, State, Submit, TermIndex, Vote,
 )  # fmt: skip
 from vise.mending import Copy, Mending
 from vise.news import News
@@ -254,8 +254,8 @@
 def _() -> None:
     assert not promoted(0, 0, 1) and not promoted(0, 2, 2) and not promoted(1, 0, 1) and not promoted(2, 1, 2)
     assert promoted(1, 1, 1)[0][:2] == [PROMOTE, 77]
-    held = promoted(1, 2, 3)[0]
-    assert held[:3] == [PROMOTE, 77, 2] and promoted(2, 2, 3)[0][3] == held[3] + 1
+    older = promoted(1, 2, 3)[0]
+    assert older[:3] == [PROMOTE, 77, 2] and promoted(2, 2, 3)[0][3] == older[3] + 1
     with mutated("promoted with what is not committed"):
         assert promoted(1, 0, 1) and promoted(2, 1, 2)
     # It is promoted at once, and nothing is committed before.
@@ -263,6 +263,24 @@
         promoted(0, 2, 2)
 
 
+def learnt(term: int, index: int, commit: int) -> int:
+    """The index known to be committed at a member that holds this, once the leader of term 2 has told one."""
+    state = State((term, index), held().entries)
+    one = member(Vote(term, "2", True), state)
+    feed(one, 5.0, Called("r", "append", [2, "2", 1, 9, commit, 0, 0, None]))
+    return one.news.index
+
+
+@test("a state of the leader's own term at or below its commit is committed, one of another term is not")
+def _() -> None:
+    assert learnt(2, 5, 5) == learnt(2, 5, 8) == 5
+    assert learnt(2, 5, 4) == learnt(1, 3, 3) == learnt(1, 3, 8) == learnt(2, 5, 0) == 0
+    with mutated("learnt by index alone"):
+        assert learnt(1, 3, 8) == 3
+    with mutated("a later state taken for committed"):
+        assert learnt(2, 5, 4) == 5
+
+
 @test("broken on purpose, a learner is promoted only with the newest: one that is far never is level")
 def _() -> None:
     with mutated("promoted only with the newest"):
