--- a/pegboard/records.py
+++ b/pegboard/records.py
@@ -12,6 +12,7 @@
 DRAINING: Final = "draining"
 GONE: Final = "gone"  # said by DELETE: final
 GONE_SEQ: Final = 1 << 40  # above every CallSeq, so that nothing later speaks for a worker that has left
+LAPSED_S: Final = 60.0  # s that a worker whose lease has ended is remembered
 ALIKE_S: Final = 0.3  # s: beats are told late by so much; an end of warming that moves by less is the same
 
 
@@ -49,6 +50,33 @@
         )
 
 
+@attrs.define
+class Beats:
+    """What a worker last said here."""
+
+    at: float
+    seq: int
+
+
+class Lapsed:
+    """Workers whose lease has ended, each as it last said: a call that comes late is told from news."""
+
+    def __init__(self) -> None:
+        self._last: dict[str, tuple[float, Worker]] = {}
+
+    def add(self, key: str, said: Worker | None, seq: int, now: float) -> None:
+        if said is not None:
+            self._last[key] = now, attrs.evolve(said, seq=seq)
+
+    def late(self, key: str, said: Worker) -> bool:
+        """Whether this was said before the last word of that life; one that starts anew stands elsewhere."""
+        _, last = self._last.get(key, (0.0, said))
+        return said.seq < last.seq and said.address == last.address
+
+    def tick(self, now: float) -> None:
+        self._last = {key: one for key, one in self._last.items() if now - one[0] <= LAPSED_S}
+
+
 def worker(record: dict[str, Any], now: float) -> Worker:
     """From another registry's record, heard now."""
     fields = dict(record)
--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -10,7 +10,7 @@
 import attrs
 
 from pegboard.lookup import Looks
-from pegboard.records import GONE, GONE_SEQ, Session, Worker, worker
+from pegboard.records import GONE, GONE_SEQ, Beats, Lapsed, Session, Worker, worker
 from pegboard.source import SUM, Difference, Source
 from pegboard.tallies import Said, Tallies
 from workbench.faults import INVALID, UNREADY, Fault
@@ -22,7 +22,6 @@
 SESSION_S: Final = 2.0  # a gatekeeper's lease from its last pull
 SILENT_S: Final = 5.0  # a source that is silent for so long is dropped
 GRAVE_S: Final = 30.0  # a DELETE is remembered for so long
-LAPSED_S: Final = 60.0  # and the newest CallSeq of a worker whose lease has ended
 NAMED_S: Final = 1.0  # a source heard within this is named as alive: askers count its silence from then on
 EAGER_S: Final = 1.0  # a proof not older than this ends the wait of one that has none
 PROOF_S: Final = 10.0  # an older proof says nothing
@@ -61,14 +60,6 @@
     source: Source = attrs.field(factory=Source)
 
 
-@attrs.define
-class Beats:
-    """What a worker last said here."""
-
-    at: float
-    seq: int
-
-
 @attrs.define
 class Pulls:
     """A gatekeeper's calls: the last, those open, and the last add by incarnation."""
@@ -94,7 +85,7 @@
         self._callers: dict[str, float] = {}  # IPs of registries that called, and when
         self._beats: dict[str, Beats] = {}
         self._graves: dict[str, float] = {}
-        self._lapsed: dict[str, tuple[float, int]] = {}  # workers whose lease ended here: when, and CallSeq
+        self._lapsed = Lapsed()
         self._pulls: dict[str, Pulls] = {}
         self._tallies = Tallies(self.own, self._slots)
         self._looks = Looks(self.sessions)
@@ -109,8 +100,8 @@
         """A worker's call; False: it came late and is not taken."""
         name = f"w/{key}"
         newest, mine, beats = self._newest(name), self.own.values.get(name), self._beats.get(key)
-        seqs = (newest.seq if newest else 0, beats.seq if beats else 0, self._lapsed.get(key, (0.0, 0))[1])
-        if said.seq < max(seqs):
+        last = max(newest.seq if newest else 0, beats.seq if beats else 0)
+        if said.seq < last or self._lapsed.late(key, said):
             return False
         self._beats[key] = Beats(now, said.seq)
         if not (mine and newest and mine.says(said, now) and newest.says(said, now)):
@@ -218,7 +209,8 @@
             if difference:
                 found[name] = self._wire(difference, now)
                 if difference.full:
-                    found[name]["run"] = round(now - self._born(name), 2)
+                    began = self.copies[name].born if name in self.copies else self._began
+                    found[name]["run"] = round(now - began, 2)
         if self.word.version and (difference := self.word.since(have.get(WORD))):
             told = found[WORD] = self._wire(difference, now)
             if body.get("packs"):
@@ -243,9 +235,6 @@
         born = [copy.born for copy in self.copies.values() if not self._late(copy.heard, NAMED_S, now)]
         return round(now - max(self._began, self._awake, *born), 2)
 
-    def _born(self, source: str) -> float:
-        return self.copies[source].born if source in self.copies else self._began
-
     def _members(self) -> int:
         """Gatekeepers with a record, counted once for each piece of news."""
         if self._counted[0] != self.news:
@@ -437,9 +426,9 @@
             self._awake = now
         lease = BEATS * self.me.heartbeat
         for key in [key for key, one in self._beats.items() if self._late(one.at, lease, now)]:
-            self._lapsed[key] = now, self._beats.pop(key).seq
+            self._lapsed.add(key, self.own.values.get(f"w/{key}"), self._beats.pop(key).seq, now)
             self._drop(f"w/{key}")
-        self._lapsed = {key: one for key, one in self._lapsed.items() if now - one[0] <= LAPSED_S}
+        self._lapsed.tick(now)
         for key in [key for key, at in self._graves.items() if now - at > GRAVE_S]:
             del self._graves[key]
             self._drop(f"w/{key}")
