Spill: a usual latency never falls below a millisecond; below nothing, requests were dropped

Crew._cost then raised (exp of a large figure), and the client's connection was closed with its request read and no answer given.

Change: the usual latency is at least LEAST_S.

--- a/lathe/spill.py
+++ b/lathe/spill.py
@@ -14,6 +14,7 @@
 USUAL_GAIN = 0.05  # weight of one answer in a route's usual latency
 USUAL_LEAK = 0.005  # the same while the region lags
 CALM = 0.25  # x usual: with less lag, a region's answers are usual ones
+LEAST_S = 0.001  # a usual latency is never called less: what is learnt from quicker answers must not pass 0
 FIRST = 30  # answers that count as usual, whatever the lag
 EXCESS_MOST = 6.0  # x usual, the most that one answer lags
 RISK_AT = 0.8  # x aim: a mean latency at which answers are late as often as not
@@ -84,7 +85,7 @@
         custom = self._customs.get(route)
         if custom is None:
             custom = self._customs[route] = Custom(aim / 4)
-        usual = max(0.001, custom.latency)
+        usual = custom.latency = max(LEAST_S, custom.latency)
         quickest = self._quickest[service] = min(usual, self._quickest.get(service, usual) * 1.01)
         lag = self._lags.setdefault((service, region), Lag())
         gain = LAG_GAIN * quickest / usual
@@ -96,7 +97,8 @@
         custom.size += SIZE_GAIN * (size - custom.size)
         calm = custom.answers <= FIRST or lag.s < CALM * usual
         if region == self._region or custom.answers <= FIRST:
-            custom.latency += (USUAL_GAIN if calm else USUAL_LEAK) * (min(waited, 4 * usual) - usual)
+            gain = USUAL_GAIN if calm else USUAL_LEAK
+            custom.latency = max(LEAST_S, usual + gain * (min(waited, 4 * usual) - usual))
 
     def cost(self, now: float, service: str, region: str, route: str, aim: float, repeatable: bool,
              wait: float) -> float:  # fmt: skip
--- a/trials/test_overload.py
+++ b/trials/test_overload.py
@@ -126,3 +126,13 @@
         now = 100.0 + 0.5 * step
         registry.tick(now)
     assert "o/w" not in registry.own.values
+
+
+@test("crew: answers that come in no time leave a usual latency above nothing, and workers can be chosen")
+def _() -> None:
+    made = crew()
+    for at in range(2000):
+        made.answered(6.0 + at / 1000, made.views["a1"], LOOK, 0.0002, 500)
+    made.sent(8.0, made.views["a1"])
+    assert 0 < made.usual(LOOK) < 0.002
+    assert len(made.order(12.0, made.open("board", (), ()), LOOK)) == 4
