--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -5,6 +5,7 @@
 
 import math
 import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, Final
 
@@ -14,6 +15,7 @@
 
 Json = dict[str, Any]
 Row = list[str]
+FEW: Final = "few objects"
 _MARK: Final = re.compile(r"(<!-- scale: ([a-z ]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
 
@@ -135,6 +137,13 @@
     return table(head, [row for _, row in rows])
 
 
+def _runs(found: Json, kinds: str = "") -> Iterator[tuple[str, str, Json]]:
+    """Kind, size and run of all kinds that begin so, trials behind."""
+    for kind, sizes in found["run"].items():
+        if isinstance(sizes, dict) and kind.startswith(kinds):
+            yield from ((kind, size, one) for size, one in sizes.items())
+
+
 def _calm(one: Json) -> Json:
     """The window with nothing to tell: before all that befalls the run, where it has one of these."""
     found: Json = one.get("calm") or next(iter(one.get("windows", [])), {})
@@ -144,9 +153,9 @@
 def processes_table(found: Json) -> str:
     """Few objects: what gatekeepers alone cost, nothing new to tell."""
     rows, points = [], dict[str, list[tuple[float, float]]]()
-    for size, one in found["run"]["few objects"].items():
+    for kind, size, one in _runs(found, FEW):
         if not _calm(one):
-            rows.append([f"{int(size):,}", "; ".join(one["broken"]) or "-", *[""] * 10])
+            rows.append([kind, f"{int(size):,}", "; ".join(one["broken"]) or "-", *[""] * 10])
             continue
         idle = _calm(one)
         registry, store, gate = idle["pegboard"], idle["vise"], idle.get("lathe", {})
@@ -159,6 +168,7 @@
             points.setdefault(name, []).append((each, value))
         rows.append(
             [
+                kind,
                 f"{int(size):,}",
                 str(one["core"]),
                 shown(pulls / count),
@@ -174,6 +184,7 @@
             ]
         )
     head = [
+        "run",
         "gatekeepers",
         "core machines",
         "pulls/s of one",
@@ -202,7 +213,7 @@
 def events_table(found: Json) -> str:
     """Few objects: a start in turn, a change, workers that restart, a core machine lost."""
     rows = []
-    for size, one in found["run"]["few objects"].items():
+    for kind, size, one in _runs(found, FEW):
         start, change, loss, churn = (one.get(key) or {} for key in ("start", "change", "loss", "churn"))
         more = ""
         if churn and _calm(one):
@@ -215,6 +226,7 @@
             more = shown(extra * hosts / count / churn["rate"]) if extra > 0 else "not seen"
         rows.append(
             [
+                kind,
                 f"{int(size):,}",
                 str(one["core"]),
                 shown(one.get("core_up_s")),
@@ -229,6 +241,7 @@
             ]
         )
     head = [
+        "run",
         "gatekeepers",
         "core machines",
         "core up, s",
@@ -247,27 +260,26 @@
 def rates_table(found: Json) -> str:
     """Sums: what tenants' counts cost, by size and share of the requests in proportion."""
     rows = []
-    for kind in ("few objects", "in proportion"):
-        for size, one in found["run"].get(kind, {}).items():
-            for window in one.get("windows", []):
-                told, count = window["gatekeepers"], one["size"]["gatekeepers"] - one["real"]
-                hosts, hollow = window["hollow"]["processes"], window["hollow"]["kinds"].get("pull", {})
-                rows.append(
-                    [
-                        kind,
-                        f"{int(size):,}",
-                        f"{window['rate']:g}",
-                        shown(told["entries_s"] / max(1.0, told["pulls_s"])),
-                        shown(hollow.get("received_s", 0.0) * hosts / count),
-                        shown(window["pegboard"]["core"]),
-                        shown(window["pegboard"]["core_most"]),
-                        shown(window["hollow"]["core_most"]),
-                        shown(told["wait_ms"]),
-                        shown(told["missed_s"]),
-                        f"{told['ready']} of {count}",
-                        "none" if told["proof_age_s"] >= 1e6 else shown(told["proof_age_s"]),
-                    ]
-                )
+    for kind, size, one in _runs(found):
+        for window in one.get("windows", []):
+            told, count = window["gatekeepers"], one["size"]["gatekeepers"] - one["real"]
+            hosts, hollow = window["hollow"]["processes"], window["hollow"]["kinds"].get("pull", {})
+            rows.append(
+                [
+                    kind,
+                    f"{int(size):,}",
+                    f"{window['rate']:g}",
+                    shown(told["entries_s"] / max(1.0, told["pulls_s"])),
+                    shown(hollow.get("received_s", 0.0) * hosts / count),
+                    shown(window["pegboard"]["core"]),
+                    shown(window["pegboard"]["core_most"]),
+                    shown(window["hollow"]["core_most"]),
+                    shown(told["wait_ms"]),
+                    shown(told["missed_s"]),
+                    f"{told['ready']} of {count}",
+                    "none" if told["proof_age_s"] >= 1e6 else shown(told["proof_age_s"]),
+                ]
+            )
     head = [
         "run",
         "gatekeepers",
@@ -287,32 +299,29 @@
 
 def broken_table(found: Json) -> str:
     rows = []
-    for kind in ("in proportion", "few objects"):
-        for size, one in found["run"].get(kind, {}).items():
-            start = one.get("start") or {}
-            puts = "; ".join(
-                f"{put['tenants']:,} tenants: {put['status'] or 'no answer'} in {put['s']} s"
-                for put in one.get("puts", [])
-            )
-            ready = (
-                f"{start.get('ready', '-')} of {start.get('wanted', '-')}, last {shown(start.get('all_s'))} s"
-            )
-            again = (
-                f"{shown(one['recovered_s'])} s"
-                if one.get("recovered_s") is not None
-                else ("no" if "recovered_s" in one else "-")
-            )
-            rows.append(
-                [
-                    kind,
-                    f"{int(size):,}",
-                    puts,
-                    ready,
-                    "; ".join(one["broken"]) or "nothing",
-                    again,
-                    f"{one['load_before']:.0f}, {one['load_after']:.0f}",
-                ]
-            )
+    for kind, size, one in _runs(found):
+        start = one.get("start") or {}
+        puts = "; ".join(
+            f"{put['tenants']:,} tenants: {put['status'] or 'no answer'} in {put['s']} s"
+            for put in one.get("puts", [])
+        )
+        ready = f"{start.get('ready', '-')} of {start.get('wanted', '-')}, last {shown(start.get('all_s'))} s"
+        again = (
+            f"{shown(one['recovered_s'])} s"
+            if one.get("recovered_s") is not None
+            else ("no" if "recovered_s" in one else "-")
+        )
+        rows.append(
+            [
+                kind,
+                f"{int(size):,}",
+                puts,
+                ready,
+                "; ".join(one["broken"]) or "nothing",
+                again,
+                f"{one['load_before']:.0f}, {one['load_after']:.0f}",
+            ]
+        )
     return table(
         [
             "run",
@@ -408,8 +417,8 @@
     axes[0].legend(fontsize=8)
     few = [
         (int(size), one["windows"])
-        for size, one in found.get("run", {}).get("few objects", {}).items()
-        if one.get("windows")
+        for kind, size, one in (_runs(found, FEW) if "run" in found else ())
+        if kind == FEW and one.get("windows")
     ]
     for rate in sorted({window["rate"] for _, windows in few for window in windows}):
         points = [
