Catching up: a learner with nothing is sent the map once, not twice

Cause: index 0 was taken for a state that the leader had held (the seeds' first), so a wiped disk was first sent the whole as a delta and refused it.

--- a/dovetail/cell.py
+++ b/dovetail/cell.py
@@ -28,7 +28,7 @@
 PLAIN: Final = (int, str, bytes, bool, type(None))
 IDLE: Final = frozenset(  # of a member between two events, or for good
     ("now", "effects", "write_s", "_kept_from", "_keeping", "_deferred", "me", "seeds", "decide", "chance",
-     "_packed", "_ranged", "_listed")
+     "_packed", "_ranged")
 )
 MUTABLE: Final = (Member, Lead, Peer, Attempt, News, Changes, Mending, Copy)
 
--- a/vise/leading.py
+++ b/vise/leading.py
@@ -143,7 +143,8 @@
         elif code == BEHIND:
             digests, *told = more
         if newest:
-            peer.copy.stands((self.term, index) if holds else (*told[0],) if told else None)
+            named = told and told[0][1] > 0  # index 0 is of one that has nothing, and of the seeds at first
+            peer.copy.stands((self.term, index) if holds else (*told[0],) if named else None)
         if code == LEARNER:
             self._learner(ip, peer, incarnation)
         else:
