--- a/trials/test_orders_answered.py
+++ b/trials/test_orders_answered.py
@@ -17,7 +17,7 @@
 from workbench.bench import Callers, serve
 from workbench.faults import UNREADY, Fault
 
-STEP = 17  # bytes between two tries of a trouble: test_frames tries each
+STEP = 11  # bytes between two tries of a trouble: test_frames tries each
 MOST = 150  # and some more than a call and its answer have
 
 
--- a/vise/seat.py
+++ b/vise/seat.py
@@ -11,6 +11,7 @@
 from vise.interface import Effect, Keep, Reply, Send, State, Tell, TermIndex, Vote
 from vise.membership import MEMBERS, named
 from vise.news import News
+from vise.ranges import RangedMap
 
 WRITE_MOST_S = 0.4  # a slower disk is not waited for by others
 
