--- a/pegboard/registry.py
+++ b/pegboard/registry.py
@@ -209,8 +209,8 @@
             if difference:
                 found[name] = self._wire(difference, now)
                 if difference.full:
-                    began = self.copies[name].born if name in self.copies else self._began
-                    found[name]["run"] = round(now - began, 2)
+                    born = self.copies[name].born if name in self.copies else self._began
+                    found[name]["run"] = round(now - born, 2)
         if self.word.version and (difference := self.word.since(have.get(WORD))):
             told = found[WORD] = self._wire(difference, now)
             if body.get("packs"):
