--- a/dovetail/cell.py
+++ b/dovetail/cell.py
@@ -164,8 +164,8 @@
     budgets: dict[Kind, int] = field(factory=dict)
     most: int = 1
     # `put BASE NAME...` (at once), `again` (the last one), `read`, `zone +` or `-` (evacuated, taken back),
-    # `add IP`, `remove IP` (or leader), `replace IP`: at all that lead, one after another. `held +`: a call that
-    # its client gives up and that arrives after that.
+    # `add IP`, `remove IP` (or leader), `replace IP`: at all that lead, one after another. `held +`: a call
+    # that its client gives up and that arrives after that.
     script: tuple[str, ...] = ()
     span: float = 0.1  # s in which trouble comes; then the cell must agree (`AGREE`)
     first: bool = False  # from the very first start; else from a leader with all members voting
