--- a/trials/known_red.py
+++ b/trials/known_red.py
@@ -1,9 +1,11 @@
 """Which tests may fail in CI: those named in KNOWN-RED.txt, and no others.
 
 A line there is `TEST | CAUSE | ISSUE`, TEST as it is told below: of ward `trials/test_X.py: title` (with
-its number if it has several cases alike), of pytest `tests/test_y.py: name`. `python -m trials.known_red LIST
-REPORTS` judges what a run has left in the folder REPORTS: `*.tsv`, lines of outcome and test (written by the hook
-below, which ward calls), and `*.xml` of pytest. `exits` there: a command's exit status and its test file.
+its number if it has several cases alike), of pytest `tests/test_y.py: name`.
+
+`python -m trials.known_red LIST REPORTS` judges what a run has left in the folder REPORTS: `*.tsv`, lines of
+outcome and test (written by the hook below, which ward calls), and `*.xml` of pytest; `exits`: a command's
+exit status and its test file.
 """
 
 import os
