--- a/ashlift/config/routing_table.py
+++ b/ashlift/config/routing_table.py
@@ -42,6 +42,10 @@
     anonymous: bool
     home_regions: frozenset[str]
 
+    def allows_region(self, region: str) -> bool:
+        """Whether its requests may be served in that region."""
+        return not self.home_regions or region in self.home_regions
+
 
 class Service(NamedTuple):
     """One service. `max_connections`: of one worker, 0: not limited. `warmup`: slow start, s.
--- /dev/null
+++ b/ashlift/metrics.py
@@ -0,0 +1,51 @@
+"""Counters of one process, and their text in the exposition format of Prometheus. Pure.
+
+Written here rather than taken from a client library: the libraries load an HTTP server and OpenSSL with them,
+and after the loss of all machines everybody waits for the programs' starts.
+"""
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Final
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+NAME_PREFIX: Final = "ashlift_"
+
+LabelledValues = Mapping[str, float]  # by the value of the metric's only label
+
+
+class Metric:
+    """One metric: a value for each value of its label. `read` is called for each scrape."""
+
+    def __init__(self, name: str, kind: str, label: str, help_text: str) -> None:
+        """`name`: without the prefix. `kind`: "counter" or "gauge"."""
+        self.name = NAME_PREFIX + name
+        self.kind = kind
+        self.label = label
+        self.help_text = help_text
+
+    def render(self, values: LabelledValues) -> Iterator[str]:
+        """The lines of this metric."""
+        yield f"# HELP {self.name} {self.help_text}"
+        yield f"# TYPE {self.name} {self.kind}"
+        for label_value, value in sorted(values.items()):
+            yield f'{self.name}{{{self.label}="{_escape(label_value)}"}} {value:g}'
+
+
+class MetricsRegistry:
+    """The metrics of a process, each with the function that reads its values."""
+
+    def __init__(self) -> None:
+        self._metrics: list[tuple[Metric, Callable[[], LabelledValues]]] = []
+
+    def add(self, metric: Metric, read: Callable[[], LabelledValues]) -> None:
+        """Show a metric from now on."""
+        self._metrics.append((metric, read))
+
+    def render(self) -> str:
+        """All metrics as text."""
+        lines = [line for metric, read in self._metrics for line in metric.render(read())]
+        return "".join(f"{line}\n" for line in lines)
+
+
+def _escape(label_value: str) -> str:
+    return label_value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/ashlift/proxy/__main__.py
+++ b/ashlift/proxy/__main__.py
@@ -6,7 +6,9 @@
 from typing import Final
 
 from ashlift.config.settings import read_settings
+from ashlift.errors import Failure
 from ashlift.events import configure
+from ashlift.metrics_server import metrics_port
 from ashlift.proxy.program import EXIT_SETTINGS_INVALID, Program
 
 DEFAULT_SETTINGS_PATH: Final = "/etc/ashlift/settings.toml"
@@ -22,7 +24,11 @@
         return EXIT_SETTINGS_INVALID
     configure("proxy", settings.node_name)
     gc.freeze()
-    return Program(path, settings).run()
+    port = metrics_port(sys.argv)
+    if isinstance(port, Failure):
+        print(f"proxy: {port.detail}", file=sys.stderr)
+        return EXIT_SETTINGS_INVALID
+    return Program(path, settings, port).run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/ashlift/proxy/metrics.py
@@ -0,0 +1,19 @@
+"""The proxy's own figures. The words are explained in docs/operations/system.md."""
+
+from ashlift.metrics import Metric, MetricsRegistry
+from ashlift.proxy.request_handler import RequestHandler
+
+RESPONSES = Metric(
+    "responses_total", "counter", "reason", "Responses, by the worker's status or the reason of a rejection."
+)
+REQUESTS_OUTSIDE_HOME = Metric(
+    "requests_outside_home_total", "counter", "route", "Requests received here though no home region is here."
+)
+
+
+def proxy_metrics(handler: RequestHandler) -> MetricsRegistry:
+    """The figures of a proxy, read at each scrape."""
+    metrics = MetricsRegistry()
+    metrics.add(RESPONSES, lambda: handler.responses)
+    metrics.add(REQUESTS_OUTSIDE_HOME, lambda: handler.received_outside_home)
+    return metrics
--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -23,8 +23,10 @@
     STOPPING,
     log_event,
 )
+from ashlift.metrics_server import serve_metrics
 from ashlift.proxy import events
 from ashlift.proxy.configuration_updates import RegistryPoller
+from ashlift.proxy.metrics import proxy_metrics
 from ashlift.proxy.readiness import serve_readiness
 from ashlift.proxy.request_handler import RequestHandler
 from ashlift.proxy.request_router import RequestRouter
@@ -48,11 +50,12 @@
 class Program:
     """All parts of a proxy. `path`: of the settings file, which is read again when it changes."""
 
-    def __init__(self, path: str, settings: Settings) -> None:
+    def __init__(self, path: str, settings: Settings, metrics_port: int | None = None) -> None:
         rng = random.Random(os.urandom(8))
         incarnation = os.urandom(4).hex()
         self.path = path
         self.settings = settings
+        self._metrics_port = metrics_port
         self.router = RequestRouter(settings, rng, time.monotonic())
         self.request_handler = RequestHandler(self.router)
         self.proxy_server = ProxyServer(self.request_handler, self._limits)
@@ -74,6 +77,8 @@
             return EXIT_SETTINGS_INVALID
         serve_readiness(readiness_address, lambda: self.router.is_ready(time.monotonic()))
         self.proxy_server.listen(client_address)
+        if self._metrics_port is not None:
+            serve_metrics((self.settings.ip, self._metrics_port), proxy_metrics(self.request_handler))
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGHUP, self._reload.set)
         for loop in (self.registry_poller.run, self._close_idle_connections, self._watch_settings):
--- a/ashlift/proxy/request_handler.py
+++ b/ashlift/proxy/request_handler.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections import Counter
 from typing import Final
 
 import gevent
@@ -47,6 +48,7 @@
         self.connection_pool = ConnectionPool()
         self.in_flight = 0
         self.responses: dict[str, int] = {}  # counts by reason, or by status of a worker's response
+        self.received_outside_home: Counter[str] = Counter()  # by route: this region is no home of it
         self._awaiting_configuration: set[RequestContext] = set()
 
     def handle(self, request: ClientRequest, context: RequestContext) -> ClientResponse | None:
@@ -79,6 +81,8 @@
         if isinstance(admitted, Rejection):
             return _rejection_response(admitted)
         admitted.size_bytes = request.head_bytes + request.body_bytes
+        if not admitted.route.allows_region(self.router.settings.region):
+            self.received_outside_home[admitted.route.name] += 1
         return _Forwarding(self, request, headers.attempt_id, admitted, context).run()
 
     def _admit(self, headers: RoutingHeaders, context: RequestContext) -> AdmittedRequest | Rejection | None:
--- a/ashlift/registry/__main__.py
+++ b/ashlift/registry/__main__.py
@@ -11,7 +11,9 @@
 
 from ashlift import process
 from ashlift.config.settings import Settings, read_settings
+from ashlift.errors import Failure
 from ashlift.events import ERROR, SETTINGS_INVALID, SETTINGS_READ, STARTED, STOPPING, configure, log_event
+from ashlift.metrics_server import metrics_port, serve_metrics
 from ashlift.registry.api.config import ConfigResource
 from ashlift.registry.api.evacuation import EvacuationResource
 from ashlift.registry.api.instances import InstancesResource
@@ -25,6 +27,7 @@
 from ashlift.registry.api.status import StatusResource
 from ashlift.registry.change_notifier import ChangeNotifier
 from ashlift.registry.identity import RegistryIdentity
+from ashlift.registry.metrics import registry_metrics
 from ashlift.registry.registry import Registry
 from ashlift.registry.replication_loops import ReplicationLoops
 from ashlift.registry.rpc_service import RegistryRpcService
@@ -43,9 +46,10 @@
 class RegistryProgram:
     """Builds the parts from the settings, and runs them until the process is to end."""
 
-    def __init__(self, settings_path: str, settings: Settings) -> None:
+    def __init__(self, settings_path: str, settings: Settings, metrics_port: int | None) -> None:
         self._settings_path = settings_path
         self._settings = settings
+        self._metrics_port = metrics_port
         self._settings_checksum = self._checksum()
         self._end_requested = Event()
         identity = _identity(settings)
@@ -68,6 +72,8 @@
         for http_server in self._http_servers:
             http_server.start()
         self._loops.start()
+        if self._metrics_port is not None:
+            serve_metrics((self._settings.ip, self._metrics_port), registry_metrics(self._registry))
         self._loops.failed.rawlink(lambda _: self._end_requested.set())
         log_event(STARTED, source=self._registry.identity.source, seeds=",".join(self._registry.seeds))
         while not self._end_requested.wait(SETTINGS_CHECK_SECONDS):
@@ -167,7 +173,11 @@
     if settings.bindings.control is None and settings.bindings.directory is None:
         log_event(SETTINGS_INVALID, level=ERROR, error="neither Bindings.Control nor Bindings.Directory")
         return EXIT_INVALID_SETTINGS
-    return RegistryProgram(path, settings).run()
+    port = metrics_port(sys.argv)
+    if isinstance(port, Failure):
+        log_event(SETTINGS_INVALID, level=ERROR, error=port.detail)
+        return EXIT_INVALID_SETTINGS
+    return RegistryProgram(path, settings, port).run()
 
 
 if __name__ == "__main__":
--- a/ashlift/registry/api/lookup.py
+++ b/ashlift/registry/api/lookup.py
@@ -4,11 +4,16 @@
 from typing import Final
 
 from ashlift.errors import Failure
+from ashlift.events import log_event
 from ashlift.registry.api.messages import HttpRequest, HttpResponse, error_response
 from ashlift.registry.api.resource import RETRY_AFTER_SECONDS, Resource
+from ashlift.registry.endpoint_directory import DirectoryAnswer, LookupReach
+from ashlift.registry.events import LOOKUP_REACH_CHANGED
+from ashlift.registry.locality import Place
 from ashlift.registry.registry import Registry
 
 LOOKUP_TTL: Final = "1s"
+MAX_KNOWN_PLACES: Final = 100
 
 
 class LookupResource(Resource):
@@ -16,12 +21,29 @@
 
     def __init__(self, registry: Registry) -> None:
         self._registry = registry
+        self._last_reach: dict[Place, LookupReach] = {}  # by the client's place
 
     def get(self, request: HttpRequest) -> HttpResponse:
         """Addresses of proxies, near ones first; 503 where they are not known for sure."""
-        zone = request.query.get("Zone", "")
-        region = request.query.get("Region", "")
-        addresses = self._registry.lookup(zone, region, time.monotonic())
-        if isinstance(addresses, Failure):
-            return error_response(503, addresses.detail, RETRY_AFTER_SECONDS)
-        return HttpResponse(200, {"Addresses": addresses, "Ttl": LOOKUP_TTL})
+        place = Place(request.query.get("Zone", ""), request.query.get("Region", ""))
+        answer = self._registry.lookup(place, time.monotonic())
+        if isinstance(answer, Failure):
+            return error_response(503, answer.detail, RETRY_AFTER_SECONDS)
+        self._log_reach(place, answer)
+        return HttpResponse(200, {"Addresses": answer.addresses, "Ttl": LOOKUP_TTL})
+
+    def _log_reach(self, place: Place, answer: DirectoryAnswer) -> None:
+        """Log where the clients of a place begin, or cease, to be sent to other regions."""
+        before = self._last_reach.get(place, LookupReach.ZONE)
+        if len(self._last_reach) >= MAX_KNOWN_PLACES:
+            self._last_reach.clear()
+        self._last_reach[place] = answer.reach
+        if (before == LookupReach.OTHER_REGIONS) != (answer.reach == LookupReach.OTHER_REGIONS):
+            log_event(
+                LOOKUP_REACH_CHANGED,
+                zone=place.zone,
+                region=place.region,
+                reach=answer.reach,
+                ready_in_region=answer.ready_in_region,
+                outside_region=answer.outside_region,
+            )
--- /dev/null
+++ b/ashlift/registry/metrics.py
@@ -0,0 +1,25 @@
+"""The registry's own figures. The words are explained in docs/operations/system.md."""
+
+import time
+from collections import Counter
+
+from ashlift.metrics import Metric, MetricsRegistry
+from ashlift.registry.registry import Registry
+
+LOOKUP_ANSWERS = Metric(
+    "lookup_answers_total", "counter", "reach", "Answers of /lookup, by how far from the client they reach."
+)
+READY_PROXIES = Metric("ready_proxies", "gauge", "region", "Ready proxies, as this registry sees them.")
+
+
+def registry_metrics(registry: Registry) -> MetricsRegistry:
+    """The figures of a registry, read at each scrape."""
+
+    def ready_proxies() -> Counter[str]:
+        sessions = registry.sessions.live(time.monotonic()).values()
+        return Counter(session.region for session in sessions if session.ready)
+
+    metrics = MetricsRegistry()
+    metrics.add(LOOKUP_ANSWERS, lambda: registry.directory.answers_by_reach)
+    metrics.add(READY_PROXIES, ready_proxies)
+    return metrics
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -10,7 +10,7 @@
 
 from ashlift.errors import Failure, FailureReason
 from ashlift.registry.codec import encode_delta, is_partial_config_update
-from ashlift.registry.endpoint_directory import EndpointDirectory
+from ashlift.registry.endpoint_directory import DirectoryAnswer, EndpointDirectory
 from ashlift.registry.identity import RegistryIdentity
 from ashlift.registry.lease_clock import STANDSTILL_SECONDS, LeaseClock
 from ashlift.registry.load_reports import LoadReports
@@ -141,13 +141,13 @@
 
     # ---- clients and workers
 
-    def lookup(self, zone: str, region: str, now: float) -> list[str] | Failure:
-        """Addresses of proxies for a client, near ones first; UNAVAILABLE: they are not known for sure."""
-        fronts = self.directory.addresses(zone, region, now)
+    def lookup(self, place: Place, now: float) -> DirectoryAnswer | Failure:
+        """Proxies for a client of that place, near ones first; UNAVAILABLE: they are not known for sure."""
+        answer = self.directory.answer(place, now)
         members = self.core_members()
-        if not fronts or self.is_isolated(now) or not self.peers.has_complete_view(members, now):
+        if not answer.addresses or self.is_isolated(now) or not self.peers.has_complete_view(members, now):
             return Failure(FailureReason.UNAVAILABLE, "the gatekeepers are not known for sure")
-        return fronts
+        return answer
 
     def heartbeat_target(self, zone: str, now: float) -> str:
         """Address of the registry to which a worker of `zone` should send heartbeats: running, and near."""
--- a/ashlift/simulation/registry_process.py
+++ b/ashlift/simulation/registry_process.py
@@ -8,6 +8,7 @@
 from ashlift.registry import codec
 from ashlift.registry.api.evacuation import MAX_REQUEST_AGE_SECONDS
 from ashlift.registry.identity import RegistryIdentity
+from ashlift.registry.locality import Place
 from ashlift.registry.pacing import (
     BATCHING_DELAY_SECONDS,
     INITIAL_BACKOFF_SECONDS,
@@ -209,8 +210,8 @@
         return 200, None
 
     def _handle_lookup(self, place: tuple[str, str]) -> Any:
-        addresses = self.registry.lookup(*place, self.clock())
-        return (503, None) if isinstance(addresses, Failure) else (200, addresses)
+        answer = self.registry.lookup(Place(*place), self.clock())
+        return (503, None) if isinstance(answer, Failure) else (200, answer.addresses)
 
     def _handle_command(self, command: dict[str, Any]) -> Task:
         sent_since = self.earliest_send_time if command["kind"] in ("evacuate", "restore") else None
--- a/benchmarks/scale/registry_figures.py
+++ b/benchmarks/scale/registry_figures.py
@@ -10,6 +10,7 @@
 from ashlift.registry import codec
 from ashlift.registry.api.heartbeat_body import parse_heartbeat
 from ashlift.registry.api.messages import HttpResponse
+from ashlift.registry.locality import Place
 from ashlift.registry.messages import SwapRequest
 from ashlift.registry.registry import Registry
 from ashlift.rpc.framing import MAX_FRAME_BYTES
@@ -198,10 +199,10 @@
     def _measure_lookup(self) -> None:
         def look_up_without_cache() -> Any:
             self.registry.directory.cache.clear()
-            return self.registry.lookup("z05", "r05", NOW)
+            return self.registry.lookup(Place("z05", "r05"), NOW)
 
-        addresses = self.recorder.record_cpu_ms(
+        answer = self.recorder.record_cpu_ms(
             "registry: look-ups of a zone, worked out, ms", look_up_without_cache
         )
-        response = HttpResponse(200, {"Addresses": addresses, "Ttl": "1s"})
+        response = HttpResponse(200, {"Addresses": answer.addresses, "Ttl": "1s"})
         self.recorder.record("client: answer of a look-up, bytes", len(response.encode(False)))
--- a/tests/support/registry_scenarios.py
+++ b/tests/support/registry_scenarios.py
@@ -26,6 +26,7 @@
 from ashlift.proxy.pull_messages import PullResponse
 from ashlift.registry import codec
 from ashlift.registry.identity import RegistryIdentity
+from ashlift.registry.locality import Place
 from ashlift.registry.records import WorkerRecord, WorkerState
 from ashlift.registry.registry import Registry
 from ashlift.rpc.sources import OPERATOR_SOURCE
@@ -194,9 +195,9 @@
         assert sums == [int(count) for count in expected], str(counts)
 
     def _check_lookup(self, name: str, zone: str, region: str, *expected: str) -> None:
-        fronts = self.registries[name].lookup(zone, region, self.now)
-        found = ["unavailable"] if isinstance(fronts, Failure) else sorted(fronts)
-        assert found == sorted(expected), str(fronts)
+        answer = self.registries[name].lookup(Place(zone, region), self.now)
+        found = ["unavailable"] if isinstance(answer, Failure) else sorted(answer.addresses)
+        assert found == sorted(expected), str(answer)
 
     def _check_response(self, name: str, proxy: str, expected: str) -> None:
         known_version = self.proxies[proxy].cluster.versions().get(OPERATOR_SOURCE)
