--- a/ashlift/simulation/base_world.py
+++ b/ashlift/simulation/base_world.py
@@ -48,6 +48,7 @@
 
     def populate(self) -> None:
         """Start workers in turn, the second of a service in z2; then clients, and later their load."""
+        self.history.proxy_regions = {name: self.net.machines[name].region for name in self.edge}
         zones = list(ZONES)
         for route in ROUTES.values():
             for number in range(self.plan.workers):
--- a/ashlift/simulation/checkers/request_checks.py
+++ b/ashlift/simulation/checkers/request_checks.py
@@ -10,6 +10,7 @@
     explains_denial,
 )
 from ashlift.simulation.checkers.violation import Violation
+from ashlift.simulation.history import HOST
 
 MAX_WRONG_DENIALS: Final = 5
 MAX_WRONG_DENIAL_SHARE: Final = 1 / 500  # of all requests, in addition
@@ -109,3 +110,18 @@
             if tables and not any(allows_region(table, request, region) for table in tables):
                 description = f"{request.describe()} reached {arrival.worker} in {region}"
                 yield Violation("HOME", arrival.at, description)
+
+
+def check_proxies_named(checked: CheckedHistory) -> Iterator[Violation]:
+    """HOME: the directory sends a client to proxies of its own region, or of its route's home regions.
+
+    The users' rule allows 1 in 20 outside, and any number after an unplanned fault; this allows none ever.
+    """
+    for request in checked.history.requests:
+        region = checked.history.proxy_regions.get(request.proxy, request.region)
+        if region == request.region:
+            continue
+        tables = [change.table for change in checked.possible_changes if change.sent <= request.sent]
+        routes = [route for table in tables if (route := table.find_route(HOST, request.path)) is not None]
+        if routes and not any(route.allows_region(region) for route in routes):
+            yield Violation("HOME", request.sent, f"{request.describe()} in {region}, from {request.region}")
--- a/ashlift/simulation/checkers/rules.py
+++ b/ashlift/simulation/checkers/rules.py
@@ -21,6 +21,7 @@
     check_home_regions,
     check_no_busy_loop,
     check_no_denial_after_acknowledgement,
+    check_proxies_named,
     check_rejected_never_ran,
     check_routing,
 )
@@ -60,6 +61,7 @@
     check_rate_limits,
     check_slow_start,
     check_home_regions,
+    check_proxies_named,
     check_no_busy_loop,
 )
 
@@ -79,7 +81,7 @@
     "BUDGET": "further tries at a service stay within RetryBudgetRatio of its requests and RetrySlack",
     "QUOTA": "a tenant's requests that run stay within its limit and QuotaOverrun in every QuotaWindow",
     "FAILBACK": "a cold worker receives no more than WarmupRateS and ColdOverrun in any second",
-    "HOME": "a request with homes reaches workers in these regions only",
+    "HOME": "a request with homes reaches workers there only, and clients are sent to proxies there or near",
     "EVAC": "nothing reaches a zone longer than Evacuation after its evacuation was acknowledged",
     "Fault": "a program hands back the processor",
 }
--- a/ashlift/simulation/history.py
+++ b/ashlift/simulation/history.py
@@ -207,6 +207,7 @@
     def __init__(self) -> None:
         self.requests: list[Request] = []
         self.workers: dict[str, WorkerRecord] = {}
+        self.proxy_regions: dict[str, str] = {}  # by the proxy's machine
         self.unexpected_arrivals: list[UnexpectedArrival] = []
         self.changes: list[ConfigurationChange] = []
         self.readings: list[Reading] = []
