Directory: a minimum of proxies never leads clients out of their home regions

With one proxy or none ready in a region, clients were sent everywhere. Change: home_regions works out from the operator's configuration which regions a host allows; the minimum is sought among these alone; an unknown host, an unknown configuration and one not confirmed for 3 s allow only the client's own region. Where tenants have home regions clients stay in their region while it has a proxy.

--- a/ashlift/registry/endpoint_directory.py
+++ b/ashlift/registry/endpoint_directory.py
@@ -1,13 +1,19 @@
-"""Which proxies a client is sent to by a look-up. Pure; times in seconds."""
+"""Which proxies a client is sent to by a look-up. Pure; times in seconds.
+
+`ashlift.registry.home_regions` says which regions are allowed for a host. The minimum of near proxies is
+sought among these alone: it never adds a proxy of another region. Where none of them is ready, the answer
+names nobody.
+"""
 
 import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
-from typing import Final
+from typing import Final, NamedTuple
 
 import attrs
 
+from ashlift.registry.home_regions import OWN_REGION_ONLY, RegionPolicy
 from ashlift.registry.locality import Place
 from ashlift.registry.records import SessionRecord
 
@@ -16,7 +22,7 @@
     2  # a single proxy must neither carry all of a zone's load nor be its only entry point
 )
 CACHE_SECONDS: Final = 0.1
-MAX_CACHED_LOOKUPS: Final = 100  # zones, as asked for
+MAX_CACHED_LOOKUPS: Final = 100  # places as asked for, with the policies of hosts
 
 
 class LookupReach(StrEnum):
@@ -24,6 +30,7 @@
 
     ZONE = "zone"
     REGION = "region"
+    HOME_REGIONS = "home_regions"  # other regions, where the host's routes are at home
     OTHER_REGIONS = "other_regions"
     NOTHING = "nothing"  # no proxy is ready
 
@@ -32,38 +39,57 @@
 class DirectoryAnswer:
     """The proxies that a client is sent to.
 
-    `ready_in_region`: how many proxies of the client's region were ready. `outside_region`: how many of the
-    addresses belong to proxies of other regions.
+    `ready_in_region`: how many proxies of the client's region were ready. `other_regions`: those of the
+    addresses that are not in the client's region, one entry for each.
     """
 
     addresses: list[str]
     reach: LookupReach
     ready_in_region: int
-    outside_region: int
+    other_regions: tuple[str, ...]
+
+
+class CachedAnswer(NamedTuple):
+    """An answer, and the steady time at which it was worked out."""
 
+    chosen_at: float
+    answer: DirectoryAnswer
 
-def choose_proxies(sessions: Iterable[SessionRecord], place: Place) -> DirectoryAnswer:
-    """The ready proxies of the zone; if they are few, the region's too; if still few, all."""
+
+def choose_proxies(sessions: Iterable[SessionRecord], place: Place, policy: RegionPolicy) -> DirectoryAnswer:
+    """The ready proxies of the zone; if they are few, the region's too; if still few, all allowed ones."""
     ready = [session for session in sessions if session.ready]
     ready.sort(
         key=lambda session: zlib.crc32(f"{place.zone} {session.front}".encode())
     )  # another order for each zone
     in_zone = [session for session in ready if session.zone == place.zone]
-    in_region = [session for session in ready if session.zone == place.zone or session.region == place.region]
-    chosen = list(in_zone)
-    reach = LookupReach.ZONE
-    if len(chosen) < MIN_NEAR_PROXIES:
-        chosen += [session for session in in_region if session.zone != place.zone]
+    rest_of_region = [
+        session for session in ready if session.zone != place.zone and session.region == place.region
+    ]
+    ready_in_region = len(in_zone) + len(rest_of_region)
+    chosen = in_zone
+    reach = LookupReach.ZONE if chosen else LookupReach.NOTHING
+    if len(chosen) < MIN_NEAR_PROXIES and rest_of_region:
+        chosen = chosen + rest_of_region
         reach = LookupReach.REGION
-    if len(chosen) < MIN_NEAR_PROXIES:
-        chosen += [
-            session for session in ready if session.zone != place.zone and session.region != place.region
+    if len(chosen) < MIN_NEAR_PROXIES and not (policy.only_from_empty_region and ready_in_region):
+        elsewhere = [
+            session
+            for session in ready
+            if session.zone != place.zone
+            and session.region != place.region
+            and policy.allows(session.region, place.region)
         ]
-        reach = LookupReach.OTHER_REGIONS
+        chosen = chosen + elsewhere
+        if elsewhere:
+            reach = LookupReach.OTHER_REGIONS if policy.allowed_regions is None else LookupReach.HOME_REGIONS
     chosen = chosen[:MAX_ADDRESSES]
-    outside = sum(session.region != place.region for session in chosen)
-    addresses = [session.front for session in chosen]
-    return DirectoryAnswer(addresses, reach if chosen else LookupReach.NOTHING, len(in_region), outside)
+    return DirectoryAnswer(
+        [session.front for session in chosen],
+        reach,
+        ready_in_region,
+        tuple(session.region for session in chosen if session.region != place.region),
+    )
 
 
 class EndpointDirectory:
@@ -72,16 +98,26 @@
     def __init__(self, live_sessions: Callable[[float], Mapping[str, SessionRecord]]) -> None:
         """`live_sessions`: proxies whose leases stand at a time."""
         self._live_sessions = live_sessions
-        self.cache: dict[Place, tuple[float, DirectoryAnswer]] = {}  # since when, what
+        self.cache: dict[tuple[Place, RegionPolicy], CachedAnswer] = {}
         self.answers_by_reach: Counter[str] = Counter()
 
-    def answer(self, place: Place, now: float) -> DirectoryAnswer:
-        """Where clients of that place are sent."""
-        cached_at, answer = self.cache.get(place, (-1.0, None))
-        if answer is None or cached_at < now - CACHE_SECONDS:
-            answer = choose_proxies(self._live_sessions(now).values(), place)
-            if len(self.cache) >= MAX_CACHED_LOOKUPS:
-                self.cache.clear()
-            self.cache[place] = now, answer
+    def answer(self, place: Place, region_policy: Callable[[], RegionPolicy], now: float) -> DirectoryAnswer:
+        """Where clients of that place are sent.
+
+        `region_policy`: of the host that they ask for; called only where their region has too few proxies.
+        """
+        answer = self._cached_answer(place, OWN_REGION_ONLY, now)
+        if len(answer.addresses) < MIN_NEAR_PROXIES:
+            answer = self._cached_answer(place, region_policy(), now)
         self.answers_by_reach[answer.reach] += 1
         return answer
+
+    def _cached_answer(self, place: Place, policy: RegionPolicy, now: float) -> DirectoryAnswer:
+        cached = self.cache.get((place, policy))
+        if cached is None or cached.chosen_at < now - CACHE_SECONDS:
+            answer = choose_proxies(self._live_sessions(now).values(), place, policy)
+            cached = CachedAnswer(now, answer)
+            if len(self.cache) >= MAX_CACHED_LOOKUPS:
+                self.cache.clear()
+            self.cache[place, policy] = cached
+        return cached.answer
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -11,6 +11,7 @@
 from ashlift.errors import Failure, FailureReason
 from ashlift.registry.codec import encode_delta, is_partial_config_update
 from ashlift.registry.endpoint_directory import DirectoryAnswer, EndpointDirectory
+from ashlift.registry.home_regions import OWN_REGION_ONLY, HomeRegions, RegionPolicy
 from ashlift.registry.identity import RegistryIdentity
 from ashlift.registry.lease_clock import STANDSTILL_SECONDS, LeaseClock
 from ashlift.registry.load_reports import LoadReports
@@ -34,6 +35,9 @@
 from ashlift.rpc.sources import OPERATOR_SOURCE
 
 PEER_IN_REACH_SECONDS: Final = 2.0  # peers that responded within this are recommended to proxies first
+# With a configuration confirmed longer ago, clients are sent to other regions no more: home regions may have
+# been set since. An election takes about one second.
+MAX_PLACEMENT_AGE_SECONDS: Final = 3.0
 
 
 class TickResult(NamedTuple):
@@ -64,6 +68,8 @@
         load_reports = LoadReports(self._own.source, self.instances.capacity)
         self.sessions = ProxySessions(self._own, self.peers, self._clock, self._changes, load_reports)
         self.directory = EndpointDirectory(self.sessions.live)
+        config = self.operator_config
+        self.home_regions = HomeRegions(lambda: config.values, lambda: config.version)
         self._fragmenter = Fragmenter(identity.source)
 
     @property
@@ -141,14 +147,24 @@
 
     # ---- clients and workers
 
-    def lookup(self, place: Place, now: float) -> DirectoryAnswer | Failure:
-        """Proxies for a client of that place, near ones first; UNAVAILABLE: they are not known for sure."""
-        answer = self.directory.answer(place, now)
+    def lookup(self, host: str, place: Place, now: float) -> DirectoryAnswer | Failure:
+        """Proxies for a client of that place which asks for `host`, near ones first.
+
+        UNAVAILABLE: they are not known for sure, or none is ready where the host's home regions allow it.
+        """
+        answer = self.directory.answer(place, lambda: self._region_policy(host, now), now)
         members = self.core_members()
         if not answer.addresses or self.is_isolated(now) or not self.peers.has_complete_view(members, now):
             return Failure(FailureReason.UNAVAILABLE, "the gatekeepers are not known for sure")
         return answer
 
+    def _region_policy(self, host: str, now: float) -> RegionPolicy:
+        """Where clients of the host may be sent; an old configuration does not tell."""
+        age = self.operator_config.lease_age(now)
+        if age is None or age > MAX_PLACEMENT_AGE_SECONDS:
+            return OWN_REGION_ONLY
+        return self.home_regions.policy(host)
+
     def heartbeat_target(self, zone: str, now: float) -> str:
         """Address of the registry to which a worker of `zone` should send heartbeats: running, and near."""
         places = [(self.identity.ip, self._place)]
--- a/ashlift/simulation/registry_process.py
+++ b/ashlift/simulation/registry_process.py
@@ -26,6 +26,7 @@
 from ashlift.registry.store_client import WATCH_GRACE_SECONDS
 from ashlift.simulation import configstore_process
 from ashlift.simulation.event_loop import EventLoop
+from ashlift.simulation.history import HOST
 from ashlift.simulation.network import SimulatedNetwork
 from ashlift.simulation.process import Condition, Machine, Process, Task
 from ashlift.simulation.registry_methods import RegistryMethod
@@ -210,7 +211,7 @@
         return 200, None
 
     def _handle_lookup(self, place: tuple[str, str]) -> Any:
-        answer = self.registry.lookup(Place(*place), self.clock())
+        answer = self.registry.lookup(HOST, Place(*place), self.clock())
         return (503, None) if isinstance(answer, Failure) else (200, answer.addresses)
 
     def _handle_command(self, command: dict[str, Any]) -> Task:
