--- a/ashlift/proxy/admission.py
+++ b/ashlift/proxy/admission.py
@@ -52,6 +52,16 @@
     return cluster.configuration.age(now) <= bounds.revoke - REVOCATION_MARGIN_SECONDS
 
 
+def allowed_regions(route: Route, tenant: Tenant | None) -> frozenset[str] | None:
+    """The regions whose workers may get a request; empty: any. None: route and tenant exclude each other."""
+    regions = route.home_regions
+    if tenant is None or not tenant.home_regions:
+        return regions
+    if not regions:
+        return tenant.home_regions
+    return (regions & tenant.home_regions) or None
+
+
 class Admission:
     """Decides whether a request is forwarded at all. Owns no state but that of the policies given to it."""
 
@@ -93,6 +103,21 @@
                 return rejections.NOT_READY
         return self._admit_matched(now, route, tenant, remaining)
 
+    def refresh_allowed_regions(self, request: AdmittedRequest) -> bool:
+        """Apply home regions that have changed since the request was admitted.
+
+        Returns whether any region is left for it. A route or tenant that is gone counts as it was.
+        """
+        table = self._cluster.configuration.routing_table
+        assert table is not None, "no request is admitted without a configuration"
+        route = table.routes.get(request.route.name, request.route)
+        tenant = request.tenant
+        if tenant is not None:
+            tenant = table.tenants.get(tenant.name, tenant)
+        regions = allowed_regions(route, tenant)
+        request.allowed_regions = request.allowed_regions if regions is None else regions
+        return regions is not None
+
     def refund(self, now: float, request: AdmittedRequest) -> None:
         """Give the unit of quota back: the request was admitted, and no worker has run it."""
         if request.tenant is not None and not request.may_have_run:
@@ -101,12 +126,10 @@
     def _admit_matched(
         self, now: float, route: Route, tenant: Tenant | None, remaining: float
     ) -> AdmittedRequest | Rejection:
-        regions = route.home_regions
+        regions = allowed_regions(route, tenant)
+        if regions is None:
+            return rejections.NO_ALLOWED_REGION
         if tenant is not None:
-            if tenant.home_regions:
-                regions = regions & tenant.home_regions if regions else tenant.home_regions
-                if not regions:
-                    return rejections.NO_ALLOWED_REGION
             retry_after = self._rate_limiter.admit(now, tenant.name)
             if retry_after is not None:
                 return Rejection(429, RejectionReason.QUOTA_EXCEEDED, retry_after)
--- a/ashlift/proxy/request_router.py
+++ b/ashlift/proxy/request_router.py
@@ -111,6 +111,8 @@
         if retry:
             # If this attempt does not start, there is no later one beside what is in flight.
             request.no_further_hedge = True
+            if not self._admission.refresh_allowed_regions(request):
+                return self.final_rejection(request)
         takes_budget = request.reached_worker or request.attempts_in_flight > 0
         proxy_count = max(1, len(self.cluster.proxies))
         if takes_budget and not self.retry_budget.can_retry(now, request.service, proxy_count):
--- a/tests/support/request_router_scenarios.py
+++ b/tests/support/request_router_scenarios.py
@@ -4,7 +4,8 @@
 after 1.5                        the steady clock goes on, s
 update age=0.1 w1:board:z1 ...   the response of a registry: age of its configuration (or `none`), all workers
                                  (`name:service:zone`, with `:warming=2` or `:draining`),
-                                 `evacuated=ZONE`, `proxies=N`, `without=ENTRY` of the configuration
+                                 `evacuated=ZONE`, `proxies=N`, `without=ENTRY` of the configuration,
+                                 `homes=ENTRY:REGION`
 peer_load w1 20                  so many requests of other proxies are in flight at w1
 request A /look/ k1 -> admitted  a request named A arrives; `-> 503 unready` where it is rejected
 reconsider A -> admitted         a request that was `unsure`: there is an update, or its time is up
@@ -110,6 +111,9 @@
             name, equals, value = argument.partition("=")
             if name == "evacuated":
                 configuration[f"Evacuations/{value}"] = 1
+            elif name == "homes":
+                entry, _, region = value.partition(":")
+                configuration[entry] = {**configuration[entry], "HomeRegions": [region]}
             elif name == "without":
                 del configuration[value]
             elif name == "proxies":
