--- a/ashlift/events.py
+++ b/ashlift/events.py
@@ -33,6 +33,7 @@
 SETTINGS_READ: Final = EventType(103, "settings reloaded")
 SETTINGS_INVALID: Final = EventType(104, "settings invalid")
 INVARIANT_VIOLATED: Final = EventType(105, "invariant violated")
+INVARIANT_BROKEN: Final = EventType(107, "invariant does not hold")
 METRICS_UNAVAILABLE: Final = EventType(106, "metrics endpoint unavailable")
 
 STARTUP_BUFFER_SECONDS: Final = 2.0  # by then the store has a leader, and proxies are ready
--- a/ashlift/metrics.py
+++ b/ashlift/metrics.py
@@ -31,6 +31,11 @@
             yield f'{self.name}{{{self.label}="{_escape(label_value)}"}} {value:g}'
 
 
+INVARIANT_VIOLATIONS: Final = Metric(
+    "invariant_violations_total", "counter", "invariant", "Broken invariants: each is a bug (event 107)."
+)
+
+
 class MetricsRegistry:
     """The metrics of a process, each with the function that reads its values."""
 
--- a/ashlift/proxy/metrics.py
+++ b/ashlift/proxy/metrics.py
@@ -1,6 +1,7 @@
 """The proxy's own figures. The words are explained in docs/operations/system.md."""
 
-from ashlift.metrics import Metric, MetricsRegistry
+from ashlift.invariants import monitor
+from ashlift.metrics import INVARIANT_VIOLATIONS, Metric, MetricsRegistry
 from ashlift.proxy.request_handler import RequestHandler
 
 RESPONSES = Metric(
@@ -16,4 +17,5 @@
     metrics = MetricsRegistry()
     metrics.add(RESPONSES, lambda: handler.responses)
     metrics.add(REQUESTS_OUTSIDE_HOME, lambda: handler.received_outside_home)
+    metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
     return metrics
--- a/ashlift/proxy/request_handler.py
+++ b/ashlift/proxy/request_handler.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from ashlift.proxy.admission import AdmittedRequest
-from ashlift.proxy.attempts import AttemptOutcome
+from ashlift.proxy.attempts import AttemptOutcome, AttemptResult
 from ashlift.proxy.forwarding import RoutingHeaders, forwarded_head, forwarded_request, routing_headers
 from ashlift.proxy.load_balancer import WorkerState
 from ashlift.proxy.rejections import Rejection, RejectionReason
@@ -173,6 +173,8 @@
             self._context.wake.set()
 
     def _exchange(self, attempt: Attempt, worker: WorkerState) -> AttemptOutcome:
+        if not self._router.may_send(self._admitted, worker):
+            return AttemptOutcome(AttemptResult.NOT_RUN)
         record = worker.record
         time_left = self._admitted.deadline - time.monotonic()
         request = WorkerRequest(
--- a/ashlift/proxy/request_router.py
+++ b/ashlift/proxy/request_router.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from ashlift.config.settings import Settings
+from ashlift.invariants import Invariant, monitor
 from ashlift.proxy import rejections
 from ashlift.proxy.admission import Admission, AdmittedRequest, configuration_is_current
 from ashlift.proxy.attempts import ATTEMPT_RULES, AttemptOutcome, AttemptResult
@@ -134,10 +135,24 @@
             request.service, request.allowed_regions, request.attempted_workers
         )
         for worker in self.load_balancer.rank(now, eligible, request.route):
-            if self.selection.reserve(now, worker):
+            if self.may_send(request, worker) and self.selection.reserve(now, worker):
                 return worker
         return None
 
+    def may_send(self, request: AdmittedRequest, worker: WorkerState) -> bool:
+        """The invariant of an attempt: its worker is in a region that the home regions allow.
+
+        Checked when a worker is chosen, and again right before anything of the request leaves for it.
+        """
+        region = self.load_balancer.region_of(worker)
+        return monitor.holds(
+            not request.allowed_regions or region in request.allowed_regions,
+            Invariant.ATTEMPT_REGION,
+            route=request.route.name,
+            worker=worker.record.id,
+            region=region,
+        )
+
     @staticmethod
     def _may_retry(request: AdmittedRequest) -> bool:
         attempts_left = len(request.attempted_workers) < request.route.max_attempts
--- a/ashlift/registry/home_regions.py
+++ b/ashlift/registry/home_regions.py
@@ -57,6 +57,21 @@
         self._read_version = 0  # of a configuration that is not there yet
         self._policies: dict[str, RegionPolicy] = {}  # by host
 
+    def shared_home_regions(self, host: str) -> frozenset[str] | None:
+        """The regions that are home of all routes of a host that have homes; None: of none of them.
+
+        Read from the entries each time, for the check of what `policy` led to.
+        """
+        name = normalize_host(host)
+        homes = [
+            frozenset(specification["HomeRegions"])
+            for key, specification in self._entries().items()
+            if key.startswith(ROUTE_PREFIX)
+            and specification.get("HomeRegions")
+            and normalize_host(specification["Host"]) == name
+        ]
+        return frozenset.intersection(*homes) if homes else None
+
     def policy(self, host: str) -> RegionPolicy:
         """The policy of a host, as a `Host` header names it."""
         if self._read_version != self._version():
--- a/ashlift/registry/metrics.py
+++ b/ashlift/registry/metrics.py
@@ -3,7 +3,8 @@
 import time
 from collections import Counter
 
-from ashlift.metrics import Metric, MetricsRegistry
+from ashlift.invariants import monitor
+from ashlift.metrics import INVARIANT_VIOLATIONS, Metric, MetricsRegistry
 from ashlift.registry.registry import Registry
 
 LOOKUP_ANSWERS = Metric(
@@ -22,4 +23,5 @@
     metrics = MetricsRegistry()
     metrics.add(LOOKUP_ANSWERS, lambda: registry.directory.answers_by_reach)
     metrics.add(READY_PROXIES, ready_proxies)
+    metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
     return metrics
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -9,6 +9,7 @@
 from typing import Any, Final, NamedTuple
 
 from ashlift.errors import Failure, FailureReason
+from ashlift.invariants import Invariant, monitor
 from ashlift.registry.codec import encode_delta, is_partial_config_update
 from ashlift.registry.endpoint_directory import DirectoryAnswer, EndpointDirectory
 from ashlift.registry.home_regions import OWN_REGION_ONLY, HomeRegions, RegionPolicy
@@ -153,6 +154,8 @@
         UNAVAILABLE: they are not known for sure, or none is ready where the host's home regions allow it.
         """
         answer = self.directory.answer(place, lambda: self._region_policy(host, now), now)
+        if not self._is_allowed(host, place, answer):
+            return Failure(FailureReason.UNAVAILABLE, "the gatekeepers found are outside the home regions")
         members = self.core_members()
         if not answer.addresses or self.is_isolated(now) or not self.peers.has_complete_view(members, now):
             return Failure(FailureReason.UNAVAILABLE, "the gatekeepers are not known for sure")
@@ -165,6 +168,19 @@
             return OWN_REGION_ONLY
         return self.home_regions.policy(host)
 
+    def _is_allowed(self, host: str, place: Place, answer: DirectoryAnswer) -> bool:
+        """The invariant: outside the client's region, an answer names home regions of the host alone."""
+        if not answer.other_regions:
+            return True
+        homes = self.home_regions.shared_home_regions(host)
+        return monitor.holds(
+            homes is None or homes.issuperset(answer.other_regions),
+            Invariant.DIRECTORY_REGION,
+            host=host,
+            client_region=place.region,
+            named=",".join(sorted(set(answer.other_regions))),
+        )
+
     def heartbeat_target(self, zone: str, now: float) -> str:
         """Address of the registry to which a worker of `zone` should send heartbeats: running, and near."""
         places = [(self.identity.ip, self._place)]
