Soak: real processes under drawn, overlapping troubles, with fatal invariants

Cause: the incident needed two kinds of planned work at once, which no run on processes of ours played. What the lab cannot play (disk, reset, slow, torn) is now refused by name instead of an AttributeError.

--- a/ashlift/gatekeeper/cli.py
+++ b/ashlift/gatekeeper/cli.py
@@ -283,6 +283,19 @@
     sys.exit(commands.run_on_processes(scene, seed, until, results, report, keep))
 
 
+@lab_group.command("soak")
+@click.option("--first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True)
+@click.option("--proxies", type=click.IntRange(2, 30), default=9, show_default=True)
+@click.option("--seconds", type=click.FloatRange(19, 120), default=30.0, show_default=True)
+@click.option("--keep-failed", type=click.Path(file_okay=False, path_type=Path), default=None)
+def lab_soak(first: int, seeds: int, proxies: int, seconds: float, keep_failed: Path | None) -> None:
+    """Play drawn, overlapping troubles on real processes, for many seeds, with fatal invariants."""
+    from ashlift.lab.system import soak
+
+    sys.exit(soak.run_soak(first, seeds, proxies, seconds, keep_failed))
+
+
 @lab_group.command("sim")
 @click.argument("scene", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True)
--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -13,12 +13,14 @@
 
 import gevent
 
+from ashlift.errors import Failure
 from ashlift.lab.system.control_calls import HttpNetwork
 from ashlift.lab.system.http_clients import HttpClients, ProxyAccess
 from ashlift.lab.system.machine_connectivity import MachineConnectivity
 from ashlift.lab.system.machine_layout import CONTROL_PORT, FRONT_PORT, LabMachine, lay_out_machines
 from ashlift.lab.system.machine_settings import ClusterSettings
-from ashlift.lab.system.programs import Program, stop_programs
+from ashlift.lab.system.program_health import read_metrics, violations_in_logs, violations_in_metrics
+from ashlift.lab.system.programs import METRICS_PORTS, Program, stop_programs
 from ashlift.lab.system.real_time_loop import RealTimeLoop
 from ashlift.lab.system.registry_status import RegistryStatus
 from ashlift.lab.system.run_directory import RunDirectory
@@ -134,6 +136,25 @@
             ports = {"configstore": machine.store_port, "registry": CONTROL_PORT, "proxy": FRONT_PORT}
             program.wait_until_listening((machine.ip, ports[kind]), deadline)
 
+    def program_problems(self) -> list[str]:
+        """What programs have done that they must never do, by their logs, their ends and their metrics."""
+        problems = list(violations_in_logs(self._directory.log_paths()))
+        for program in self._programs.values():
+            name = f"{program.kind}@{program.machine}"
+            if program.failure_status is not None:
+                problems.append(f"{name} ended by itself with status {program.failure_status}")
+            port = METRICS_PORTS.get(program.kind)
+            if port is not None and program.is_running and not program.is_frozen:
+                problems += self._problems_in_metrics(name, (self.machines[program.machine].ip, port))
+        return problems
+
+    @staticmethod
+    def _problems_in_metrics(name: str, address: tuple[str, int]) -> list[str]:
+        text = read_metrics(address)
+        if isinstance(text, Failure):
+            return [f"{name}: no metrics: {text.detail}"]
+        return list(violations_in_metrics(name, text))
+
     def stop(self) -> None:
         """End all programs, servers and links."""
         self.real_time_loop.is_stopped = True
--- a/ashlift/lab/system/programs.py
+++ b/ashlift/lab/system/programs.py
@@ -11,11 +11,15 @@
 import gevent
 from gevent import socket, subprocess
 
+from ashlift.invariants import FATAL_VARIABLE
+from ashlift.metrics_server import METRICS_OPTION
+
 CHECKOUT: Final = Path(__file__).resolve().parents[3]  # the programs run its code
 STOP_TIMEOUT_SECONDS: Final = 2.0
 LISTEN_PROBE_SECONDS: Final = 1.0
 LISTEN_POLL_SECONDS: Final = 0.05
 LOG_TAIL_CHARACTERS: Final = 600
+METRICS_PORTS: Final = {"proxy": 9101, "registry": 9102}  # of each machine, by the kind of program
 
 
 class Program:
@@ -35,6 +39,12 @@
         """Whether its process has not ended; a frozen one has not."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def failure_status(self) -> int | None:
+        """The status with which its process ended by itself, unless it ended well or by a signal."""
+        status = self._process.poll() if self._process is not None else None
+        return status if status is not None and status > 0 else None
+
     @property
     def pid(self) -> int | None:
         """The id of its process while that runs."""
@@ -46,10 +56,12 @@
             return
         self.incarnation += 1
         self.is_frozen = False
-        environment = {**os.environ, "ASHLIFT_SETTINGS": str(self._settings)}
+        environment = {**os.environ, "ASHLIFT_SETTINGS": str(self._settings), FATAL_VARIABLE: "1"}
+        port = METRICS_PORTS.get(self.kind)
+        options = [] if port is None else [METRICS_OPTION, str(port)]
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", f"ashlift.{self.kind}"],
+                [sys.executable, "-m", f"ashlift.{self.kind}", *options],
                 env=environment,
                 stdout=log,
                 stderr=log,
--- a/ashlift/lab/system/run_directory.py
+++ b/ashlift/lab/system/run_directory.py
@@ -22,6 +22,10 @@
         """Where a program's output goes."""
         return self.path / f"{program}@{machine.name}.log"
 
+    def log_paths(self) -> list[Path]:
+        """All logs that there are."""
+        return sorted(self.path.glob("*.log"))
+
     def write_settings(self, machine: LabMachine, settings: ClusterSettings, bootstrap: bool) -> None:
         """Replace the machine's settings file in one step, and create its disk where it has none."""
         disk = self._disk_path(machine)
--- a/ashlift/lab/system/runs.py
+++ b/ashlift/lab/system/runs.py
@@ -12,6 +12,7 @@
 from ashlift.lab.checker import Verdict
 from ashlift.lab.results import Results, RunDescription
 from ashlift.lab.system.process_world import ProcessWorld
+from ashlift.lab.system.program_health import health_verdict
 from ashlift.lab.system.saved_runs import RunEvent, rule_verdicts, to_lab_history
 from ashlift.simulation.checkers.rules import check_rules
 from ashlift.simulation.history import History
@@ -116,7 +117,9 @@
                 scenario, seed, make_world=lambda _plan: cast(World, world), on_event=on_event
             )
             player.run()
-            return evolve(_judge(player, seed, world.events, began), max_lag=world.real_time_loop.max_lag)
+            run = _judge(player, seed, world.events, began)
+            verdicts = [*run.verdicts, health_verdict(world.program_problems())]
+            return evolve(run, verdicts=verdicts, max_lag=world.real_time_loop.max_lag)
         finally:
             world.stop()
             if not keep_files:
--- /dev/null
+++ b/ashlift/lab/system/soak.py
@@ -0,0 +1,64 @@
+"""The soak: real processes and sockets under drawn, overlapping troubles, for many seeds."""
+
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from ashlift.lab.system.runs import StoppedError, play_on_processes
+from ashlift.lab.system.soak_scenario import most_troubles_at_once, soak_scenario
+from ashlift.simulation.scenario import Scenario, ScenarioEvent
+
+STOPPED_STATUS = 130  # as a shell has it for SIGINT
+
+
+def run_soak(first_seed: int, seed_count: int, proxies: int, seconds: float, keep_failed: Path | None) -> int:
+    """Play the seeds one after the other, a line for each, and return the exit status.
+
+    `keep_failed`: where the scenarios of seeds that failed are written. Raises ClickException for what cannot
+    be played.
+    """
+    failed: list[int] = []
+    for seed in range(first_seed, first_seed + seed_count):
+        try:
+            scenario = soak_scenario(seed, proxies, seconds)
+            is_ok = _play(scenario, seed)
+        except StoppedError as error:
+            click.echo(f"stopped by {error}; all processes are ended", err=True)
+            return STOPPED_STATUS
+        except (RuntimeError, OSError, ValueError) as error:
+            raise click.ClickException(f"seed {seed}: {error}") from None
+        if not is_ok:
+            failed.append(seed)
+            if keep_failed is not None:
+                keep_failed.mkdir(parents=True, exist_ok=True)
+                (keep_failed / f"soak-{seed}.txt").write_text(scenario.to_text())
+    click.echo(f"failed seeds: {', '.join(map(str, failed)) or 'none'}")
+    click.echo(f"{seed_count - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+def _play(scenario: Scenario, seed: int) -> bool:
+    began = time.monotonic()
+    run = play_on_processes(scenario, seed, _ignore_progress, _ignore_event)
+    served = sum(200 <= request.status < 300 for request in run.history.requests)
+    broken = [verdict for verdict in run.verdicts if not verdict.ok]
+    click.echo(
+        f"seed {seed}: {'broken' if broken else 'held'}; "
+        f"{len(run.history.requests)} requests, {served} served, "
+        f"{len(scenario.events)} events, up to {most_troubles_at_once(scenario)} troubles at once, "
+        f"{time.monotonic() - began:.0f} s, at most {run.max_lag:.2f} s late"
+    )
+    for verdict in broken:
+        click.echo(f"  {verdict.line()}")
+    sys.stdout.flush()
+    return not broken
+
+
+def _ignore_progress(_text: str) -> None:
+    pass
+
+
+def _ignore_event(_event: ScenarioEvent) -> None:
+    pass
--- a/ashlift/lab/system/supported_scenarios.py
+++ b/ashlift/lab/system/supported_scenarios.py
@@ -8,6 +8,10 @@
 MAX_REQUESTS_PER_SECOND: Final = 300.0
 UNSUPPORTED_WORDS: Final = {  # first words of events, and `loss` of a plan, with the reason
     "spoil": "disks are the real machine's",
+    "disk": "disks are the real machine's",
+    "reset": "connections between machines are not reset alone",
+    "slow": "the real machine's speed is what it is",
+    "torn": "writes are not broken off",
     "loss": "links lose nothing at random",
     "closing": "there is no loss of power to play",
     "clock": "the time of day is the real machine's",
--- a/tests/lab/test_supported_scenarios.py
+++ b/tests/lab/test_supported_scenarios.py
@@ -14,4 +14,5 @@
 def _() -> None:
     assert unsupported_parts(read_scenarios(DEMO)[0]) == []
     lines = ["until 500", "loss 0.1", "at 3 spoil core-1", "at 4 cut edge-1 | workers", "at 5 closing"]
-    assert len(unsupported_parts(parse_scenarios("\n".join(["# bad", *lines]))[0])) == 5
+    lines += ["at 6 disk hang core-1", "at 6 reset core-1", "at 6 slow 0.3 core-1", "at 6 torn 0.1"]
+    assert len(unsupported_parts(parse_scenarios("\n".join(["# bad", *lines]))[0])) == 9
