--- a/ashlift/lab/system/programs.py
+++ b/ashlift/lab/system/programs.py
@@ -33,6 +33,7 @@
         self._settings = settings
         self._log = log
         self._process: subprocess.Popen[bytes] | None = None
+        self._is_starting = False
 
     @property
     def is_running(self) -> bool:
@@ -52,8 +53,15 @@
 
     def start(self) -> None:
         """Start a process, unless one runs; its output is added to the log."""
-        if self.is_running:
-            return
+        if self.is_running or self._is_starting:
+            return  # a start waits for its process: another greenlet may come here meanwhile
+        self._is_starting = True
+        try:
+            self._start_process()
+        finally:
+            self._is_starting = False
+
+    def _start_process(self) -> None:
         self.incarnation += 1
         self.is_frozen = False
         environment = {**os.environ, "ASHLIFT_SETTINGS": str(self._settings), FATAL_VARIABLE: "1"}
