--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -38,6 +38,8 @@
 # Graceful shutdown, in fractions of `Grace`: connections are accepted that long, since clients may hold an
 # old answer of /lookup; then the process ends.
 ACCEPT_FRACTION: Final = 0.55
+# What a client sends up to 3 s after the SIGTERM may be broken off at the end of `Grace`, later requests not.
+MAX_ACCEPT_SECONDS: Final = 2.8
 EXIT_FRACTION: Final = 0.93
 DRAIN_CHECK_SECONDS: Final = 0.02
 LAST_RESPONSE_SECONDS: Final = 0.05  # for the last responses to be written
@@ -94,7 +96,7 @@
         self.router.draining = True
         self.proxy_server.draining = True
         log_event(STOPPING, in_flight=self.request_handler.in_flight)
-        gevent.sleep(ACCEPT_FRACTION * grace)
+        gevent.sleep(accept_seconds(grace))
         self.proxy_server.close()
         exit_at = started_at + EXIT_FRACTION * grace
         while self.request_handler.in_flight and time.monotonic() < exit_at:
@@ -177,6 +179,11 @@
         log_event(SETTINGS_READ, seeds=",".join(self.registry_poller.seeds))
 
 
+def accept_seconds(grace: float) -> float:
+    """How long after SIGTERM connections are accepted; `grace`: `Grace`, in seconds."""
+    return min(ACCEPT_FRACTION * grace, MAX_ACCEPT_SECONDS)
+
+
 def _abbreviated(names: list[str]) -> str:
     listed = ",".join(names[:MAX_LOGGED_NAMES])
     more = len(names) - MAX_LOGGED_NAMES
--- a/ashlift/registry/api/instances.py
+++ b/ashlift/registry/api/instances.py
@@ -1,15 +1,19 @@
-"""`/instances/ID`: heartbeats of workers."""
+"""`/instances/ID`: heartbeats of workers. What a leaving worker says is acknowledged once others know it."""
 
 import time
 from collections.abc import Callable
 from typing import Final
 
+import gevent
+
 from ashlift.errors import Failure
 from ashlift.events import log_event
 from ashlift.registry import events
 from ashlift.registry.api.heartbeat_body import parse_heartbeat
 from ashlift.registry.api.messages import HttpRequest, HttpResponse, error_response
 from ashlift.registry.api.resource import RETRY_AFTER_SECONDS, Resource
+from ashlift.registry.pacing import LEAVE_CONFIRMATION_POLL_SECONDS, LEAVE_CONFIRMATION_SECONDS
+from ashlift.registry.records import WorkerState
 from ashlift.registry.registry import Registry
 
 MAX_WORKER_ID_LENGTH: Final = 200
@@ -38,6 +42,8 @@
             return error_response(503, "a call with a higher CallSeq has come", RETRY_AFTER_SECONDS)
         if self._registry.is_isolated(now):  # the heartbeat counts here, and the worker goes elsewhere
             return error_response(503, "out of reach of the other registries", RETRY_AFTER_SECONDS)
+        if record.state is WorkerState.DRAINING and not self._await_confirmation(now):
+            return error_response(503, "not confirmed by the other registries", RETRY_AFTER_SECONDS)
         return HttpResponse(200, {"HeartbeatTarget": self._registry.heartbeat_target(record.zone, now)})
 
     def delete(self, request: HttpRequest) -> HttpResponse:
@@ -45,11 +51,23 @@
         worker_id = _worker_id(request)
         if worker_id is None:
             return error_response(400, "DELETE /instances/ID")
-        self._registry.instances.deregister(worker_id, time.monotonic())
+        now = time.monotonic()
+        self._registry.instances.deregister(worker_id, now)
         self._notify_if_changed()
         log_event(events.WORKER_DEREGISTERED, worker=worker_id)
+        if not self._await_confirmation(now):
+            return error_response(503, "not confirmed by the other registries", RETRY_AFTER_SECONDS)
         return HttpResponse(200, {})
 
+    def _await_confirmation(self, recorded_at: float) -> bool:
+        """Wait until what was recorded then has gone to most registries; False: it takes too long."""
+        deadline = recorded_at + LEAVE_CONFIRMATION_SECONDS
+        while not self._registry.is_leave_confirmed(recorded_at):
+            if time.monotonic() >= deadline:
+                return False
+            gevent.sleep(LEAVE_CONFIRMATION_POLL_SECONDS)
+        return True
+
 
 def _worker_id(request: HttpRequest) -> str | None:
     segments = request.segments
--- a/ashlift/registry/pacing.py
+++ b/ashlift/registry/pacing.py
@@ -16,6 +16,11 @@
 INITIAL_BACKOFF_SECONDS: Final = 0.1  # after a call that failed
 MAX_BACKOFF_SECONDS: Final = 1.0
 
+# A worker that leaves waits so long for its acknowledgement: two calls to the others, each held open, an
+# interval between them, and the way. It gives a call up after 1 s.
+LEAVE_CONFIRMATION_SECONDS: Final = 0.8
+LEAVE_CONFIRMATION_POLL_SECONDS: Final = 0.02
+
 
 def call_interval(callers: int, unthrottled: int) -> float:
     """How far apart the calls of one caller are at least while there are many changes."""
--- a/ashlift/registry/peer_registries.py
+++ b/ashlift/registry/peer_registries.py
@@ -115,12 +115,22 @@
     def is_isolated(self, core_members: Collection[str], now: float) -> bool:
         """Whether this registry, counting itself, has long been in contact with no more than half of the core
         members: the others work without it, and clients should use one of them."""
-        own_ip = self._identity.ip
-        members = set(core_members) | {own_ip}
-        in_reach = {self.replicas[name].ip for name in self.contacted_within(ISOLATION_SECONDS, now)}
-        in_reach.add(own_ip)
         has_run_long_enough = now - self._clock.resumed_at > ISOLATION_SECONDS
-        return has_run_long_enough and 2 * len(members & in_reach) <= len(members)
+        recent = self.contacted_within(ISOLATION_SECONDS, now)
+        return has_run_long_enough and not self._is_majority(core_members, recent)
+
+    def has_reached_majority_since(self, core_members: Collection[str], since: float) -> bool:
+        """Whether most core members, this one included, have answered a request sent at `since` or later.
+
+        They keep requests of their own open here, so they have been sent what was recorded here before.
+        """
+        answered = [name for name, replica in self.replicas.items() if replica.last_contact_at >= since]
+        return self._is_majority(core_members, answered)
+
+    def _is_majority(self, core_members: Collection[str], sources: Iterable[str]) -> bool:
+        members = {*core_members, self._identity.ip}
+        in_reach = {self.replicas[name].ip for name in sources} | {self._identity.ip}
+        return 2 * len(members & in_reach) > len(members)
 
     def has_complete_view(self, core_members: Collection[str], now: float) -> bool:
         """Whether the records here are complete: this registry has run for a while, or is in contact with all
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -196,6 +196,13 @@
         nearest_ip, _ = min(places, key=preference)
         return f"{nearest_ip}:{self.identity.http_port}"
 
+    def is_leave_confirmed(self, recorded_at: float) -> bool:
+        """Whether what a leaving worker said here at `recorded_at` has gone to most core members.
+
+        Its acknowledgement binds all proxies, also if this registry is cut off from the others right now.
+        """
+        return self.peers.has_reached_majority_since(self.core_members(), recorded_at)
+
     # ---- other registries
 
     def core_members(self) -> dict[str, Any]:
--- a/ashlift/simulation/checkers/departure_checks.py
+++ b/ashlift/simulation/checkers/departure_checks.py
@@ -11,7 +11,7 @@
 
 
 def check_draining(checked: CheckedHistory) -> Iterator[Violation]:
-    """DRAIN: nothing reaches a worker `Bounds.drain` s after its draining was acknowledged."""
+    """DRAIN: nothing reaches a worker `Bounds.drain` s after any machine acknowledged its draining."""
     for request in checked.history.requests:
         for arrival in request.arrivals:
             worker = checked.history.workers[arrival.worker]
@@ -22,12 +22,11 @@
                 or not checked.was_in_touch(arrival.proxy, arrival.at)
             ):
                 continue
-            if checked.was_in_touch(worker.draining_registry, worker.draining_acknowledged):
-                description = (
-                    f"{request.describe()} reached {arrival.worker}, and {worker.draining_registry} "
-                    f"acknowledged at {acknowledged:.3f} that it leaves"
-                )
-                yield Violation("DRAIN", arrival.at, description)
+            description = (
+                f"{request.describe()} reached {arrival.worker}, and {worker.draining_registry} "
+                f"acknowledged at {acknowledged:.3f} that it leaves"
+            )
+            yield Violation("DRAIN", arrival.at, description)
 
 
 def check_evacuated_zones(checked: CheckedHistory) -> Iterator[Violation]:
--- a/ashlift/simulation/checkers/response_checks.py
+++ b/ashlift/simulation/checkers/response_checks.py
@@ -10,6 +10,8 @@
 
 MIN_REQUESTS_FOR_SHARE: Final = 20  # fewer tell nothing of a share
 RECOVERED_SHARE: Final = 0.25
+LATEST_EXCUSED_SECONDS: Final = 3.0  # after a SIGTERM: what is sent later may not be broken off
+LAST_PART_OF_GRACE: Final = 5 / 6  # from which what is still at work may be broken off
 MIN_LATER_ROUTES_RATIO: Final = 0.25  # of the success share of the first routes
 
 
@@ -55,7 +57,7 @@
 
 
 def _break_is_excused(checked: CheckedHistory, request: Request) -> bool:
-    """Whether a fault, a termination whose grace is half over, or the worker is to blame."""
+    """Whether a fault, a termination whose grace is nearly over, or the worker is to blame."""
     history = checked.history
     start = request.sent - checked.bounds.contact
     terminations = [at for at in history.terminations.get(request.proxy, ()) if start <= at <= request.ended]
@@ -68,7 +70,8 @@
         return True
     if (
         terminations
-        and request.ended > terminations[-1] + checked.bounds.grace / 2
+        and request.sent <= terminations[-1] + LATEST_EXCUSED_SECONDS
+        and request.ended > terminations[-1] + LAST_PART_OF_GRACE * checked.bounds.grace
         and any(arrival.ran for arrival in request.arrivals)
     ):
         return True
--- a/ashlift/simulation/proxy_process.py
+++ b/ashlift/simulation/proxy_process.py
@@ -14,7 +14,7 @@
 from ashlift.proxy.configuration_updates import RETRY_PAUSE_SECONDS
 from ashlift.proxy.idle_connections import IdleConnectionAges
 from ashlift.proxy.load_balancer import WorkerState
-from ashlift.proxy.program import ACCEPT_FRACTION, EXIT_FRACTION
+from ashlift.proxy.program import EXIT_FRACTION, accept_seconds
 from ashlift.proxy.registry_client import LONG_POLL_SECONDS, RESPONSE_TIMEOUT_SECONDS, RegistryClient
 from ashlift.proxy.rejections import Rejection
 from ashlift.proxy.request_progress import RequestProgress, Step
@@ -207,7 +207,7 @@
     def _drain(self) -> Task:
         started = self.clock()
         grace = self.router.bounds.grace
-        yield ACCEPT_FRACTION * grace
+        yield accept_seconds(grace)
         while self.requests and self.clock() < started + EXIT_FRACTION * grace:
             yield DRAIN_POLL_SECONDS
         self.kill()
--- a/ashlift/simulation/registry_process.py
+++ b/ashlift/simulation/registry_process.py
@@ -12,11 +12,14 @@
 from ashlift.registry.pacing import (
     BATCHING_DELAY_SECONDS,
     INITIAL_BACKOFF_SECONDS,
+    LEAVE_CONFIRMATION_POLL_SECONDS,
+    LEAVE_CONFIRMATION_SECONDS,
     LONG_POLL_SECONDS,
     MIN_LONG_POLL_SECONDS,
     next_backoff,
     pull_deadline,
 )
+from ashlift.registry.records import WorkerState
 from ashlift.registry.registry import Registry
 from ashlift.registry.replication_loops import (
     OWN_STORE_WATCH_SECONDS,
@@ -203,12 +206,23 @@
         self.notify_waiting()
         if not is_recorded or self.registry.is_isolated(now):
             return 503, None
-        return 200, self.registry.heartbeat_target(worker.zone, now)
+        target = self.registry.heartbeat_target(worker.zone, now)
+        if worker.state is WorkerState.DRAINING:
+            return self._acknowledge_leave(now, target)
+        return 200, target
 
     def _handle_deregister(self, worker_id: str) -> Any:
-        self.registry.instances.deregister(worker_id, self.clock())
+        now = self.clock()
+        self.registry.instances.deregister(worker_id, now)
         self.notify_waiting()
-        return 200, None
+        return self._acknowledge_leave(now, None)
+
+    def _acknowledge_leave(self, recorded_at: float, target: str | None) -> Task:
+        while not self.registry.is_leave_confirmed(recorded_at):
+            if self.clock() >= recorded_at + LEAVE_CONFIRMATION_SECONDS:
+                return 503, None
+            yield LEAVE_CONFIRMATION_POLL_SECONDS
+        return 200, target
 
     def _handle_lookup(self, place: tuple[str, str]) -> Any:
         answer = self.registry.lookup(HOST, Place(*place), self.clock())
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -1,9 +1,9 @@
 """The proxy's process: what ends it."""
 
-from ward import test
+from ward import each, test
 
 from ashlift.config.settings import Settings, parse_settings
-from ashlift.proxy.program import Program
+from ashlift.proxy.program import EXIT_FRACTION, Program, accept_seconds
 from tests.proxy.test_registry_client import TEXT
 
 
@@ -20,3 +20,12 @@
     program._stop.wait(1.0)
     assert program.invariant_violated
     assert program._stop.is_set()
+
+
+@test(
+    "after SIGTERM, with Grace {grace} s: connections are accepted for under 3 s, and ended in the last sixth"
+)
+def _(grace: float = each(0.5, 3.0, 6.0, 10.0, 30.0)) -> None:
+    accepting = accept_seconds(grace)
+    assert accepting < 3.0  # what is sent later than 3 s after SIGTERM may not be broken off
+    assert accepting < 5 / 6 * grace < EXIT_FRACTION * grace < grace  # broken off in the last sixth alone
--- a/tests/registry/test_instances.py
+++ b/tests/registry/test_instances.py
@@ -13,6 +13,7 @@
 from ashlift.registry.records import WorkerRecord, WorkerState
 from ashlift.registry.registry import Registry
 from tests.support.http_requests import http_request
+from tests.support.registry_scenarios import RegistryScenario
 
 HEARTBEAT = (
     b'{"Address":"10.128.0.9:8080","NodeInfo":{"Service":"s","ConfigVersion":"v1","Zone":"z","Capacity":2},'
@@ -98,3 +99,31 @@
     resource = InstancesResource(isolated, lambda: None)
     assert resource.handle(http_request("PUT", "/instances/i-1", HEARTBEAT)).status == 503
     assert list(isolated.instances.all_known()) == ["i-1"]
+    assert resource.handle(http_request("DELETE", "/instances/i-1")).status == 503
+
+
+@test("what a leaving worker says is not acknowledged where the others may not have it yet")
+def _() -> None:
+    young = Registry(IDENTITY, ["10.0.0.1", "10.0.0.2"], {}, time.monotonic())
+    resource = InstancesResource(young, lambda: None)
+    assert resource.handle(http_request("PUT", "/instances/i-1", HEARTBEAT)).status == 200
+    draining = HEARTBEAT.replace(b"ready", b"draining").replace(b"4,", b"5,")
+    assert resource.handle(http_request("PUT", "/instances/i-1", draining)).status == 503
+    assert resource.handle(http_request("DELETE", "/instances/i-1")).status == 503
+
+
+@test("a leave is confirmed by answers of most registries that were asked after it, and not after a cut")
+def _() -> None:
+    scenario = RegistryScenario()
+    for line in ("start a za ra", "start b zb rb", "run 2"):
+        scenario.play(line)
+    registry = scenario.registries["a"]
+    recorded_at = scenario.now + 0.001
+    assert not registry.is_leave_confirmed(recorded_at)
+    scenario.play("run 0.2")
+    assert registry.is_leave_confirmed(recorded_at)
+    scenario.play("partition a b")
+    recorded_at = scenario.now + 0.001
+    scenario.play("run 1")
+    assert not registry.is_isolated(scenario.now)
+    assert not registry.is_leave_confirmed(recorded_at)
