--- a/ashlift/metrics_server.py
+++ b/ashlift/metrics_server.py
@@ -41,9 +41,12 @@
     """Start the endpoint; None where the address cannot be had."""
 
     def handle_connection(sock: socket.socket, _: Address) -> None:
-        with contextlib.suppress(OSError, gevent.Timeout), gevent.Timeout(REQUEST_TIMEOUT_SECONDS):
+        with (
+            contextlib.closing(sock),
+            contextlib.suppress(OSError, gevent.Timeout),
+            gevent.Timeout(REQUEST_TIMEOUT_SECONDS),
+        ):
             send_all(sock, _response(_read_target(sock), metrics))
-        sock.close()
 
     server = StreamServer(address, handle_connection, backlog=LISTEN_BACKLOG)
     try:
--- a/ashlift/registry/api/lookup.py
+++ b/ashlift/registry/api/lookup.py
@@ -7,14 +7,12 @@
 from ashlift.events import log_event
 from ashlift.registry.api.messages import HttpRequest, HttpResponse, error_response
 from ashlift.registry.api.resource import RETRY_AFTER_SECONDS, Resource
-from ashlift.registry.endpoint_directory import DirectoryAnswer, LookupReach
-from ashlift.registry.events import LOOKUP_REACH_CHANGED
+from ashlift.registry.events import READY_PROXIES_SHORT
 from ashlift.registry.locality import Place
+from ashlift.registry.peer_registries import MIN_UPTIME_SECONDS
 from ashlift.registry.registry import Registry
 
 LOOKUP_TTL: Final = "1s"
-MAX_KNOWN_PLACES: Final = 100
-OUTSIDE_REGION: Final = frozenset({LookupReach.HOME_REGIONS, LookupReach.OTHER_REGIONS})
 
 
 class LookupResource(Resource):
@@ -22,29 +20,29 @@
 
     def __init__(self, registry: Registry) -> None:
         self._registry = registry
-        self._last_reach: dict[Place, LookupReach] = {}  # by the client's place
+        self._short_places: set[Place] = set()  # of clients whose region has too few ready proxies
 
     def get(self, request: HttpRequest) -> HttpResponse:
         """Addresses of proxies, near ones first; 503 where they are not known for sure."""
-        place = Place(request.query.get("Zone", ""), request.query.get("Region", ""))
-        answer = self._registry.lookup(request.query.get("Name", ""), place, time.monotonic())
+        zone = request.query.get("Zone", "")
+        place = Place(zone, request.query.get("Region") or self._registry.zones.get(zone, ""))
+        now = time.monotonic()
+        answer = self._registry.lookup(request.query.get("Name", ""), place, now)
+        if zone in self._registry.zones and self._registry.uptime(now) >= MIN_UPTIME_SECONDS:
+            self._log_shortage(place)
         if isinstance(answer, Failure):
             return error_response(503, answer.detail, RETRY_AFTER_SECONDS)
-        self._log_reach(place, answer)
         return HttpResponse(200, {"Addresses": answer.addresses, "Ttl": LOOKUP_TTL})
 
-    def _log_reach(self, place: Place, answer: DirectoryAnswer) -> None:
-        """Log where the clients of a place begin, or cease, to be sent to other regions."""
-        before = self._last_reach.get(place, LookupReach.ZONE) in OUTSIDE_REGION
-        if len(self._last_reach) >= MAX_KNOWN_PLACES:
-            self._last_reach.clear()
-        self._last_reach[place] = answer.reach
-        if before != (answer.reach in OUTSIDE_REGION):
-            log_event(
-                LOOKUP_REACH_CHANGED,
-                zone=place.zone,
-                region=place.region,
-                reach=answer.reach,
-                ready_in_region=answer.ready_in_region,
-                outside_region=len(answer.other_regions),
-            )
+    def _log_shortage(self, place: Place) -> None:
+        """Log where a region comes to have too few ready proxies, or enough again."""
+        directory = self._registry.directory
+        if directory.is_short(place) == (place in self._short_places):
+            return
+        self._short_places ^= {place}
+        log_event(
+            READY_PROXIES_SHORT,
+            zone=place.zone,
+            region=place.region,
+            ready=directory.ready_in_region.get(place),
+        )
--- a/ashlift/registry/endpoint_directory.py
+++ b/ashlift/registry/endpoint_directory.py
@@ -23,6 +23,7 @@
 )
 CACHE_SECONDS: Final = 0.1
 MAX_CACHED_LOOKUPS: Final = 100  # places as asked for, with the policies of hosts
+MAX_KNOWN_PLACES: Final = 100
 
 
 class LookupReach(StrEnum):
@@ -100,6 +101,11 @@
         self._live_sessions = live_sessions
         self.cache: dict[tuple[Place, RegionPolicy], CachedAnswer] = {}
         self.answers_by_reach: Counter[str] = Counter()
+        self.ready_in_region: dict[Place, int] = {}  # by place, as of the last look-up there
+
+    def is_short(self, place: Place) -> bool:
+        """Whether the region of a place had too few ready proxies at the last look-up."""
+        return self.ready_in_region.get(place, MIN_NEAR_PROXIES) < MIN_NEAR_PROXIES
 
     def answer(self, place: Place, region_policy: Callable[[], RegionPolicy], now: float) -> DirectoryAnswer:
         """Where clients of that place are sent.
@@ -110,6 +116,9 @@
         if len(answer.addresses) < MIN_NEAR_PROXIES:
             answer = self._cached_answer(place, region_policy(), now)
         self.answers_by_reach[answer.reach] += 1
+        if len(self.ready_in_region) >= MAX_KNOWN_PLACES:
+            self.ready_in_region.clear()
+        self.ready_in_region[place] = answer.ready_in_region
         return answer
 
     def _cached_answer(self, place: Place, policy: RegionPolicy, now: float) -> DirectoryAnswer:
--- a/ashlift/registry/events.py
+++ b/ashlift/registry/events.py
@@ -11,4 +11,4 @@
 COMMAND_ANSWERED: Final = EventType(305, "operator command answered")
 STORE_UNREACHABLE: Final = EventType(306, "own configuration store unreachable")
 EDIT_ANSWERED: Final = EventType(307, "route edit answered")
-LOOKUP_REACH_CHANGED: Final = EventType(308, "look-ups of a place reach further or nearer")
+READY_PROXIES_SHORT: Final = EventType(308, "region short of ready proxies, or no longer")
--- a/ashlift/registry/home_regions.py
+++ b/ashlift/registry/home_regions.py
@@ -56,28 +56,36 @@
         self._version = version
         self._read_version = 0  # of a configuration that is not there yet
         self._policies: dict[str, RegionPolicy] = {}  # by host
+        self._shared_homes: dict[str, frozenset[str]] = {}  # by host, of those that have homed routes
 
     def shared_home_regions(self, host: str) -> frozenset[str] | None:
-        """The regions that are home of all routes of a host that have homes; None: of none of them.
+        """The regions that are home of all routes of a host that have homes; None: it has no such route.
 
-        Read from the entries each time, for the check of what `policy` led to.
+        For the check of what `policy` led to: worked out from the entries, and not from the policies.
         """
-        name = normalize_host(host)
-        homes = [
-            frozenset(specification["HomeRegions"])
-            for key, specification in self._entries().items()
-            if key.startswith(ROUTE_PREFIX)
-            and specification.get("HomeRegions")
-            and normalize_host(specification["Host"]) == name
-        ]
-        return frozenset.intersection(*homes) if homes else None
+        self._read_if_changed()
+        return self._shared_homes.get(normalize_host(host))
 
     def policy(self, host: str) -> RegionPolicy:
         """The policy of a host, as a `Host` header names it."""
+        self._read_if_changed()
+        return self._policies.get(normalize_host(host), OWN_REGION_ONLY)
+
+    def _read_if_changed(self) -> None:
         if self._read_version != self._version():
             self._read_version = self._version()
             self._policies = _read_policies(self._entries())
-        return self._policies.get(normalize_host(host), OWN_REGION_ONLY)
+            self._shared_homes = _read_shared_homes(self._entries())
+
+
+def _read_shared_homes(entries: Mapping[str, Any]) -> dict[str, frozenset[str]]:
+    shared: dict[str, frozenset[str]] = {}
+    for key, specification in entries.items():
+        if key.startswith(ROUTE_PREFIX) and specification.get("HomeRegions"):
+            host = normalize_host(specification["Host"])
+            homes = frozenset(specification["HomeRegions"])
+            shared[host] = shared.get(host, homes) & homes
+    return shared
 
 
 def _read_policies(entries: Mapping[str, Any]) -> dict[str, RegionPolicy]:
