Tests of the simulator's scenarios in the field's terms

Cause: docstrings and names still said scenes and named folders that are gone. Change: docstrings and module names alone; the tests' titles stay.

--- a/tests/simulation/test_command_scenarios.py
+++ b/tests/simulation/test_command_scenarios.py
@@ -1,4 +1,4 @@
-"""Orders on the worst days by text scenes (scenes/orders_*.txt), on the real cores, with every checker."""
+"""Operator commands by text scenarios of the worst days (orders_*.txt), with every checker."""
 
 from pathlib import Path
 
@@ -9,18 +9,20 @@
 from tests.support.mutants import COMMAND_MUTANTS, mutated
 
 FOLDER = Path(__file__).parent.parent / "scenarios"
-SCENES = {
-    scene.title: scene for path in sorted(FOLDER.glob("orders_*.txt")) for scene in read_scenarios(path)
+SCENARIOS = {
+    scenario.title: scenario
+    for path in sorted(FOLDER.glob("orders_*.txt"))
+    for scenario in read_scenarios(path)
 }
 
 
 @test("orders: {title}")
-def _(title: str = each(*SCENES)) -> None:
-    found = ScenarioPlayer(SCENES[title]).run()
+def _(title: str = each(*SCENARIOS)) -> None:
+    found = ScenarioPlayer(SCENARIOS[title]).run()
     assert found is None, str(found)
 
 
 @test("orders without their guard, {broken}: found")
 def _(broken: str = each(*COMMAND_MUTANTS)) -> None:
     with mutated(broken):
-        assert ScenarioPlayer(SCENES[COMMAND_MUTANTS[broken].scenario]).run() is not None
+        assert ScenarioPlayer(SCENARIOS[COMMAND_MUTANTS[broken].scenario]).run() is not None
--- a/tests/simulation/test_system_scenarios.py
+++ b/tests/simulation/test_system_scenarios.py
@@ -1,5 +1,4 @@
-"""The whole system by text scenes (scenes/system_*.txt; those of the core: test_system_core_scenes.py) and by
-chance, with every checker."""
+"""The whole system by text scenarios (system_*.txt) and by random ones, with every checker."""
 
 from math import inf
 from pathlib import Path
@@ -15,29 +14,35 @@
 from ashlift.simulation.shrinking import shrink
 
 FOLDER = Path(__file__).parent.parent / "scenarios"
-CORE = ("system_core.txt", "system_soft.txt")  # as many again: in a file, so in a process, of their own
-FILES = [path for path in sorted(FOLDER.glob("system_*.txt")) if path.name not in CORE]
-SCENES = {scene.title: scene for path in FILES for scene in read_scenarios(path)}
-OPEN = {scene.title: scene for path in sorted(FOLDER.glob("open_*.txt")) for scene in read_scenarios(path)}
-CHANCE = (1, 2, 3, 5, 8)
+CORE_FILES = ("system_core.txt", "system_soft.txt")  # played by test_core_scenarios.py, in another process
+FILES = [path for path in sorted(FOLDER.glob("system_*.txt")) if path.name not in CORE_FILES]
+SCENARIOS = {scenario.title: scenario for path in FILES for scenario in read_scenarios(path)}
+OPEN_SCENARIOS = {
+    scenario.title: scenario
+    for path in sorted(FOLDER.glob("open_*.txt"))
+    for scenario in read_scenarios(path)
+}
+RANDOM_SEEDS = (1, 2, 3, 5, 8)
 
 
 @test("the whole system: {title}")
-def _(title: str = each(*SCENES)) -> None:
-    found = ScenarioPlayer(SCENES[title]).run()
+def _(title: str = each(*SCENARIOS)) -> None:
+    found = ScenarioPlayer(SCENARIOS[title]).run()
     assert found is None, str(found)
 
 
 @test("not mended yet, with any of four seeds: {title}")
-def _(title: str = each(*OPEN)) -> None:
+def _(title: str = each(*OPEN_SCENARIOS)) -> None:
     wrong = [
-        str(found) for seed in (1, 2, 3, 4) if (found := ScenarioPlayer(OPEN[title], seed).run()) is not None
+        str(found)
+        for seed in (1, 2, 3, 4)
+        if (found := ScenarioPlayer(OPEN_SCENARIOS[title], seed).run()) is not None
     ]
     assert not wrong, "\n".join(wrong)  # ward breaks off drawing how lists differ
 
 
 @test("the whole system by chance, seed {seed}")
-def _(seed: int = each(*CHANCE)) -> None:
+def _(seed: int = each(*RANDOM_SEEDS)) -> None:
     play = ScenarioPlayer(random_scenario(seed), seed)
     found = play.run()
     assert found is None, str(found)
@@ -68,8 +73,8 @@
 @test("a failing schedule is shortened to what it needs, and reads back from its text")
 def _() -> None:
     lines = ["until 8", "at 6 load 0.5", "at 6.1 kill proxy edge-1", "at 6.5 expect acked 9", "at 7 load 1"]
-    scene = parse_scenarios("\n".join(["# fails", *lines]))[0]
-    short = shrink(scene, 1)
+    scenario = parse_scenarios("\n".join(["# fails", *lines]))[0]
+    short = shrink(scenario, 1)
     assert short.events == (ScenarioEvent(6.5, ("expect", "acked", "9")),)
     assert parse_scenarios(short.to_text())[0].events == short.events
     with raises(ValueError):
