--- a/tests/simulation/test_invariants.py
+++ b/tests/simulation/test_invariants.py
@@ -163,6 +163,13 @@
     builder.ask(13.1 if bad else 12.7, "/look/x", "fleet-1")
 
 
+def drain_told_to_a_machine_cut_off(builder: HistoryBuilder, bad: bool) -> None:
+    """The acknowledgement binds also where the machine that gave it was not in touch."""
+    builder.history.begin_fault("core-1", 9.5)
+    builder.history.end_faults("core-1", 10.5)
+    drain(builder, bad)
+
+
 def evacuated(builder: HistoryBuilder, bad: bool) -> None:
     builder.history.evacuations.append(EvacuationChange("z1", True, 9, 10))
     builder.ask(15.1, "/look/x", "fleet-1" if bad else "fleet-2")
@@ -188,6 +195,12 @@
     builder.ask(10, "/bill/x", "bill-2" if bad else "bill-1")
 
 
+def led_out(builder: HistoryBuilder, bad: bool) -> None:
+    """The client is in r1, its route at home there, and its proxy elsewhere."""
+    builder.history.proxy_regions = {"edge-1": "r3" if bad else "r1"}
+    builder.ask(10, "/bill/x", "bill-1")
+
+
 def spun(builder: HistoryBuilder, bad: bool) -> None:
     builder.ask(10, "/look/x", "fleet-1").pool_exhausted_count = 1000 if bad else 3
 
@@ -216,10 +229,19 @@
 
 
 def cut_off_leaving(builder: HistoryBuilder, bad: bool) -> None:
-    """In the first half of Grace, or in the second with the worker at work."""
+    """Before the last sixth of Grace (6 s), or in it with the worker at work."""
+    one = builder.ask(10, "/look/x", "fleet-1", status=0)
+    one.connection_broken = True
+    one.ended = 12.5
+    builder.history.begin_fault("edge-1", 7.6 if bad else 7.4, termination=True)
+
+
+def sent_late_and_cut_off(builder: HistoryBuilder, bad: bool) -> None:
+    """Sent more than 3 s after the SIGTERM, and broken off in the last sixth of Grace."""
     one = builder.ask(10, "/look/x", "fleet-1", status=0)
     one.connection_broken = True
-    builder.history.begin_fault("edge-1", 9.9 if bad else 7.0, termination=True)
+    one.ended = 12.8
+    builder.history.begin_fault("edge-1", 6.9 if bad else 7.1, termination=True)
 
 
 def recovered(builder: HistoryBuilder, bad: bool) -> None:
@@ -255,11 +277,13 @@
     "read refused": ("CONFIG", read_refused),
     "lost": ("LOST", lost),
     "drain": ("DRAIN", drain),
+    "drain told to a machine cut off": ("DRAIN", drain_told_to_a_machine_cut_off),
     "evacuated": ("EVAC", evacuated),
     "budget": ("BUDGET", budget),
     "quota": ("QUOTA", quota),
     "failback": ("FAILBACK", failback),
     "home": ("HOME", home),
+    "led out": ("HOME", led_out),
     "spun": ("Fault", spun),
     "mixed": ("MIXED", mixed),
     "mixed failure": ("MIXED", mixed_failure),
@@ -267,6 +291,7 @@
     "stranger": ("UNASKED", tenant),
     "cut off": ("LOST", cut_off),
     "cut off leaving": ("LOST", cut_off_leaving),
+    "sent late and cut off": ("LOST", sent_late_and_cut_off),
     "recovered": ("RECOVER", recovered),
     "slighted": ("CONFIG", slighted),
 }
