Soak: names in the field's terms

Cause: the soak's names used the users' word for faults. Change: names, docstrings and the line that it prints.

--- a/ashlift/gatekeeper/cli.py
+++ b/ashlift/gatekeeper/cli.py
@@ -290,7 +290,7 @@
 @click.option("--seconds", type=click.FloatRange(19, 120), default=30.0, show_default=True)
 @click.option("--keep-failed", type=click.Path(file_okay=False, path_type=Path), default=None)
 def lab_soak(first: int, seeds: int, proxies: int, seconds: float, keep_failed: Path | None) -> None:
-    """Play drawn, overlapping troubles on real processes, for many seeds, with fatal invariants."""
+    """Play random, overlapping faults on real processes, for many seeds, with fatal invariants."""
     from ashlift.lab.system import soak
 
     sys.exit(soak.run_soak(first, seeds, proxies, seconds, keep_failed))
--- a/ashlift/lab/system/soak.py
+++ b/ashlift/lab/system/soak.py
@@ -1,4 +1,4 @@
-"""The soak: real processes and sockets under drawn, overlapping troubles, for many seeds."""
+"""The soak: real processes and sockets under random, overlapping faults, for many seeds."""
 
 import sys
 import time
@@ -7,7 +7,7 @@
 import click
 
 from ashlift.lab.system.runs import StoppedError, play_on_processes
-from ashlift.lab.system.soak_scenario import most_troubles_at_once, soak_scenario
+from ashlift.lab.system.soak_scenario import max_concurrent_faults, soak_scenario
 from ashlift.simulation.scenario import Scenario, ScenarioEvent
 
 STOPPED_STATUS = 130  # as a shell has it for SIGINT
@@ -47,7 +47,7 @@
     click.echo(
         f"seed {seed}: {'broken' if broken else 'held'}; "
         f"{len(run.history.requests)} requests, {served} served, "
-        f"{len(scenario.events)} events, up to {most_troubles_at_once(scenario)} troubles at once, "
+        f"{len(scenario.events)} events, up to {max_concurrent_faults(scenario)} faults at once, "
         f"{time.monotonic() - began:.0f} s, at most {run.max_lag:.2f} s late"
     )
     for verdict in broken:
--- a/ashlift/lab/system/soak_scenario.py
+++ b/ashlift/lab/system/soak_scenario.py
@@ -1,4 +1,4 @@
-"""Scenarios of the soak, drawn from a seed: overlapping troubles of all kinds that processes can have. Pure.
+"""Scenarios of the soak, drawn from a seed: overlapping faults of all kinds that processes can have. Pure.
 
 To the random faults of the simulator come rolling restarts of proxies that overlap, and workers whose answers
 are lost. Home regions are always set, so that a region without ready proxies shows where clients are led.
@@ -22,14 +22,14 @@
 HOMES: Final = (["r1"], ["r1", "r2"])
 LOST_ANSWER_SHARES: Final = (0.2, 0.5)
 SERVICES: Final = ("fleet", "desk", "bill")
-TROUBLE_SECONDS: Final = 4.0  # that a trouble without a duration of its own is counted
-TROUBLES: Final = frozenset(
+DEFAULT_FAULT_SECONDS: Final = 4.0  # that a fault without a duration of its own counts
+FAULT_WORDS: Final = frozenset(
     {"kill", "freeze", "term", "power", "wipe", "cut", "oneway", "sick", "break", "crash"}
 )
 
 
 def soak_scenario(seed: int, proxies: int, seconds: float) -> Scenario:
-    """Return the scenario of a seed. Raises ValueError where `seconds` leave no time for troubles."""
+    """Return the scenario of a seed. Raises ValueError where `seconds` leave no time for faults."""
     if seconds < MIN_SECONDS:
         raise ValueError(f"{seconds:g} s: {MIN_SECONDS:g} s is the least")
     drawn = random_scenario(seed, proxies, seconds)
@@ -42,10 +42,10 @@
     return Scenario(f"soak {seed}", plan, tuple(ordered))
 
 
-def most_troubles_at_once(scenario: Scenario) -> int:
-    """How many troubles of the scenario are under way at the same moment."""
+def max_concurrent_faults(scenario: Scenario) -> int:
+    """How many faults of the scenario are under way at the same moment."""
     spans = [
-        (event.at, event.at + _duration(event)) for event in scenario.events if event.words[0] in TROUBLES
+        (event.at, event.at + _duration(event)) for event in scenario.events if event.words[0] in FAULT_WORDS
     ]
     return max((sum(start <= at < end for start, end in spans) for at, _ in spans), default=0)
 
@@ -56,7 +56,7 @@
 
 def _duration(event: ScenarioEvent) -> float:
     words = event.words
-    return float(words[words.index("for") + 1]) if "for" in words else TROUBLE_SECONDS
+    return float(words[words.index("for") + 1]) if "for" in words else DEFAULT_FAULT_SECONDS
 
 
 def _rolling_restarts(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
@@ -75,8 +75,8 @@
     """A worker of each service loses answers that it has worked for, or breaks connections; then no more."""
     for service in SERVICES:
         worker = f"{service}-{rng.randint(1, plan.workers)}"
-        word = rng.choice(("sick", "break"))
+        fault = rng.choice(("sick", "break"))
         share = rng.choice(LOST_ANSWER_SHARES)
         at = rng.uniform(FIRST_EVENT_SECONDS, calm_at)
-        yield ScenarioEvent(round(at, 2), (word, worker, f"{share:g}"))
-        yield ScenarioEvent(round(calm_at, 2), (word, worker, "0"))
+        yield ScenarioEvent(round(at, 2), (fault, worker, f"{share:g}"))
+        yield ScenarioEvent(round(calm_at, 2), (fault, worker, "0"))
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -7,7 +7,7 @@
 
 from ashlift.invariants import monitor
 from ashlift.lab.system.program_health import health_verdict, violations_in_logs, violations_in_metrics
-from ashlift.lab.system.soak_scenario import most_troubles_at_once, soak_scenario
+from ashlift.lab.system.soak_scenario import max_concurrent_faults, soak_scenario
 from ashlift.lab.system.supported_scenarios import unsupported_parts
 from ashlift.metrics import INVARIANT_VIOLATIONS, MetricsRegistry
 from ashlift.simulation.scenario import parse_scenarios
@@ -16,7 +16,7 @@
 SECONDS = 30.0
 
 
-@test("every seed of the soak can be played, has home regions, and at least two troubles at the same time")
+@test("every seed of the soak can be played, has home regions, and at least two faults at the same time")
 def _() -> None:
     words: set[str] = set()
     for seed in SEEDS:
@@ -24,7 +24,7 @@
         assert scenario == soak_scenario(seed, 9, SECONDS)
         assert unsupported_parts(scenario) == []
         assert scenario.plan.homes
-        assert most_troubles_at_once(scenario) >= 2
+        assert max_concurrent_faults(scenario) >= 2
         assert parse_scenarios(scenario.to_text())[0].events == scenario.events
         words |= {event.words[0] for event in scenario.events}
     assert {"kill", "freeze", "term", "cut", "oneway", "sick", "break", "power", "wipe", "put"} <= words
