--- a/ashlift/proxy/client_connection.py
+++ b/ashlift/proxy/client_connection.py
@@ -9,8 +9,11 @@
 from gevent import socket
 
 from ashlift.config.object_schema import ClientLimits
+from ashlift.events import WARNING, log_event
 from ashlift.gatekeeper.net.links import hung_up
+from ashlift.proxy import events
 from ashlift.proxy.request_handler import RequestContext, RequestHandler
+from ashlift.proxy.request_ledger import RequestEnd
 from ashlift.proxy.request_reader import ClientRequest, RequestReader
 from ashlift.proxy.responses import ClientResponse, render
 
@@ -43,6 +46,8 @@
         self._reader = RequestReader()
         self._in_request = False
         self._last_attempt_id = b""
+        self._is_closed_here = False
+        self._client_gone = False
 
     def run(self) -> None:
         """Serve requests one after the other."""
@@ -53,6 +58,7 @@
     def close_if_idle(self) -> None:
         """End the connection if no request is being received or processed."""
         if not self._in_request and self._reader.current is None:
+            self._is_closed_here = True
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RD)
 
@@ -64,15 +70,31 @@
         if request is None:
             return False
         self._in_request = True
+        self._request_handler.ledger.request_received()
+        end = RequestEnd.WRITE_FAILED
         try:
             response = self._handle(request)
             if response is None:
+                end = self._unanswered_end()
                 return False
             keep_alive = request.keep_alive and not self._is_draining()
             self._write(render(response, keep_alive, request.method == HEAD_METHOD))
+            end = RequestEnd.ANSWERED
             return keep_alive
         finally:
             self._in_request = False
+            self._record_end(end)
+
+    def _unanswered_end(self) -> RequestEnd:
+        """Why there is no response to the request that was processed last."""
+        if self._is_closed_here:
+            return RequestEnd.CLOSED_HERE
+        return RequestEnd.CLIENT_GONE if self._client_gone else RequestEnd.REPEATED
+
+    def _record_end(self, end: RequestEnd) -> None:
+        self._request_handler.ledger.request_ended(end)
+        if end is not RequestEnd.ANSWERED and self._is_draining():
+            log_event(events.REQUEST_UNANSWERED, level=WARNING, reason=end.value)
 
     # ---- reading
 
@@ -137,6 +159,7 @@
             return self._request_handler.handle(request, context)
         finally:
             self._last_attempt_id = context.attempt_id
+            self._client_gone = context.client_gone
             watcher.close()
 
     def _reject(self, status: int) -> None:
--- a/ashlift/proxy/metrics.py
+++ b/ashlift/proxy/metrics.py
@@ -11,11 +11,16 @@
     "requests_outside_home_total", "counter", "route", "Requests received here though no home region is here."
 )
 
+REQUEST_ENDS = Metric(
+    "request_ends_total", "counter", "end", "Requests that were read whole, by how they ended."
+)
+
 
 def proxy_metrics(handler: RequestHandler) -> MetricsRegistry:
     """The figures of a proxy, read at each scrape."""
     metrics = MetricsRegistry()
     metrics.add(RESPONSES, lambda: handler.responses)
     metrics.add(REQUESTS_OUTSIDE_HOME, lambda: handler.received_outside_home)
+    metrics.add(REQUEST_ENDS, lambda: handler.ledger.ends)
     metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
     return metrics
--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -102,6 +102,12 @@
         while self.request_handler.in_flight and time.monotonic() < exit_at:
             gevent.sleep(DRAIN_CHECK_SECONDS)
         gevent.sleep(LAST_RESPONSE_SECONDS)
+        log_event(
+            events.STOPPED,
+            seconds=round(time.monotonic() - started_at, 3),
+            connections=len(self.proxy_server.connections),
+            open_requests=self.request_handler.ledger.open_requests,
+        )
         return EXIT_INVARIANT_VIOLATED if self.invariant_violated else EXIT_OK
 
     # ---- configuration
--- a/ashlift/proxy/request_handler.py
+++ b/ashlift/proxy/request_handler.py
@@ -16,6 +16,7 @@
 from ashlift.proxy.forwarding import RoutingHeaders, forwarded_head, forwarded_request, routing_headers
 from ashlift.proxy.load_balancer import WorkerState
 from ashlift.proxy.rejections import Rejection, RejectionReason
+from ashlift.proxy.request_ledger import RequestLedger
 from ashlift.proxy.request_progress import RequestProgress
 from ashlift.proxy.request_reader import BadRequestError, ClientRequest
 from ashlift.proxy.request_router import RequestRouter
@@ -47,6 +48,7 @@
         self.router = router
         self.connection_pool = ConnectionPool()
         self.in_flight = 0
+        self.ledger = RequestLedger()
         self.responses: dict[str, int] = {}  # counts by reason, or by status of a worker's response
         self.received_outside_home: Counter[str] = Counter()  # by route: this region is no home of it
         self._awaiting_configuration: set[RequestContext] = set()
--- /dev/null
+++ b/ashlift/proxy/request_ledger.py
@@ -0,0 +1,40 @@
+"""What became of each request that was read whole from a client. Pure.
+
+A client whose request was read waits for an answer; each way to end without one has a reason here, a figure
+and a log line (404).
+"""
+
+from collections import Counter
+from enum import StrEnum
+
+
+class RequestEnd(StrEnum):
+    """How a request that was read whole ended. The values stand in metrics and log lines."""
+
+    ANSWERED = "answered"  # a complete response was handed to the kernel
+    CLIENT_GONE = "client_gone"  # the client closed the connection, or its side of it, before the answer
+    WRITE_FAILED = "write_failed"  # the client closed the connection, or took no bytes, during the answer
+    REPEATED = "repeated"  # it bears the id of the request before it on the connection
+    CLOSED_HERE = "closed_here"  # this process had closed the connection: a bug
+    PROCESS_ENDED = "process_ended"  # `Grace` was over
+
+
+class RequestLedger:
+    """Counts the requests that were read whole, and their ends."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.ends: Counter[str] = Counter({end.value: 0 for end in RequestEnd})
+
+    def request_received(self) -> None:
+        """A request has been read whole."""
+        self.received += 1
+
+    def request_ended(self, end: RequestEnd) -> None:
+        """It has ended."""
+        self.ends[end.value] += 1
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that have not ended."""
+        return self.received - self.ends.total()
