--- a/tests/proxy/test_answers.py
+++ b/tests/proxy/test_answers.py
@@ -239,8 +239,8 @@
     finally:
         client_connection.WRITE_TIMEOUT_SECONDS = write_timeout  # type: ignore[misc]
     client.expected_responses = 2
-    client._read_response(asked[0])
-    client._read_response(asked[1])
+    client.read_response(asked[0])
+    client.read_response(asked[1])
     client.close()
     site.close()
     assert [one.status for one in asked] == [0, 0]
--- a/tests/support/stub_client.py
+++ b/tests/support/stub_client.py
@@ -39,7 +39,7 @@
             self.ended = True
         self.expected_responses += len(requests)
         for request in requests:
-            self._read_response(request)
+            self.read_response(request)
 
     def _receive(self) -> bool:
         """Whether more bytes have come."""
@@ -54,7 +54,7 @@
         self.ended = not data
         return bool(data)
 
-    def _read_response(self, request: Request) -> None:
+    def read_response(self, request: Request) -> None:
         """Take the response to a request, if it comes complete."""
         while b"\r\n\r\n" not in self._received:
             if not self._receive():
