--- a/ashlift/invariants.py
+++ b/ashlift/invariants.py
@@ -20,6 +20,7 @@
 
     DIRECTORY_REGION = "directory_region"  # /lookup names proxies in allowed regions alone
     ATTEMPT_REGION = "attempt_region"  # an attempt goes to a worker in an allowed region
+    REQUEST_ANSWERED = "request_answered"  # a request that was read is answered, unless its client has gone
 
 
 class ViolationAction(Enum):
--- a/ashlift/proxy/client_connection.py
+++ b/ashlift/proxy/client_connection.py
@@ -11,19 +11,23 @@
 from ashlift.config.object_schema import ClientLimits
 from ashlift.events import WARNING, log_event
 from ashlift.gatekeeper.net.links import hung_up
+from ashlift.invariants import Invariant, monitor
 from ashlift.proxy import events
 from ashlift.proxy.request_handler import RequestContext, RequestHandler
 from ashlift.proxy.request_ledger import RequestEnd
 from ashlift.proxy.request_reader import ClientRequest, RequestReader
 from ashlift.proxy.responses import ClientResponse, render
+from ashlift.proxy.shutdown import FIRST_REQUEST_SECONDS
+from ashlift.rpc.sockets import close_after_last_response, has_unread_input, send_all
 
 WRITE_TIMEOUT_SECONDS: Final = 5.0  # a client that accepts no bytes for so long is gone
 BODY_TIMEOUT_SECONDS: Final = 10.0  # between two parts of a body
 MIN_TIMEOUT_SECONDS: Final = 0.001
-LINGER_SECONDS: Final = 1.0  # so that a client whose request was rejected sees the response before the end
+LINGER_SECONDS: Final = 1.0  # for a client to read its last response and to close, too
 HANG_UP_CHECK_SECONDS: Final = 0.05  # while the client's next request is already waiting to be read
 RECEIVE_BYTES: Final = 65536
 REQUEST_TIMEOUT_STATUS: Final = 408
+UNAVAILABLE_STATUS: Final = 503
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 HEAD_METHOD: Final = b"HEAD"
 _READABLE: Final = 1  # event of libev
@@ -44,23 +48,48 @@
         self._limits = limits
         self._is_draining = is_draining
         self._reader = RequestReader()
+        self._accepted_at = time.monotonic()
+        self._has_served = False  # a request, so that the next one may come at any time or never
         self._in_request = False
-        self._last_attempt_id = b""
+        self._is_ending = False  # its last response has been written, or is being written
         self._is_closed_here = False
         self._client_gone = False
+        self._last_attempt_id = b""
 
     def run(self) -> None:
-        """Serve requests one after the other."""
-        with contextlib.suppress(OSError, gevent.Timeout):
-            while self._serve_request():
-                pass
-
-    def close_if_idle(self) -> None:
-        """End the connection if no request is being received or processed."""
-        if not self._in_request and self._reader.current is None:
-            self._is_closed_here = True
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RD)
+        """Serve requests one after the other, and close the connection."""
+        try:
+            with contextlib.suppress(OSError, gevent.Timeout):
+                while self._serve_request():
+                    pass
+                if self._is_ending:
+                    close_after_last_response(self._sock, LINGER_SECONDS)
+        finally:
+            self._sock.close()
+            self._drop_pipelined_requests()
+
+    def close_if_idle(self, now: float) -> None:
+        """End the connection if nothing of a request has arrived and nothing is owed. `now`: steady time.
+
+        A connection without a request yet has some time for it: its client has just been accepted.
+        """
+        if self._in_request or self._is_ending or self._reader.current is not None:
+            return
+        may_be_about_to_send = not self._has_served and now < self._accepted_at + FIRST_REQUEST_SECONDS
+        if may_be_about_to_send or has_unread_input(self._sock):
+            return
+        self._is_closed_here = True
+        self._sock.close()
+
+    def refuse_partial_request(self) -> None:
+        """The process is about to end: tell a client that is still sending that its request has not run."""
+        if self._in_request or self._is_ending or self._reader.current is None:
+            return
+        self._is_ending = True
+        response = render(ClientResponse(UNAVAILABLE_STATUS), keep_alive=False)
+        with contextlib.suppress(OSError):
+            self._sock._sock.send(response)  # type: ignore[attr-defined]  # the plain socket does not wait
+            self._sock.shutdown(socket.SHUT_WR)
 
     def _serve_request(self) -> bool:
         """One request; whether the connection goes on."""
@@ -69,7 +98,7 @@
         request = self._read_request(limits)
         if request is None:
             return False
-        self._in_request = True
+        self._in_request = self._has_served = True
         self._request_handler.ledger.request_received()
         end = RequestEnd.WRITE_FAILED
         try:
@@ -77,7 +106,8 @@
             if response is None:
                 end = self._unanswered_end()
                 return False
-            keep_alive = request.keep_alive and not self._is_draining()
+            keep_alive = request.keep_alive and not self._ends_with_next_response()
+            self._is_ending = not keep_alive
             self._write(render(response, keep_alive, request.method == HEAD_METHOD))
             end = RequestEnd.ANSWERED
             return keep_alive
@@ -85,6 +115,13 @@
             self._in_request = False
             self._record_end(end)
 
+    def _ends_with_next_response(self) -> bool:
+        """Whether the proxy drains and the client has sent nothing behind the request being answered."""
+        if not self._is_draining():
+            return False
+        reader = self._reader
+        return not (reader.complete or reader.current or has_unread_input(self._sock))
+
     def _unanswered_end(self) -> RequestEnd:
         """Why there is no response to the request that was processed last."""
         if self._is_closed_here:
@@ -93,8 +130,17 @@
 
     def _record_end(self, end: RequestEnd) -> None:
         self._request_handler.ledger.request_ended(end)
-        if end is not RequestEnd.ANSWERED and self._is_draining():
+        if end is RequestEnd.ANSWERED:
+            return
+        if self._is_draining():
             log_event(events.REQUEST_UNANSWERED, level=WARNING, reason=end.value)
+        monitor.holds(end is not RequestEnd.CLOSED_HERE, Invariant.REQUEST_ANSWERED, end=end.value)
+
+    def _drop_pipelined_requests(self) -> None:
+        """Count requests that were read behind one that ended the connection."""
+        for _ in self._reader.complete:
+            self._request_handler.ledger.request_received()
+            self._record_end(RequestEnd.PIPELINED)
 
     # ---- reading
 
@@ -145,6 +191,8 @@
                 raise
         finally:
             timer.close()
+        if has_unread_input(self._sock):  # found in the same turn of the event loop as the timer
+            return self._sock.recv(RECEIVE_BYTES)
         if self._reader.current is not None:
             self._reject(REQUEST_TIMEOUT_STATUS)
         return b""
@@ -164,15 +212,11 @@
 
     def _reject(self, status: int) -> None:
         """Respond to what cannot be read, and end the connection."""
+        self._is_ending = True
         self._write(render(ClientResponse(status), keep_alive=False))
-        with contextlib.suppress(OSError, gevent.Timeout), gevent.Timeout(LINGER_SECONDS):
-            self._sock.shutdown(socket.SHUT_WR)
-            while self._sock.recv(RECEIVE_BYTES):
-                pass
 
     def _write(self, data: bytes) -> None:
-        with gevent.Timeout(WRITE_TIMEOUT_SECONDS):
-            self._sock.sendall(data)
+        send_all(self._sock, data, WRITE_TIMEOUT_SECONDS)
 
 
 class _HangUpWatcher:
--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import signal
 import time
 from collections.abc import Callable
 from typing import Final
@@ -10,6 +9,7 @@
 import gevent
 from gevent.event import Event
 
+from ashlift import process
 from ashlift.config.object_schema import ClientLimits
 from ashlift.config.routing_table import Tenant
 from ashlift.config.settings import Settings, read_settings
@@ -23,6 +23,7 @@
     STOPPING,
     log_event,
 )
+from ashlift.invariants import Invariant, monitor
 from ashlift.metrics_server import serve_metrics
 from ashlift.proxy import events
 from ashlift.proxy.configuration_updates import RegistryPoller
@@ -31,18 +32,12 @@
 from ashlift.proxy.request_handler import RequestHandler
 from ashlift.proxy.request_router import RequestRouter
 from ashlift.proxy.server import ProxyServer
+from ashlift.proxy.shutdown import shutdown_schedule
 
 SETTINGS_CHECK_SECONDS: Final = 1.0
 IDLE_CHECK_SECONDS: Final = 1.0
 MAX_LOGGED_NAMES: Final = 5
-# Graceful shutdown, in fractions of `Grace`: connections are accepted that long, since clients may hold an
-# old answer of /lookup; then the process ends.
-ACCEPT_FRACTION: Final = 0.55
-# What a client sends up to 3 s after the SIGTERM may be broken off at the end of `Grace`, later requests not.
-MAX_ACCEPT_SECONDS: Final = 2.8
-EXIT_FRACTION: Final = 0.93
 DRAIN_CHECK_SECONDS: Final = 0.02
-LAST_RESPONSE_SECONDS: Final = 0.05  # for the last responses to be written
 
 EXIT_OK: Final = 0
 EXIT_SETTINGS_INVALID: Final = 2
@@ -71,18 +66,18 @@
         self.invariant_violated = False
 
     def run(self) -> int:
-        """Serve until SIGTERM; the process's exit status."""
+        """Serve until SIGTERM or SIGINT; the process's exit status."""
         client_address = self.settings.bindings.front
         readiness_address = self.settings.bindings.readiness
         if client_address is None or readiness_address is None:
             log_event(SETTINGS_INVALID, level=ERROR, error="Bindings: Front and Readiness are needed")
             return EXIT_SETTINGS_INVALID
+        process.on_termination(self._stop.set)
+        process.on_reload(self._reload.set)
         serve_readiness(readiness_address, lambda: self.router.is_ready(time.monotonic()))
         self.proxy_server.listen(client_address)
         if self._metrics_port is not None:
             serve_metrics((self.settings.ip, self._metrics_port), proxy_metrics(self.request_handler))
-        gevent.signal_handler(signal.SIGTERM, self._stop.set)
-        gevent.signal_handler(signal.SIGHUP, self._reload.set)
         for loop in (self.registry_poller.run, self._close_idle_connections, self._watch_settings):
             self._spawn(loop)
         log_event(STARTED, zone=self.settings.zone)
@@ -90,25 +85,39 @@
         return self._shut_down()
 
     def _shut_down(self) -> int:
-        """Leave /lookup, then accept no connections, then end once all is answered or `Grace` is over."""
+        """Leave /lookup, then accept nobody, then end once all is answered or `Grace` is over."""
         started_at = time.monotonic()
-        grace = self.settings.bounds.grace
+        schedule = shutdown_schedule(started_at, self.settings.bounds.grace)
         self.router.draining = True
         self.proxy_server.draining = True
         log_event(STOPPING, in_flight=self.request_handler.in_flight)
-        gevent.sleep(accept_seconds(grace))
-        self.proxy_server.close()
-        exit_at = started_at + EXIT_FRACTION * grace
-        while self.request_handler.in_flight and time.monotonic() < exit_at:
+        gevent.sleep(schedule.accept_until - started_at)
+        self.request_handler.answer_until = schedule.answer_until
+        self.proxy_server.stop_accepting()
+        self._serve_until(schedule.answer_until)
+        self.request_handler.answer_open_requests()
+        self.proxy_server.refuse_partial_requests()
+        self._serve_until(schedule.end_at)
+        self._log_stopped(started_at, time.monotonic() >= schedule.answer_until)
+        return EXIT_INVARIANT_VIOLATED if self.invariant_violated else EXIT_OK
+
+    def _serve_until(self, deadline: float) -> None:
+        """Serve the connections that are open; return early when there are none."""
+        while self.proxy_server.connections and time.monotonic() < deadline:
+            self.proxy_server.close_idle_connections()
             gevent.sleep(DRAIN_CHECK_SECONDS)
-        gevent.sleep(LAST_RESPONSE_SECONDS)
+
+    def _log_stopped(self, started_at: float, is_grace_over: bool) -> None:
+        open_requests = self.request_handler.ledger.open_requests
         log_event(
             events.STOPPED,
             seconds=round(time.monotonic() - started_at, 3),
             connections=len(self.proxy_server.connections),
-            open_requests=self.request_handler.ledger.open_requests,
+            open_requests=open_requests,
+        )
+        monitor.holds(
+            is_grace_over or not open_requests, Invariant.REQUEST_ANSWERED, open_requests=open_requests
         )
-        return EXIT_INVARIANT_VIOLATED if self.invariant_violated else EXIT_OK
 
     # ---- configuration
 
@@ -185,11 +194,6 @@
         log_event(SETTINGS_READ, seeds=",".join(self.registry_poller.seeds))
 
 
-def accept_seconds(grace: float) -> float:
-    """How long after SIGTERM connections are accepted; `grace`: `Grace`, in seconds."""
-    return min(ACCEPT_FRACTION * grace, MAX_ACCEPT_SECONDS)
-
-
 def _abbreviated(names: list[str]) -> str:
     listed = ",".join(names[:MAX_LOGGED_NAMES])
     more = len(names) - MAX_LOGGED_NAMES
--- a/ashlift/proxy/rejections.py
+++ b/ashlift/proxy/rejections.py
@@ -14,6 +14,7 @@
 NO_REGION_RETRY_AFTER_SECONDS: Final = 1.0
 NO_WORKER_RETRY_AFTER_SECONDS: Final = 0.15
 OVERLOAD_RETRY_AFTER_SECONDS: Final = 0.5
+STOPPING_RETRY_AFTER_SECONDS: Final = 0.05  # at once, as other proxies can process it
 
 
 class RejectionReason(StrEnum):
@@ -30,6 +31,7 @@
     NO_WORKER = "no worker"
     OUTCOME_UNKNOWN = "unanswered"  # it may have run, and no response can be had
     DEADLINE_EXCEEDED = "late"
+    STOPPING = "stopping"  # it came in the last moment and could not be processed before the process ends
 
 
 class Rejection(NamedTuple):
@@ -53,3 +55,4 @@
 NO_WORKER: Final = Rejection(503, RejectionReason.NO_WORKER, NO_WORKER_RETRY_AFTER_SECONDS)
 OUTCOME_UNKNOWN: Final = Rejection(504, RejectionReason.OUTCOME_UNKNOWN)
 DEADLINE_EXCEEDED: Final = Rejection(504, RejectionReason.DEADLINE_EXCEEDED)
+STOPPING: Final = Rejection(503, RejectionReason.STOPPING, STOPPING_RETRY_AFTER_SECONDS)
--- a/ashlift/proxy/request_handler.py
+++ b/ashlift/proxy/request_handler.py
@@ -4,6 +4,7 @@
 in `ashlift.proxy.request_router` (admission, choice of a worker) and in `ashlift.proxy.request_progress`.
 """
 
+import math
 import time
 from collections import Counter
 from typing import Final
@@ -15,7 +16,7 @@
 from ashlift.proxy.attempts import AttemptOutcome, AttemptResult
 from ashlift.proxy.forwarding import RoutingHeaders, forwarded_head, forwarded_request, routing_headers
 from ashlift.proxy.load_balancer import WorkerState
-from ashlift.proxy.rejections import Rejection, RejectionReason
+from ashlift.proxy.rejections import STOPPING, Rejection, RejectionReason
 from ashlift.proxy.request_ledger import RequestLedger
 from ashlift.proxy.request_progress import RequestProgress
 from ashlift.proxy.request_reader import BadRequestError, ClientRequest
@@ -31,7 +32,7 @@
     """One request on a client's connection, shared with the greenlet that watches the client.
 
     `previous_attempt_id`: of the request before it on the connection. `wake` is set when an attempt ends,
-    when the configuration changes, and with `client_gone`.
+    when the configuration changes, with `client_gone` and with `process_ends`.
     """
 
     def __init__(self, previous_attempt_id: bytes = b"") -> None:
@@ -39,6 +40,7 @@
         self.attempt_id = b""
         self.wake = Event()
         self.client_gone = False
+        self.process_ends = False
 
 
 class RequestHandler:
@@ -51,17 +53,21 @@
         self.ledger = RequestLedger()
         self.responses: dict[str, int] = {}  # counts by reason, or by status of a worker's response
         self.received_outside_home: Counter[str] = Counter()  # by route: this region is no home of it
+        self.answer_until = math.inf  # steady time; what is received now must be able to end by then
+        self._open_contexts: set[RequestContext] = set()
         self._awaiting_configuration: set[RequestContext] = set()
 
     def handle(self, request: ClientRequest, context: RequestContext) -> ClientResponse | None:
         """The response; None: there is none to give, and the connection is to end."""
         self.in_flight += 1
+        self._open_contexts.add(context)
         try:
             response = self._handle(request, context)
         except BadRequestError as error:
             response = ClientResponse(error.status, reason=RejectionReason.BAD_REQUEST)
         finally:
             self.in_flight -= 1
+            self._open_contexts.discard(context)
         if response is not None:
             counter = response.reason or str(response.status)
             self.responses[counter] = self.responses.get(counter, 0) + 1
@@ -72,6 +78,12 @@
         for context in self._awaiting_configuration:
             context.wake.set()
 
+    def answer_open_requests(self) -> None:
+        """The process is about to end: each request that has no response yet gets one of the proxy's own."""
+        for context in self._open_contexts:
+            context.process_ends = True
+            context.wake.set()
+
     def _handle(self, request: ClientRequest, context: RequestContext) -> ClientResponse | None:
         headers = routing_headers(request)
         if headers.attempt_id == context.previous_attempt_id:
@@ -82,6 +94,9 @@
             return None
         if isinstance(admitted, Rejection):
             return _rejection_response(admitted)
+        if admitted.deadline > self.answer_until:
+            self.router.refund_admission(time.monotonic(), admitted)
+            return _rejection_response(STOPPING)
         admitted.size_bytes = request.head_bytes + request.body_bytes
         if not admitted.route.allows_region(self.router.settings.region):
             self.received_outside_home[admitted.route.name] += 1
@@ -103,13 +118,15 @@
             self._await_configuration(context, admitted.reconsider_until - now)
             if context.client_gone:
                 return None
+            if context.process_ends:
+                return STOPPING
             now = time.monotonic()
 
     def _await_configuration(self, context: RequestContext, seconds: float) -> None:
         self._awaiting_configuration.add(context)
         context.wake.wait(seconds)
         self._awaiting_configuration.discard(context)
-        if not context.client_gone:
+        if not context.client_gone and not context.process_ends:
             context.wake.clear()
 
 
@@ -151,6 +168,8 @@
                 return relay(step)
             elif isinstance(step, Rejection):
                 return _rejection_response(step)
+            if self._context.process_ends and not progress.has_completed:
+                return _rejection_response(self._router.final_rejection(self._admitted))
             self._wait()
             if self._context.client_gone:
                 return None
--- a/ashlift/proxy/request_ledger.py
+++ b/ashlift/proxy/request_ledger.py
@@ -15,8 +15,8 @@
     CLIENT_GONE = "client_gone"  # the client closed the connection, or its side of it, before the answer
     WRITE_FAILED = "write_failed"  # the client closed the connection, or took no bytes, during the answer
     REPEATED = "repeated"  # it bears the id of the request before it on the connection
+    PIPELINED = "pipelined"  # it was sent behind a request that ended the connection
     CLOSED_HERE = "closed_here"  # this process had closed the connection: a bug
-    PROCESS_ENDED = "process_ended"  # `Grace` was over
 
 
 class RequestLedger:
--- a/ashlift/simulation/proxy_process.py
+++ b/ashlift/simulation/proxy_process.py
@@ -14,12 +14,12 @@
 from ashlift.proxy.configuration_updates import RETRY_PAUSE_SECONDS
 from ashlift.proxy.idle_connections import IdleConnectionAges
 from ashlift.proxy.load_balancer import WorkerState
-from ashlift.proxy.program import EXIT_FRACTION, accept_seconds
 from ashlift.proxy.registry_client import LONG_POLL_SECONDS, RESPONSE_TIMEOUT_SECONDS, RegistryClient
 from ashlift.proxy.rejections import Rejection
 from ashlift.proxy.request_progress import RequestProgress, Step
 from ashlift.proxy.request_router import RequestRouter
 from ashlift.proxy.responses import WorkerResponse
+from ashlift.proxy.shutdown import EXIT_FRACTION, accept_seconds
 from ashlift.proxy.upstream import MAX_IDLE_PER_WORKER, MAX_IDLE_SECONDS
 from ashlift.simulation import registry_process
 from ashlift.simulation.event_loop import EventLoop
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -3,7 +3,8 @@
 from ward import each, test
 
 from ashlift.config.settings import Settings, parse_settings
-from ashlift.proxy.program import EXIT_FRACTION, Program, accept_seconds
+from ashlift.proxy.program import Program
+from ashlift.proxy.shutdown import EXIT_FRACTION, accept_seconds
 from tests.proxy.test_registry_client import TEXT
 
 
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -39,9 +39,8 @@
     Nobody may switch between the sending and this call. The loop finds the bytes and the due timer at once,
     and calls the timer first.
     """
-    site.proxy.server.draining = True
     timer = gevent.get_hub().loop.timer(TIMER_SECONDS)
-    timer.start(site.proxy.server.close)
+    timer.start(site.proxy.server.stop_accepting)
     blocking_time.sleep(2 * TIMER_SECONDS)
 
 
@@ -65,7 +64,17 @@
         client.send(new_request(site))
         request = new_request(site)
         send_unread(client, request)
-        site.proxy.server.draining = True
-        site.proxy.server.close()
+        site.proxy.server.stop_accepting()
+        client.read_response(request)
+        assert request.status == 200
+
+
+@test("a connection that the kernel has accepted when the proxy closes is served")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        request = new_request(site)
+        send_unread(client, request)
+        site.proxy.server.stop_accepting()
         client.read_response(request)
         assert request.status == 200
--- a/tests/support/proxy_site.py
+++ b/tests/support/proxy_site.py
@@ -111,7 +111,7 @@
 
     def close(self) -> None:
         """End all connections."""
-        self.server.close()
+        self.server.stop_accepting()
         for connection in list(self.server.connections):
             with suppress(OSError):
                 connection._sock.shutdown(socket.SHUT_RDWR)
