--- a/ashlift/configstore/__main__.py
+++ b/ashlift/configstore/__main__.py
@@ -36,6 +36,7 @@
 
 def _serve(loaded: Settings, folder: str) -> int:
     process.exit_on_unhandled_error()
+    process.ignore_reload()
     server = ConfigStoreServer(loaded, folder)
 
     def shut_down() -> None:
@@ -43,7 +44,6 @@
         server.shut_down()
 
     process.on_termination(shut_down)
-    process.ignore_reload()
     log_event(STARTED, ip=loaded.ip, port=loaded.internal_ports[0], bootstrap=loaded.bootstrap)
     server.run()
     return 0
--- a/ashlift/configstore/replica_runner.py
+++ b/ashlift/configstore/replica_runner.py
@@ -61,6 +61,7 @@
         self._effects: deque[Effect] = deque()
         self._executing = False
         self._commit_event = Event()  # set and replaced once something is committed
+        self._waits_ended = False
         self._committed_index = 0
         self._last_contact: dict[str, float] = {}  # when a peer responded, or its connection was given up
 
@@ -93,9 +94,16 @@
         except gevent.Timeout:
             return Failure(FailureReason.OUTCOME_UNKNOWN, f"{timeout:g} s")
 
-    def wait_for_commit(self, timeout: float) -> None:
-        """Wait until something is committed here, `timeout` seconds at most."""
-        self._commit_event.wait(timeout)
+    def wait_for_commit(self, timeout: float) -> bool:
+        """Wait until something is committed here, `timeout` seconds at most; False: the process ends."""
+        if not self._waits_ended:
+            self._commit_event.wait(timeout)
+        return not self._waits_ended
+
+    def end_waits(self) -> None:
+        """The process ends: whoever waits for a commit is answered with what there is."""
+        self._waits_ended = True
+        self._commit_event.set()
 
     def _execute(self, effects: list[Effect]) -> None:
         """Carry out effects in order; those of a call within this one are queued behind them."""
--- a/ashlift/configstore/request_handlers.py
+++ b/ashlift/configstore/request_handlers.py
@@ -98,7 +98,8 @@
         clock = self._runner.clock
         deadline = clock() + request.wait_seconds
         while self._replica.committed_state.index <= request.known_index and clock() < deadline:
-            self._runner.wait_for_commit(max(0.0, deadline - clock()))
+            if not self._runner.wait_for_commit(max(0.0, deadline - clock())):
+                break
         return watch.respond(self._fragmenter, self._replica, request, clock())
 
     def _ask_leader(
--- a/ashlift/configstore/server.py
+++ b/ashlift/configstore/server.py
@@ -32,7 +32,9 @@
 if TYPE_CHECKING:
     from ashlift.configstore.pending_edits import PendingEditStorage
 
-FLUSH_SECONDS: Final = 0.05  # for the last responses to leave before the process ends
+# For calls in progress to be answered after the replica has handed over: registries wait that long for a
+# command, and try another store when the connection ends.
+SHUTDOWN_SECONDS: Final = 1.0
 _RANDOM_SEED_BYTES: Final = 16
 
 
@@ -70,7 +72,8 @@
     def run(self) -> None:
         """Serve until the replica has handed over after `shut_down`."""
         self._runner.run()
-        gevent.sleep(FLUSH_SECONDS)
+        self._runner.end_waits()
+        self.rpc_server.shut_down(SHUTDOWN_SECONDS)
 
     def shut_down(self) -> None:
         """Let the replica hand its role over; `run` returns after that."""
--- a/ashlift/gatekeeper/__main__.py
+++ b/ashlift/gatekeeper/__main__.py
@@ -186,12 +186,15 @@
         self.life.stopping()
         gevent.sleep(grace_s)
         if self._listener is not None:
+            if self.config.inherited_fd is None:  # else whoever shares the socket accepts them
+                self.front.accept_backlog(self._listener)
             self._listener.close()
         self.front.close()
         end = self.clock.now() + 1000 * DRAIN_S
         if self.ratelimit is not None:
             self.ratelimit.close(DRAIN_S)
         while (self.front.open or self.owner.owed) and self.clock.now() < end:
+            self.front.rest()
             gevent.sleep(0.02)
         self.front.cut()
         end = self.clock.now() + 1000 * CUT_S
--- a/ashlift/gatekeeper/net/front/connection.py
+++ b/ashlift/gatekeeper/net/front/connection.py
@@ -114,6 +114,8 @@
             with gevent.Timeout(left):
                 data = self._sock.recv(65536)
         except gevent.Timeout:
+            if not quiet(self._sock):
+                return True  # something came in the same turn of the event loop as the time-out
             if self._reader.asked is None:
                 self._front.metrics.add("clients.silent")
                 return False
@@ -224,22 +226,30 @@
         self._shut(socket.SHUT_RDWR)
 
     def rest(self) -> None:
-        """End the connection if nothing is asked on it: its reader then sees the end."""
-        if self._current is None and self._reader.asked is None and quiet(self._sock):
-            self._end()
+        """End the connection if nothing is asked on it: its reader then sees the end.
+
+        One that was accepted just now is about to ask: it has a moment for that.
+        """
+        if self._current is not None or self._reader.asked is not None or not quiet(self._sock):
+            return
+        if self._answered or self._front.clock.now() - self._since >= SPARE_SILENT_MS:
+            self._shut(socket.SHUT_RDWR)
 
     def cut(self) -> None:
         """The program ends: what goes on for longer than its drain ends here. Nothing does that is not
         streamed."""
 
     def _end(self) -> None:
-        """Guards against an error answer that its client never sees: to close while the rest of an oversized
-        request comes in would reset the connection, so that rest is read and thrown away for a while."""
-        if self._deaf:
-            self._shut(socket.SHUT_WR)
-            self._linger = self._front.clock.later(LINGER_MS, self._shut, socket.SHUT_RDWR)
-        else:
-            self._shut(socket.SHUT_RDWR)
+        """Guards against an answer that its client never sees: to close while the rest of a large request,
+        or another request, comes in would reset the connection, so that is read and thrown away for a while.
+        Guards against a request that is begun after the last answer, and dropped with the connection."""
+        self._deaf = True
+        self._shut(socket.SHUT_WR)
+        self._linger = self._front.clock.later(LINGER_MS, self._shut, socket.SHUT_RDWR)
+
+    def _may_end(self) -> bool:
+        """Whether the front closes and nothing more has been asked here."""
+        return self._front.closing and not self._waiting and quiet(self._sock)
 
     def _shut(self, how: int) -> None:
         with contextlib.suppress(OSError):
@@ -257,7 +267,7 @@
             if isinstance(answer, bytes):
                 self._send(answer)
                 continue
-            keep = asked.keep and asked.whole and not (self._front.closing and not self._waiting)
+            keep = asked.keep and asked.whole and not self._may_end()
             keep = self._deliver(asked, answer, keep)
             self._deaf |= not asked.whole  # the rest of its body is nobody's request
             self._done()
@@ -296,7 +306,7 @@
         if self._job is not None:
             self._front.inbox.put(Delivered(self._job, fault is None))
         self._front.metrics.add("spill.served" if fault is None else f"spill.cut.{fault.label}")
-        return keep and fault is None and not self._front.closing
+        return keep and fault is None and not self._may_end()
 
     def _send(self, data: bytes) -> bool:
         try:
--- a/ashlift/gatekeeper/net/front/listener.py
+++ b/ashlift/gatekeeper/net/front/listener.py
@@ -1,5 +1,6 @@
 """Accepts client connections within their bounds, and knows every open one."""
 
+import contextlib
 import errno
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -98,11 +99,22 @@
                 self.metrics.add("clients.accept_failed")
                 gevent.sleep(0.01)  # out of descriptors: some come free soon
                 continue
-            self.metrics.add("clients.accepted")
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = self._new(sock)
-            self._connections.add(connection)
-            gevent.spawn(self._serve, connection)
+            self._accept(sock)
+
+    def accept_backlog(self, listener: socket.socket) -> None:
+        """Serve the clients that the kernel has accepted: to close the listener would reset them."""
+        listener.settimeout(0.0)
+        with contextlib.suppress(OSError):  # there are no more
+            while True:
+                sock, _ = listener.accept()
+                self._accept(sock)
+
+    def _accept(self, sock: socket.socket) -> None:
+        self.metrics.add("clients.accepted")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = self._new(sock)
+        self._connections.add(connection)
+        gevent.spawn(self._serve, connection)
 
     def _put_one_out(self) -> None:
         """Guards against places held by those who ask nothing while others wait: the longest idle connection
@@ -125,12 +137,15 @@
         """Drain, or end the drain: while on, connections end after their answers, and those at rest now."""
         self.closing = on
         if on:
-            for connection in list(self._connections):
-                connection.rest()
+            self.rest()
 
     def close(self) -> None:
         """From now on connections end between requests: those at rest now, the others with their answer."""
         self.closing = True
+        self.rest()
+
+    def rest(self) -> None:
+        """End the connections on which nothing is asked."""
         for connection in list(self._connections):
             connection.rest()
 
--- a/ashlift/gatekeeper/net/front/streaming.py
+++ b/ashlift/gatekeeper/net/front/streaming.py
@@ -181,7 +181,7 @@
             left = "left" if fault is Fault.CLIENT_LEFT else "failed"
             self._tell(asked, "served" if fault is None else left, fault)
         # The end may have been asked for while the answer flowed: nobody would close this connection then.
-        return keep and fault is None and not self._front.closing
+        return keep and fault is None and not self._may_end()
 
     def _flow(self, asked: Asked, opening: Opening, keep: bool) -> Fault | None:
         return flow(self._sock, asked.minor, opening, keep)
--- a/ashlift/registry/__main__.py
+++ b/ashlift/registry/__main__.py
@@ -33,13 +33,12 @@
 from ashlift.registry.rpc_service import RegistryRpcService
 from ashlift.registry.store_client import StoreClient
 from ashlift.rpc.client import ClientPool
-from ashlift.rpc.server import serve
+from ashlift.rpc.server import RpcServer, serve
 
 EXIT_INVALID_SETTINGS: Final = 2
 SETTINGS_CHECK_SECONDS: Final = 1.0  # between two checks whether the settings file has changed
-SHUTDOWN_SECONDS: Final = 0.6  # within which calls in progress are answered at the end
+SHUTDOWN_FRACTION: Final = 0.9  # of `Grace`, within which what was accepted is answered at the end
 SHUTDOWN_CHECK_SECONDS: Final = 0.01
-FLUSH_SECONDS: Final = 0.02  # for responses of the last moment, which greenlets of their own write
 INCARNATION_BYTES: Final = 4
 
 
@@ -80,8 +79,7 @@
             if self._checksum() != self._settings_checksum:
                 self._reload_settings()
         log_event(STOPPING)
-        rpc_server.close()
-        self._shut_down()
+        self._shut_down(rpc_server)
         return process.EXIT_INTERNAL_ERROR if self._loops.failed.is_set() else 0
 
     def _resources(self, store: StoreClient) -> dict[str, Resource]:
@@ -98,22 +96,20 @@
             "status": StatusResource(self._registry),
         }
 
-    def _shut_down(self) -> None:
+    def _shut_down(self, rpc_server: RpcServer) -> None:
         """Answer the calls in progress, and end the loops."""
+        deadline = time.monotonic() + SHUTDOWN_FRACTION * self._settings.bounds.grace
         self._notifier.shut_down()
+        rpc_calls = gevent.spawn(rpc_server.shut_down, deadline - time.monotonic())
         for http_server in self._http_servers:
             http_server.shut_down()
-        deadline = time.monotonic() + SHUTDOWN_SECONDS
-        while time.monotonic() < deadline and self._is_answering():
+        while time.monotonic() < deadline and any(server.has_connections for server in self._http_servers):
+            for http_server in self._http_servers:
+                http_server.close_idle_connections()
             gevent.sleep(SHUTDOWN_CHECK_SECONDS)
-        gevent.sleep(FLUSH_SECONDS)
+        rpc_calls.join()
         self._loops.stop()
 
-    def _is_answering(self) -> bool:
-        return bool(self._notifier.calls_in_progress) or any(
-            http_server.is_answering for http_server in self._http_servers
-        )
-
     def _seeds(self) -> list[str]:
         """IPs of the seeds, each once."""
         return list(dict.fromkeys(host for host, _ in self._settings.seeds))
--- /dev/null
+++ b/ashlift/registry/api/connection.py
@@ -0,0 +1,138 @@
+"""One client's connection to the API: requests read within bounds, answered one after the other."""
+
+import contextlib
+import time
+from typing import Final, Protocol
+
+from gevent import socket
+
+from ashlift.registry.api.messages import HttpRequest, HttpResponse, error_response
+from ashlift.registry.api.request_parser import RequestParser
+from ashlift.rpc.sockets import RECEIVE_BYTES, close_after_last_response, configure_socket, has_unread_input
+
+REQUEST_TIMEOUT_SECONDS: Final = 10.0  # from a request's first byte to its last
+IDLE_TIMEOUT_SECONDS: Final = 30.0  # for which a connection may wait for its next request
+FIRST_REQUEST_SECONDS: Final = 0.3  # for which one that was just accepted may wait while the process ends
+LINGER_SECONDS: Final = 0.5  # for which is read what still comes after a last response
+MIN_RECEIVE_TIMEOUT_SECONDS: Final = 0.01
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class RequestServer(Protocol):
+    """What a connection needs of the server. `is_shutting_down`: it ends with its next answer."""
+
+    is_shutting_down: bool
+
+    def respond(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request; may wait."""
+
+    def max_body_bytes(self, path: str) -> int:
+        """How large the body of a request for that path may be."""
+
+    def earliest_connect(self, now: float) -> float:
+        """Steady time before which no request of a connection that is accepted `now` was written."""
+
+
+class ApiConnection:
+    """Serves one connection until its client leaves or the server shuts down."""
+
+    def __init__(self, sock: socket.socket, server: RequestServer) -> None:
+        self._sock = sock
+        self._server = server
+        self._parser = RequestParser(server.max_body_bytes)
+        self._accepted_at = time.monotonic()
+        self._request_began_at = 0.0
+        self._is_answering = False
+        self._has_answered = False
+        self._is_ending = False  # its last answer is written
+
+    def run(self) -> None:
+        """Answer requests one after the other, and close the connection."""
+        try:
+            with contextlib.suppress(OSError):
+                configure_socket(self._sock)
+                self._serve()
+        finally:
+            self._sock.close()
+
+    def close_if_idle(self, now: float) -> None:
+        """End the connection if nothing of a request has arrived and nothing is owed. `now`: steady time."""
+        if self._is_answering or self._is_ending or self._parser.is_receiving:
+            return
+        may_be_about_to_send = not self._has_answered and now < self._accepted_at + FIRST_REQUEST_SECONDS
+        if not may_be_about_to_send and not has_unread_input(self._sock):
+            self._sock.close()
+
+    def _serve(self) -> None:
+        """Answer the requests of the connection until it ends.
+
+        A request was not written before the connection was there, nor before the answer to the one before it.
+        """
+        parser = self._parser
+        not_written_before = self._server.earliest_connect(time.monotonic())
+        while data := self._receive():
+            if not parser.is_receiving:
+                self._request_began_at = time.monotonic()
+            parser.feed(data)
+            last_answer_at = self._answer_requests(not_written_before)
+            if last_answer_at is None:
+                return
+            not_written_before = max(not_written_before, last_answer_at)
+            if parser.error:
+                self._send_last_response(parser.error.encode(close=True))
+                return
+            if parser.expects_continue:
+                parser.expects_continue = False
+                self._sock.sendall(CONTINUE)
+
+    def _receive(self) -> bytes:
+        """The next bytes; none: the connection has ended, or its client was too slow."""
+        timeout = IDLE_TIMEOUT_SECONDS
+        if self._parser.is_receiving:
+            timeout = self._request_began_at + REQUEST_TIMEOUT_SECONDS - time.monotonic()
+        self._sock.settimeout(max(MIN_RECEIVE_TIMEOUT_SECONDS, timeout))
+        try:
+            return self._sock.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            if has_unread_input(self._sock):  # found in the same turn of the event loop as the time-out
+                return self._sock.recv(RECEIVE_BYTES)
+            if self._parser.is_receiving:
+                response = error_response(408, f"not whole within {REQUEST_TIMEOUT_SECONDS:g} s")
+                self._send_last_response(response.encode(close=True))
+            return b""
+
+    def _answer_requests(self, not_written_before: float) -> float | None:
+        """Answer all that is complete; when the last answer was ready (0: nothing was complete).
+
+        None: the connection ends with the last answer.
+        """
+        answered_at = 0.0
+        requests = self._parser.requests
+        while requests:
+            request, keep_alive = requests.pop(0)
+            self._is_answering = True
+            response = self._server.respond(request._replace(not_written_before=not_written_before))
+            keep_alive = keep_alive and not self._ends_with_next_answer()
+            answered_at = time.monotonic()
+            if not keep_alive:
+                self._send_last_response(response.encode(close=True))
+                return None
+            self._sock.settimeout(REQUEST_TIMEOUT_SECONDS)
+            self._sock.sendall(response.encode(close=False))
+            self._is_answering = False
+            self._has_answered = True
+        return answered_at
+
+    def _ends_with_next_answer(self) -> bool:
+        """Whether the server shuts down and nothing more has been sent by the client."""
+        if not self._server.is_shutting_down:
+            return False
+        parser = self._parser
+        return not (parser.requests or parser.is_receiving or has_unread_input(self._sock))
+
+    def _send_last_response(self, response: bytes) -> None:
+        """Send it and close; what still arrives is read first, or closing would reset the connection."""
+        self._is_ending = True
+        self._sock.settimeout(REQUEST_TIMEOUT_SECONDS)
+        self._sock.sendall(response)
+        close_after_last_response(self._sock, LINGER_SECONDS)
--- a/ashlift/registry/change_notifier.py
+++ b/ashlift/registry/change_notifier.py
@@ -1,14 +1,13 @@
 """Wakes the greenlets that hold calls open until something changes."""
 
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 
 from gevent.event import Event
 
 
 class ChangeNotifier:
-    """`is_shutting_down`: all waits end. `calls_in_progress`: how many calls have no answer yet."""
+    """`is_shutting_down`: all waits end."""
 
     def __init__(self, change_count: Callable[[], int]) -> None:
         """`change_count`: rises with every change."""
@@ -16,7 +15,6 @@
         self._notified_count = change_count()
         self._event = Event()
         self.is_shutting_down = False
-        self.calls_in_progress = 0
 
     def notify_if_changed(self) -> None:
         """Wake all waiting greenlets, if there was a change since the last notification."""
@@ -36,12 +34,3 @@
         if self.is_shutting_down or timeout <= 0:
             return False
         return bool(self._event.wait(timeout)) and not self.is_shutting_down
-
-    @contextmanager
-    def call_in_progress(self) -> Iterator[None]:
-        """Counts a call while it is served."""
-        self.calls_in_progress += 1
-        try:
-            yield
-        finally:
-            self.calls_in_progress -= 1
--- a/ashlift/registry/rpc_service.py
+++ b/ashlift/registry/rpc_service.py
@@ -36,11 +36,10 @@
         self._registry.sessions.begin_pull(request, received_at)
         self._notifier.notify_if_changed()
         try:
-            with self._notifier.call_in_progress():
-                self._wait_for_updates(request, received_at)
-                now = time.monotonic()
-                response = self._registry.pull_response(request, received_at, now)
-                return codec.encode_pull_response(response, now)
+            self._wait_for_updates(request, received_at)
+            now = time.monotonic()
+            response = self._registry.pull_response(request, received_at, now)
+            return codec.encode_pull_response(response, now)
         finally:
             self._registry.sessions.end_pull(request.node)
 
@@ -71,8 +70,7 @@
         if isinstance(request, Failure):
             return request
         self._registry.receive_swap_request(request, received_at)
-        with self._notifier.call_in_progress():
-            while not self._registry.has_updates_for_peer(request):
-                if not self._notifier.wait_for_change(received_at + LONG_POLL_SECONDS):
-                    break
-            return codec.encode_swap_response(self._registry.swap_response(request), time.monotonic())
+        while not self._registry.has_updates_for_peer(request):
+            if not self._notifier.wait_for_change(received_at + LONG_POLL_SECONDS):
+                break
+        return codec.encode_swap_response(self._registry.swap_response(request), time.monotonic())
--- a/ashlift/rpc/framing.py
+++ b/ashlift/rpc/framing.py
@@ -36,6 +36,11 @@
         self._crc_seed = crc_seed
         self._buffer = bytearray()
 
+    @property
+    def has_partial_frame(self) -> bool:
+        """Whether a frame has begun and is not complete."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Any]:
         """The values of all frames that `data` completes.
 
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -4,13 +4,28 @@
 import time as blocking_time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import gevent
-from ward import test
+from attrs import evolve
+from gevent import socket
+from gevent.event import Event
+from ward import each, raises, test
 
+from ashlift.config.object_schema import ClientLimits
+from ashlift.config.settings import parse_settings
+from ashlift.invariants import InvariantViolationError, monitor
+from ashlift.proxy import client_connection, shutdown
+from ashlift.proxy.program import Program
+from ashlift.proxy.rejections import RejectionReason
+from ashlift.proxy.request_ledger import RequestEnd
+from ashlift.proxy.shutdown import shutdown_schedule
+from tests.proxy.test_registry_client import TEXT
+from tests.support.patching import replaced
 from tests.support.proxy_history import Request
 from tests.support.proxy_site import ProxySite
-from tests.support.stub_client import StubClient
+from tests.support.stub_client import ENOUGH_SECONDS, StubClient
+from tests.support.stub_workers import LARGE_BYTES
 
 TIMER_SECONDS = 0.002
 
@@ -78,3 +93,225 @@
         site.proxy.server.stop_accepting()
         client.read_response(request)
         assert request.status == 200
+
+
+@test("a connection that was accepted just before the proxy closes has a moment for its first request")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        wait_for_connections(site, 1)
+        site.proxy.server.stop_accepting()
+        gevent.sleep(2 * TIMER_SECONDS)
+        site.proxy.server.close_idle_connections()
+        request = new_request(site)
+        client.send(request)
+        assert request.status == 200
+        assert request.response_headers["connection"] == "close"
+        wait_for_connections(site, 0)
+
+
+@test("a connection that never asks is closed a moment after the proxy has stopped accepting")
+def _() -> None:
+    with proxy_site() as site, replaced(client_connection, FIRST_REQUEST_SECONDS=0.0):
+        client = StubClient(site.history, site.proxy.address)
+        wait_for_connections(site, 1)
+        site.proxy.server.stop_accepting()
+        assert client.sock.recv(1) == b""
+
+
+@test("idle connections end with the proxy, and no request is lost by it")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        client.send(new_request(site))
+        site.proxy.server.stop_accepting()
+        assert client.sock.recv(1) == b""
+        wait_for_connections(site, 0)
+        assert site.proxy.request_handler.ledger.open_requests == 0
+
+
+@test("requests sent one behind the other are all answered when the proxy closes; the last one says so")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        requests = [new_request(site) for _ in range(3)]
+        site.proxy.server.draining = True
+        client.send(*requests)
+        assert [request.status for request in requests] == [200, 200, 200]
+        closing = [request.response_headers.get("connection") for request in requests]
+        assert closing == [None, None, "close"]
+
+
+@test("what is sent behind a last response does not reset the connection under it")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        site.proxy.server.draining = True
+        request = new_request(site)
+        request.extra_head = b"Connection: close\r\n"
+        client.sock.sendall(request.to_bytes())
+        while not site.proxy.request_handler.ledger.ends[RequestEnd.ANSWERED]:
+            gevent.sleep(TIMER_SECONDS)
+        for _ in range(3):
+            client.sock.sendall(b"more of what nobody asked for")  # a reset connection refuses the second
+            gevent.sleep(TIMER_SECONDS)
+        client.read_response(request)
+        assert request.status == 200
+
+
+@test("a request that comes too late to end in time is refused at once, as not run")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        wait_for_connections(site, 1)
+        site.proxy.request_handler.answer_until = blocking_time.monotonic() + 1.0
+        site.proxy.server.stop_accepting()
+        request = site.history.new_request("/hold/0/x", False, b"a body", remaining_ms=3000)
+        client.send(request)
+        assert request.status == 503
+        assert site.proxy.request_handler.responses == {RejectionReason.STOPPING.value: 1}
+        assert not site.history.runs
+
+
+@test("one that can end in time is served")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        wait_for_connections(site, 1)
+        site.proxy.request_handler.answer_until = blocking_time.monotonic() + 5.0
+        site.proxy.server.stop_accepting()
+        request = site.history.new_request("/hold/0/x", False, b"a body", remaining_ms=3000)
+        client.send(request)
+        assert request.status == 200
+
+
+@test("at the end of Grace a request at a worker gets a response of the proxy's own: the outcome is unknown")
+def _() -> None:
+    with proxy_site() as site:
+        worker_id = next(iter(site.routes["0"]))
+        site.workers.behaviours[worker_id] = "mute"
+        client = StubClient(site.history, site.proxy.address)
+        request = site.history.new_request("/hold/0/x", False, b"a body")
+        client.sock.sendall(request.to_bytes())
+        while not site.history.runs:
+            gevent.sleep(TIMER_SECONDS)
+        site.proxy.server.stop_accepting()
+        site.proxy.request_handler.answer_open_requests()
+        client.read_response(request)
+        assert request.status == 504
+
+
+@test("at the end of Grace a client that still sends is told that its request has not run")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        request = new_request(site)
+        client.sock.sendall(request.to_bytes()[:-3])
+        wait_for_partial_request(site)
+        site.proxy.server.stop_accepting()
+        site.proxy.server.refuse_partial_requests()
+        client.read_response(request)
+        assert request.status == 503
+        assert not site.history.runs
+
+
+@test("a request that is found in the same turn of the event loop as the idle time-out is answered")
+def _() -> None:
+    idle_seconds = 0.3
+    with proxy_site() as site:
+        site.proxy.server.limits = lambda: ClientLimits(idle_timeout=idle_seconds)
+        client = StubClient(site.history, site.proxy.address)
+        client.send(new_request(site))
+        request = new_request(site)
+        gevent.sleep(0.0)
+        blocking_time.sleep(idle_seconds)
+        send_unread(client, request)
+        client.read_response(request)
+        assert request.status == 200
+
+
+@test("a client that reads slowly gets its whole response, as long as it reads at all")
+def _() -> None:
+    with proxy_site() as site, replaced(client_connection, WRITE_TIMEOUT_SECONDS=0.2):
+        worker_id = next(iter(site.routes["0"]))
+        site.workers.behaviours[worker_id] = "large"
+        client = StubClient(site.history, site.proxy.address)
+        client.sock.sendall(new_request(site).to_bytes())
+        received, began = 0, blocking_time.monotonic()
+        while data := client.sock.recv(1 << 20):
+            received += len(data)
+            if received > LARGE_BYTES:
+                break
+            gevent.sleep(0.05)
+        assert received > LARGE_BYTES
+        assert blocking_time.monotonic() - began > 0.2
+
+
+@test("the invariant fires where the proxy takes its own close for the client's")
+def _() -> None:
+    with proxy_site() as site:
+        connection = client_connection.ClientConnection(
+            socket.socket(), site.proxy.request_handler, ClientLimits, lambda: True
+        )
+        connection._is_closed_here = True
+        with raises(InvariantViolationError):
+            connection._record_end(connection._unanswered_end())
+        monitor.violations["request_answered"] = 0
+
+
+@test(
+    "the times of a shutdown with Grace {grace} s: it answers until the last sixth, and ends before SIGKILL"
+)
+def _(grace: float = each(0.5, 3.0, 6.0, 30.0)) -> None:
+    schedule = shutdown_schedule(100.0, grace)
+    assert 100.0 < schedule.accept_until < schedule.answer_until < schedule.end_at < 100.0 + grace
+    assert schedule.answer_until > 100.0 + 5 / 6 * grace
+    assert schedule.accept_until < 103.0
+    assert shutdown.FIRST_REQUEST_SECONDS <= 1.0
+
+
+@test("a stopping program waits for the last connection, and ends early without any")
+def _() -> None:
+    program = stopping_program(grace=1.0)
+    began = blocking_time.monotonic()
+    assert program._shut_down() == 0
+    assert blocking_time.monotonic() - began < 0.9  # accepting ends at 0.55
+    connection = FakeConnection()
+    program = stopping_program(grace=1.0)
+    program.proxy_server.connections.add(connection)  # type: ignore[arg-type]
+    gevent.spawn_later(0.7, program.proxy_server.connections.clear)
+    began = blocking_time.monotonic()
+    assert program._shut_down() == 0
+    assert 0.7 <= blocking_time.monotonic() - began < 0.9
+    assert connection.asked_to_end.is_set()
+
+
+class FakeConnection:
+    """An open connection that a request keeps busy."""
+
+    def __init__(self) -> None:
+        self.asked_to_end = Event()
+
+    def close_if_idle(self, now: float) -> None:
+        self.asked_to_end.set()
+
+    def refuse_partial_request(self) -> None:
+        raise AssertionError("Grace is not over")
+
+
+def stopping_program(grace: float) -> Program:
+    settings: Any = parse_settings(TEXT)
+    settings = evolve(settings, bounds=evolve(settings.bounds, grace=grace))
+    return Program("none", settings)
+
+
+def wait_for_connections(site: ProxySite, count: int) -> None:
+    with gevent.Timeout(ENOUGH_SECONDS):
+        while len(site.proxy.server.connections) != count:
+            gevent.sleep(TIMER_SECONDS)
+
+
+def wait_for_partial_request(site: ProxySite) -> None:
+    with gevent.Timeout(ENOUGH_SECONDS):
+        while not any(one._reader.current for one in site.proxy.server.connections):
+            gevent.sleep(TIMER_SECONDS)
--- a/tests/registry/test_evacuation.py
+++ b/tests/registry/test_evacuation.py
@@ -6,6 +6,7 @@
 from ward import each, test
 
 from ashlift.config.settings import Settings
+from ashlift.registry.api.connection import ApiConnection
 from ashlift.registry.api.evacuation import EvacuationResource
 from ashlift.registry.api.server import HttpServer
 from ashlift.registry.messages import CommandResult
@@ -77,14 +78,14 @@
     store = AcceptingStore()
     with (
         patch("ashlift.registry.api.server.time", clock),
+        patch("ashlift.registry.api.connection.time", clock),
         patch("ashlift.registry.api.evacuation.time", clock),
     ):
         server = HttpServer(("127.0.0.1", 0), {"evacuation": EvacuationResource(store, lambda: SETTINGS)})
         sock = FakeSocket(clock, *arrivals_of(story))
         if story == "the process stood still":
             clock.now = 30.0  # it is accepted now, and came at any time before
-        server._connections[sock] = False  # type: ignore[index]
-        server._serve_connection(sock)  # type: ignore[arg-type]
+        ApiConnection(sock, server)._serve()  # type: ignore[arg-type]
     statuses = [int(response.split(b"\r\n")[0].split()[1]) for response in sock.sent]
     expected_statuses = {"fresh": [200], "after an answer": [200, 307, 200, 200, 200]}
     assert statuses == expected_statuses.get(story, [307])
--- a/tests/rpc/test_server.py
+++ b/tests/rpc/test_server.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from ward import each, test
 
 from ashlift.errors import Failure, FailureReason
@@ -102,3 +103,47 @@
     assert client.call("nothing", 1, LONG_SECONDS).reason == FailureReason.NOT_FOUND
     client.close()
     server.close()
+
+
+@test("rpc server: at its end, calls in progress and unread ones are answered; idle peers go at once")
+def _() -> None:
+    may_answer = Event()
+
+    def late(body: Any) -> Any:
+        may_answer.wait(LONG_SECONDS)
+        return body
+
+    server = serve((HOST, 0), {"late": late, "echo": lambda body: body})
+    busy, idle = RpcClient(address_of(server)), RpcClient(address_of(server))
+    assert idle.call("echo", 1, LONG_SECONDS) == 1
+    call = gevent.spawn(busy.call, "late", 2, LONG_SECONDS)
+    while not server.calls_in_progress:
+        gevent.idle()
+    unread = socket.create_connection(address_of(server))  # in the listener's queue
+    unread.sendall(encode_request(1, "echo", 3))
+    end = gevent.spawn(server.shut_down, LONG_SECONDS)
+    with gevent.Timeout(LONG_SECONDS, OVERDUE):
+        assert FrameDecoder(RESPONSE_CRC_SEED).feed(unread.recv(65536)) == [[1, 3]]
+        while idle._connection is not None:
+            gevent.idle()
+        assert not end.ready()
+        may_answer.set()
+        assert call.get() == 2
+        end.join()
+    assert isinstance(busy.call("echo", 4, LONG_SECONDS), Failure)
+
+
+@test("rpc server: its end waits no longer than it is told, also for a call that nobody answers")
+def _() -> None:
+    may_answer = Event()
+    server = serve((HOST, 0), {"late": lambda _: may_answer.wait(LONG_SECONDS)})
+    client = RpcClient(address_of(server))
+    call = gevent.spawn(client.call, "late", 1, LONG_SECONDS)
+    while not server.calls_in_progress:
+        gevent.idle()
+    with gevent.Timeout(LONG_SECONDS, OVERDUE):
+        server.shut_down(0.05)
+    assert server.calls_in_progress == 1
+    may_answer.set()
+    call.join()
+    client.close()
