--- a/ashlift/gatekeeper/net/links.py
+++ b/ashlift/gatekeeper/net/links.py
@@ -4,6 +4,8 @@
 
 from gevent import socket
 
+from ashlift.rpc.sockets import has_unread_input
+
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -16,10 +18,4 @@
 
 def quiet(sock: socket.socket) -> bool:
     """Whether nothing lies unread on a connection: neither a byte nor an end nor an error."""
-    try:
-        sock._sock.recv(1, socket.MSG_PEEK)  # type: ignore[attr-defined]  # the plain socket does not wait
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
+    return not has_unread_input(sock)
--- a/ashlift/proxy/client_connection.py
+++ b/ashlift/proxy/client_connection.py
@@ -96,7 +96,7 @@
         limits = self._limits()
         self._reader.limits = limits
         request = self._read_request(limits)
-        if request is None:
+        if request is None or self._is_ending:
             return False
         self._in_request = self._has_served = True
         self._request_handler.ledger.request_received()
--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -103,9 +103,11 @@
 
     def _serve_until(self, deadline: float) -> None:
         """Serve the connections that are open; return early when there are none."""
-        while self.proxy_server.connections and time.monotonic() < deadline:
+        while time.monotonic() < deadline:
+            gevent.sleep(DRAIN_CHECK_SECONDS)  # first, as connections just accepted have not begun yet
             self.proxy_server.close_idle_connections()
-            gevent.sleep(DRAIN_CHECK_SECONDS)
+            if not self.proxy_server.connections:
+                return
 
     def _log_stopped(self, started_at: float, is_grace_over: bool) -> None:
         open_requests = self.request_handler.ledger.open_requests
--- a/ashlift/proxy/upstream.py
+++ b/ashlift/proxy/upstream.py
@@ -12,12 +12,12 @@
 import gevent
 from gevent import socket
 
-from ashlift.gatekeeper.net.links import quiet as nothing_to_read
 from ashlift.gatekeeper.net.replies import SpoiltAnswerError as MalformedResponseError
 from ashlift.proxy.attempts import AttemptOutcome, AttemptResult
 from ashlift.proxy.idle_connections import IdleConnectionAges
 from ashlift.proxy.responses import ATTEMPT_ID_HEADER, KEEP_ALIVE_HEADER, WorkerResponse
 from ashlift.rpc.addresses import Address
+from ashlift.rpc.sockets import has_unread_input
 
 # An idle connection is used again for so long, or for what `Keep-Alive` says less a margin.
 MAX_IDLE_SECONDS: Final = 4.0
@@ -117,7 +117,7 @@
         attempt.sent = True
         connection.sock.sendall(request.payload)
         is_large = len(request.payload) > MIN_EARLY_RESPONSE_REQUEST_BYTES
-        responded_early = is_large and not nothing_to_read(connection.sock)
+        responded_early = is_large and has_unread_input(connection.sock)
         response = self._read_response(connection, request.attempt_id)
         if responded_early:
             connection.reusable_for = 0.0  # the worker may take the rest of the request for another one
@@ -185,7 +185,7 @@
         while connections:
             connection = connections.pop()
             usable = now < connection.usable_until and now - connection.idle_since <= max_idle
-            if usable and connection.address == address and nothing_to_read(connection.sock):
+            if usable and connection.address == address and not has_unread_input(connection.sock):
                 return connection
             self._close(worker_id, connection)
         return None
--- a/ashlift/registry/__main__.py
+++ b/ashlift/registry/__main__.py
@@ -103,10 +103,12 @@
         rpc_calls = gevent.spawn(rpc_server.shut_down, deadline - time.monotonic())
         for http_server in self._http_servers:
             http_server.shut_down()
-        while time.monotonic() < deadline and any(server.has_connections for server in self._http_servers):
+        while time.monotonic() < deadline:
+            gevent.sleep(SHUTDOWN_CHECK_SECONDS)  # first, as connections just accepted have not begun yet
             for http_server in self._http_servers:
                 http_server.close_idle_connections()
-            gevent.sleep(SHUTDOWN_CHECK_SECONDS)
+            if not any(http_server.has_connections for http_server in self._http_servers):
+                break
         rpc_calls.join()
         self._loops.stop()
 
--- a/ashlift/registry/home_regions.py
+++ b/ashlift/registry/home_regions.py
@@ -32,7 +32,6 @@
         return region == own_region or self.allowed_regions is None or region in self.allowed_regions
 
 
-ANYWHERE: Final = RegionPolicy(None, only_from_empty_region=False)
 # Of a host that the configuration does not hold, or while it is not known: its routes may have any homes.
 OWN_REGION_ONLY: Final = RegionPolicy(frozenset(), only_from_empty_region=True)
 
--- a/ashlift/rpc/server.py
+++ b/ashlift/rpc/server.py
@@ -34,6 +34,7 @@
         super().__init__(address, self._serve_connection, backlog=ACCEPT_BACKLOG)
         self._handlers = handlers
         self._connections: set[_ServerConnection] = set()
+        self.is_shutting_down = False
 
     @property
     def calls_in_progress(self) -> int:
@@ -42,17 +43,18 @@
 
     def shut_down(self, timeout: float) -> None:
         """Accept no more connections; end each when its calls are answered, all after `timeout` s."""
+        self.is_shutting_down = True
         stop_listening(self)
         deadline = time.monotonic() + timeout
-        while True:
+        while time.monotonic() < deadline:
+            gevent.sleep(SHUTDOWN_CHECK_SECONDS)  # first, as connections just accepted have not begun yet
             for connection in list(self._connections):
                 connection.close_if_idle()
-            if not self._connections or time.monotonic() >= deadline:
+            if not self._connections:
                 return
-            gevent.sleep(SHUTDOWN_CHECK_SECONDS)
 
     def _serve_connection(self, sock: socket.socket, _: Address) -> None:
-        connection = _ServerConnection(sock, self._handlers)
+        connection = _ServerConnection(sock, self._handlers, lambda: self.is_shutting_down)
         self._connections.add(connection)
         try:
             connection.run()
@@ -76,8 +78,12 @@
     A handler goes on when its connection ends: its client cannot know whether the request was executed.
     """
 
-    def __init__(self, sock: socket.socket, handlers: Mapping[str, Handler]) -> None:
+    def __init__(
+        self, sock: socket.socket, handlers: Mapping[str, Handler], is_shutting_down: Callable[[], bool]
+    ) -> None:
+        """`is_shutting_down`: whether the connection ends with its last call in progress."""
         self.calls_in_progress = 0
+        self._is_shutting_down = is_shutting_down
         self._sock = sock
         self._handlers = handlers
         self._decoder = FrameDecoder(REQUEST_CRC_SEED)
@@ -119,6 +125,8 @@
             self._send(self._execute(request))
         finally:
             self.calls_in_progress -= 1
+            if self._is_shutting_down():
+                self.close_if_idle()  # at once: its peer would ask again, and wait in vain
 
     def _send(self, frame: bytes) -> None:
         with self._send_lock:
--- a/ashlift/rpc/sockets.py
+++ b/ashlift/rpc/sockets.py
@@ -58,8 +58,9 @@
     """Serve the connections that the kernel has accepted, and accept no more."""
     if not server.started:
         return
-    while (accepted := server.do_read()) is not None:
-        server.do_handle(*accepted)
+    with contextlib.suppress(OSError):  # no descriptors are left: the rest cannot be served
+        while (accepted := server.do_read()) is not None:
+            server.do_handle(*accepted)
     server.close()
 
 
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -286,6 +286,43 @@
     assert connection.asked_to_end.is_set()
 
 
+@test("a connection that is accepted in the last moment of a stopping program is answered before it ends")
+def _() -> None:
+    program = stopping_program(grace=3.0)
+    server = program.proxy_server
+    server.listen(("127.0.0.1", 0))
+    stop_accepting = server.stop_accepting
+    clients: list[blocking_socket.socket] = []
+
+    def connect_and_stop() -> None:
+        """No greenlet runs between the request and the end of the listener."""
+        assert server._server is not None
+        client = blocking_socket.create_connection(("127.0.0.1", server._server.server_port or 0))
+        client.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\nX-Time-Remaining: 500\r\n\r\n")
+        clients.append(client)
+        stop_accepting()
+
+    server.stop_accepting = connect_and_stop  # type: ignore[method-assign]
+    assert program._shut_down() == 0
+    assert clients[0].recv(65536).startswith(b"HTTP/1.1 503 ")  # it holds no configuration
+    clients[0].close()
+
+
+@test("what completes a request after it was refused does not run it")
+def _() -> None:
+    with proxy_site() as site:
+        client = StubClient(site.history, site.proxy.address)
+        request = new_request(site)
+        client.sock.sendall(request.to_bytes()[:-3])
+        wait_for_partial_request(site)
+        site.proxy.server.refuse_partial_requests()
+        client.sock.sendall(request.to_bytes()[-3:])
+        client.read_response(request)
+        wait_for_connections(site, 0)
+        assert request.status == 503
+        assert not site.history.runs
+
+
 class FakeConnection:
     """An open connection that a request keeps busy."""
 
