Soak: clients keep connections, ask proxies until they are gone; reloads and core restarts in series

Cause: the lab's clients used a connection for each request and left a proxy with /lookup, so no request met its end on an open connection. Change: kept connections, requests around the moment in which a stopping proxy stops accepting, SIGHUP to all programs three times, registries and stores ended in turn, up to 150 proxies.

--- a/ashlift/gatekeeper/cli.py
+++ b/ashlift/gatekeeper/cli.py
@@ -286,7 +286,7 @@
 @lab_group.command("soak")
 @click.option("--first", type=int, default=1, show_default=True, help="The first seed.")
 @click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True)
-@click.option("--proxies", type=click.IntRange(2, 30), default=9, show_default=True)
+@click.option("--proxies", type=click.IntRange(2, 150), default=9, show_default=True)
 @click.option("--seconds", type=click.FloatRange(19, 120), default=30.0, show_default=True)
 @click.option("--keep-failed", type=click.Path(file_okay=False, path_type=Path), default=None)
 def lab_soak(first: int, seeds: int, proxies: int, seconds: float, keep_failed: Path | None) -> None:
--- a/ashlift/lab/system/http_clients.py
+++ b/ashlift/lab/system/http_clients.py
@@ -8,7 +8,8 @@
 
 from ashlift.errors import Failure, FailureReason
 from ashlift.gatekeeper.net.replies import Reply
-from ashlift.lab.system.http_exchange import TIMED_OUT, exchange, request_head
+from ashlift.lab.system.http_exchange import TIMED_OUT, request_head
+from ashlift.lab.system.kept_connections import KeptConnections
 from ashlift.lab.system.machine_layout import FRONT_PORT
 from ashlift.lab.system.request_content import answer_fingerprint, content_of
 from ashlift.simulation.clients import CONNECT_TIMEOUT_SECONDS, ClientOperation, ClientPopulation
@@ -18,6 +19,12 @@
 
 MAX_REQUESTS: Final = 20_000  # of a run; beyond these nothing is sent
 MIN_TIMEOUT_SECONDS: Final = 0.001
+KEPT_SHARE: Final = 0.7  # of requests that go on a connection used before, if there is one
+# What is sent to a proxy that was told to end, whether /lookup names it or not: spread over its last seconds,
+# and most of it around the moment at which it stops accepting connections.
+REQUESTS_BEFORE_END: Final = 3
+REQUESTS_AROUND_END: Final = 10
+AROUND_END_SECONDS: Final = (-0.06, 0.12)
 
 
 @attrs.frozen
@@ -34,7 +41,7 @@
 
 
 class HttpClients(ClientPopulation):
-    """The clients of one zone; each request has a connection and a greenlet of its own."""
+    """The clients of one zone; a greenlet a request. Connections are kept, and used again."""
 
     def __init__(
         self,
@@ -48,6 +55,34 @@
     ) -> None:
         super().__init__(loop, net, machine, history, registries, rate_share)
         self._access = access
+        self._connections = KeptConnections()
+
+    def meet_end_of(self, proxy: str, accept_seconds: float) -> None:
+        """A proxy was told to end: go on asking it. `accept_seconds`: for which it accepts connections."""
+        rng = self.loop.rng
+        for _ in range(REQUESTS_BEFORE_END):
+            self.loop.call_later(rng.uniform(0.0, accept_seconds), self._ask_proxy, proxy)
+        for _ in range(REQUESTS_AROUND_END):
+            delay = accept_seconds + rng.uniform(*AROUND_END_SECONDS)
+            self.loop.call_later(max(0.0, delay), self._ask_proxy, proxy)
+
+    def _ask_proxy(self, proxy: str) -> None:
+        """Send a request of any pattern to this proxy."""
+        if not self.patterns:
+            return
+        now = self.loop.now
+        pattern = self.loop.rng.choice(self.patterns)
+        operation = ClientOperation(pattern, now + pattern.timeout, attempts=1)
+        self.operations.append(operation)
+        request = self.history.add_request(
+            pattern.path, pattern.idempotent, pattern.key, self.machine.zone, self.machine.region, now
+        )
+        request.proxy = proxy
+        self.send_request(operation, request)
+
+    def close_connections(self) -> None:
+        """Close the connections that are kept."""
+        self._connections.close()
 
     def send_request(self, operation: ClientOperation, request: Request) -> None:
         """Begin to send the request to its proxy."""
@@ -74,7 +109,10 @@
             request.received = self.loop.now
 
         address = (self._access.ips[request.proxy], FRONT_PORT)
-        answer = exchange(address, head, content.body, timeout, record_received, CONNECT_TIMEOUT_SECONDS)
+        use_kept = self.loop.rng.random() < KEPT_SHARE
+        answer = self._connections.exchange(
+            address, head + content.body, timeout, CONNECT_TIMEOUT_SECONDS, record_received, use_kept
+        )
         if isinstance(answer, Failure):
             self._handle_failure(operation, request, answer)
         else:
--- a/ashlift/lab/system/http_exchange.py
+++ b/ashlift/lab/system/http_exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP/1.1 exchange on a connection of its own."""
+"""One HTTP/1.1 exchange, on a connection of its own or on one that is kept."""
 
 import time
 from collections.abc import Callable
@@ -31,14 +31,35 @@
     connection ended without a complete answer.
     """
     deadline = time.monotonic() + timeout
+    sock = connect(address, min(timeout, connect_timeout or timeout))
+    if isinstance(sock, Failure):
+        return sock
     try:
-        sock = socket.create_connection(address, timeout=min(timeout, connect_timeout or timeout))
+        return converse(sock, head + body, deadline, on_sent)
+    finally:
+        sock.close()
+
+
+def connect(address: Address, timeout: float) -> socket.socket | Failure:
+    """Return a new connection, or the Failure UNREACHABLE. `timeout`: seconds."""
+    try:
+        sock = socket.create_connection(address, timeout=timeout)
     except OSError as error:
         return Failure(FailureReason.UNREACHABLE, str(error))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def converse(
+    sock: socket.socket, request: bytes, deadline: float, on_sent: Callable[[], None] | None = None
+) -> Reply | Failure:
+    """Send a request on a connection and return its answer, or the Failure OUTCOME_UNKNOWN.
+
+    `deadline`: of the monotonic clock.
+    """
     try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(_remaining(deadline))
-        sock.sendall(head + body)
+        sock.sendall(request)
         if on_sent is not None:
             on_sent()
         return _receive(sock, deadline)
@@ -46,8 +67,6 @@
         return Failure(FailureReason.OUTCOME_UNKNOWN, TIMED_OUT)
     except (OSError, SpoiltAnswerError) as error:
         return Failure(FailureReason.OUTCOME_UNKNOWN, str(error))
-    finally:
-        sock.close()
 
 
 def _receive(sock: socket.socket, deadline: float) -> Reply | Failure:
--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -26,6 +26,7 @@
 from ashlift.lab.system.run_directory import RunDirectory
 from ashlift.lab.system.saved_runs import RunEvent
 from ashlift.lab.system.worker_servers import WorkerServers
+from ashlift.proxy.shutdown import accept_seconds
 from ashlift.simulation.base_world import HEARTBEAT_SECONDS, RESTART_SECONDS, BaseWorld
 from ashlift.simulation.event_loop import EventLoop
 from ashlift.simulation.plan import ZONES, Plan
@@ -159,6 +160,8 @@
         """End all programs, servers and links."""
         self.real_time_loop.is_stopped = True
         self._worker_servers.stop()
+        for clients in self.client_populations:
+            cast(HttpClients, clients).close_connections()
         stop_programs(list(self._programs.values()))
         self._connectivity.close()
 
@@ -246,8 +249,16 @@
                 self.begin_fault(program.machine, termination=True)
                 program.signal(signal.SIGTERM)
                 self._record(program.machine, f"{program.kind} told to end")
+                if program.kind == "proxy":
+                    self._meet_end_of(program.machine)
                 self._restart_after_end(program)
 
+    def _meet_end_of(self, proxy: str) -> None:
+        """Have the clients of its region, who may be led there by any host, ask a proxy that ends."""
+        for clients in self.client_populations:
+            if clients.machine.region == self.machines[proxy].region:
+                cast(HttpClients, clients).meet_end_of(proxy, accept_seconds(self.bounds.grace))
+
     def _restart_after_end(self, program: Program) -> None:
         if program.is_running:
             self.loop.call_later(TERMINATION_POLL_SECONDS, self._restart_after_end, program)
--- a/ashlift/lab/system/soak.py
+++ b/ashlift/lab/system/soak.py
@@ -8,6 +8,7 @@
 
 from ashlift.lab.system.runs import StoppedError, play_on_processes
 from ashlift.lab.system.soak_scenario import max_concurrent_faults, soak_scenario
+from ashlift.simulation.history import History
 from ashlift.simulation.scenario import Scenario, ScenarioEvent
 
 STOPPED_STATUS = 130  # as a shell has it for SIGINT
@@ -46,7 +47,7 @@
     broken = [verdict for verdict in run.verdicts if not verdict.ok]
     click.echo(
         f"seed {seed}: {'broken' if broken else 'held'}; "
-        f"{len(run.history.requests)} requests, {served} served, "
+        f"{len(run.history.requests)} requests, {served} served, {_crossed(run.history)} met a close unread, "
         f"{len(scenario.events)} events, up to {max_concurrent_faults(scenario)} faults at once, "
         f"{time.monotonic() - began:.0f} s, at most {run.max_lag:.2f} s late"
     )
@@ -56,6 +57,11 @@
     return not broken
 
 
+def _crossed(history: History) -> int:
+    """Requests whose connection was closed before anything of them was passed on, by whatever trouble."""
+    return sum(request.connection_broken and not request.arrivals for request in history.requests)
+
+
 def _ignore_progress(_text: str) -> None:
     pass
 
--- a/ashlift/lab/system/soak_scenario.py
+++ b/ashlift/lab/system/soak_scenario.py
@@ -17,7 +17,9 @@
 
 MIN_SECONDS: Final = FIRST_EVENT_SECONDS + CALM_SECONDS + 4.0
 ROLLING_RESTARTS: Final = 2  # that overlap
-RATE: Final = 30.0
+RELOADS: Final = 3  # SIGHUP to every program
+BASE_RATE: Final = 30.0  # requests a second
+RATE_PER_PROXY: Final = 0.5
 QUOTA: Final = 200.0
 HOMES: Final = (["r1"], ["r1", "r2"])
 LOST_ANSWER_SHARES: Final = (0.2, 0.5)
@@ -34,9 +36,14 @@
         raise ValueError(f"{seconds:g} s: {MIN_SECONDS:g} s is the least")
     drawn = random_scenario(seed, proxies, seconds)
     rng = random.Random(f"soak {seed}")
-    plan = evolve(drawn.plan, rate=RATE, quota=QUOTA, homes=rng.choice(HOMES))
+    plan = evolve(drawn.plan, rate=BASE_RATE + RATE_PER_PROXY * proxies, quota=QUOTA, homes=rng.choice(HOMES))
     calm_at = seconds - CALM_SECONDS
-    added = [*_rolling_restarts(rng, plan, calm_at), *_lost_answers(rng, plan, calm_at)]
+    added = [
+        *_rolling_restarts(rng, plan, calm_at),
+        *_core_restarts(rng, plan, calm_at),
+        *_reloads(rng, plan, calm_at),
+        *_lost_answers(rng, plan, calm_at),
+    ]
     events = [event for event in drawn.events if _is_supported(plan, event)]
     ordered = sorted([*events, *added], key=lambda event: event.at)
     return Scenario(f"soak {seed}", plan, tuple(ordered))
@@ -71,6 +78,26 @@
             at += gap
 
 
+def _core_restarts(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
+    """A registry or a store at a time is told to end, each machine once, in half of the seeds."""
+    if rng.random() < 0.5:
+        return
+    at = FIRST_EVENT_SECONDS + rng.uniform(0.0, 2.0)
+    for number in rng.sample(range(1, plan.core + 1), plan.core):
+        if at < calm_at:
+            kind = rng.choice(("registry", "configstore"))
+            yield ScenarioEvent(round(at, 2), ("term", kind, f"core-{number}"))
+        at += rng.uniform(1.5, 2.5)
+
+
+def _reloads(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
+    """The seeds change: all settings files are written anew, and all programs get SIGHUP."""
+    core = [f"core-{number + 1}" for number in range(plan.core)]
+    for _ in range(RELOADS):
+        at = rng.uniform(FIRST_EVENT_SECONDS, calm_at)
+        yield ScenarioEvent(round(at, 2), ("seeds", *rng.sample(core, 3)))
+
+
 def _lost_answers(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
     """A worker of each service loses answers that it has worked for, or breaks connections; then no more."""
     for service in SERVICES:
