--- a/ashlift/lab/system/http_clients.py
+++ b/ashlift/lab/system/http_clients.py
@@ -23,8 +23,8 @@
 # What is sent to a proxy that was told to end, whether /lookup names it or not: spread over its last seconds,
 # and most of it around the moment at which it stops accepting connections.
 REQUESTS_BEFORE_END: Final = 3
-REQUESTS_AROUND_END: Final = 10
-AROUND_END_SECONDS: Final = (-0.06, 0.12)
+REQUESTS_AROUND_END: Final = 12
+AROUND_END_SECONDS: Final = (-0.06, 0.08)
 
 
 @attrs.frozen
--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -44,6 +44,8 @@
 START_TIMEOUT_SECONDS: Final = 30.0  # for all programs to listen
 TERMINATION_POLL_SECONDS: Final = 0.1
 PROGRESS_SECONDS: Final = 0.5
+STALL_SHARE: Final = 0.5  # of proxies that are told to end
+STALL_SECONDS: Final = 0.1
 FIRST_NETWORK: Final = 20  # the second number of addresses
 NETWORK_COUNT: Final = 200
 
@@ -254,10 +256,29 @@
                 self._restart_after_end(program)
 
     def _meet_end_of(self, proxy: str) -> None:
-        """Have the clients of its region, who may be led there by any host, ask a proxy that ends."""
+        """Have the clients of its region, who may be led there by any host, ask a proxy that ends.
+
+        At times it stands still while it would stop accepting, as on a busy machine: it then finds at once
+        that the time has come, and all that has arrived meanwhile.
+        """
+        accepting = accept_seconds(self.bounds.grace)
         for clients in self.client_populations:
             if clients.machine.region == self.machines[proxy].region:
-                cast(HttpClients, clients).meet_end_of(proxy, accept_seconds(self.bounds.grace))
+                cast(HttpClients, clients).meet_end_of(proxy, accepting)
+        program = self._programs[proxy, "proxy"]
+        if self.loop.rng.random() < STALL_SHARE:
+            self.loop.call_later(accepting - STALL_SECONDS / 2, self._stall, program, program.incarnation)
+
+    def _stall(self, program: Program, incarnation: int) -> None:
+        """Let a program stand still for a moment. That is no fault: a full machine does it, too."""
+        if program.incarnation == incarnation and program.is_running and not program.is_frozen:
+            program.signal(signal.SIGSTOP)
+            self.loop.call_later(STALL_SECONDS, self._end_stall, program, incarnation)
+
+    @staticmethod
+    def _end_stall(program: Program, incarnation: int) -> None:
+        if program.incarnation == incarnation and not program.is_frozen:
+            program.signal(signal.SIGCONT)
 
     def _restart_after_end(self, program: Program) -> None:
         if program.is_running:
--- a/ashlift/lab/system/runs.py
+++ b/ashlift/lab/system/runs.py
@@ -11,6 +11,7 @@
 
 from ashlift.lab.checker import Verdict
 from ashlift.lab.results import Results, RunDescription
+from ashlift.lab.system.accepted_requests import accepted_verdict
 from ashlift.lab.system.process_world import ProcessWorld
 from ashlift.lab.system.program_health import health_verdict
 from ashlift.lab.system.saved_runs import RunEvent, rule_verdicts, to_lab_history
@@ -118,7 +119,11 @@
             )
             player.run()
             run = _judge(player, seed, world.events, began)
-            verdicts = [*run.verdicts, health_verdict(world.program_problems())]
+            verdicts = [
+                *run.verdicts,
+                accepted_verdict(world.history, world.bounds.grace),
+                health_verdict(world.program_problems()),
+            ]
             return evolve(run, verdicts=verdicts, max_lag=world.real_time_loop.max_lag)
         finally:
             world.stop()
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -3,13 +3,20 @@
 import tempfile
 from pathlib import Path
 
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
 from ward import raises, test
 
+from ashlift.errors import Failure
 from ashlift.invariants import monitor
+from ashlift.lab.system.accepted_requests import accepted_verdict, unanswered_requests
+from ashlift.lab.system.kept_connections import KeptConnections
 from ashlift.lab.system.program_health import health_verdict, violations_in_logs, violations_in_metrics
 from ashlift.lab.system.soak_scenario import max_concurrent_faults, soak_scenario
 from ashlift.lab.system.supported_scenarios import unsupported_parts
 from ashlift.metrics import INVARIANT_VIOLATIONS, MetricsRegistry
+from ashlift.simulation.history import History, Request
 from ashlift.simulation.scenario import parse_scenarios
 
 SEEDS = range(1, 41)
@@ -46,3 +53,65 @@
         ]
     assert not health_verdict(["x"]).ok
     assert health_verdict([]).ok
+
+
+def broken_request(history: History, sent: float) -> Request:
+    """A request to edge-1 whose connection ends 0.1 s later, without an answer."""
+    request = history.add_request("/look/x", True, "t1-a", "z1", "r1", sent)
+    request.proxy = "edge-1"
+    request.received, request.ended, request.connection_broken = sent + 0.01, sent + 0.1, True
+    return request
+
+
+@test("a request that is lost while its proxy accepts breaks ACCEPTED; one after it, or in a fault, does not")
+def _() -> None:
+    history = History()
+    history.begin_fault("edge-1", 10.0, termination=True)
+    assert accepted_verdict(history, 6.0).ok
+    calm, early, late = (broken_request(history, sent) for sent in (9.0, 12.7, 12.9))
+    assert list(unanswered_requests(history, 6.0)) == [calm, early]
+    assert not accepted_verdict(history, 6.0).ok
+    assert late.describe() not in accepted_verdict(history, 6.0).text
+    early.connection_broken = False
+    history.begin_fault("edge-1", 9.05)
+    assert accepted_verdict(history, 6.0).ok
+
+
+@test("programs are told to end, and to read their settings again, in series that overlap")
+def _() -> None:
+    words = [event.words for seed in SEEDS for event in soak_scenario(seed, 9, SECONDS).events]
+    ended = {kind for word, kind, *_ in (each for each in words if len(each) > 1) if word == "term"}
+    assert ended == {"proxy", "registry", "configstore"}
+    reloads = [word for word, *_ in words if word == "seeds"]
+    assert len(reloads) == 3 * len(SEEDS)
+
+
+@test("a connection is used again unless its peer has closed it or said that it will")
+def _() -> None:
+    served: list[socket.socket] = []
+
+    def serve(sock: socket.socket, _: object) -> None:
+        served.append(sock)
+        while b"\r\n\r\n" in sock.recv(4096):
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + closing[0] + b"\r\n")
+
+    closing = [b""]
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    connections = KeptConnections()
+    address = ("127.0.0.1", server.server_port or 0)
+
+    def ask(use_kept: bool) -> int:
+        answer = connections.exchange(address, b"GET / HTTP/1.1\r\n\r\n", 5.0, 5.0, lambda: None, use_kept)
+        assert not isinstance(answer, Failure)
+        return len(served)
+
+    assert [ask(True), ask(True), ask(False)] == [1, 1, 2]
+    for sock in served:
+        sock.shutdown(socket.SHUT_RDWR)
+    gevent.sleep(0.01)
+    assert ask(True) == 3
+    closing[0] = b"Connection: close\r\n"
+    assert [ask(True), ask(True)] == [3, 4]
+    connections.close()
+    server.stop()
--- a/tests/support/proxy_site.py
+++ b/tests/support/proxy_site.py
@@ -78,11 +78,13 @@
         self.address: Address = HOST, stream_server.server_port or 0
         self.version = 0
         self._configuration = _configuration(routes)
+        self._configuration_version = 1
         self.set_workers(routes)
 
     def set_workers(self, routes: dict[str, dict[str, Address]]) -> None:
         """The registries report these workers, and no others."""
         self.version += 1
+        self._known_routes = routes
         records: dict[str, Any] = {"g/edge-1": {"ready": True}}
         for name, workers in routes.items():
             for worker_id, (host, port) in workers.items():
@@ -96,7 +98,12 @@
                     "state": "ready",
                 }
         sources = {
-            OPERATOR_SOURCE: {"version": 1, "full": True, "set": self._configuration, "gone": []},
+            OPERATOR_SOURCE: {
+                "version": self._configuration_version,
+                "full": True,
+                "set": self._configuration,
+                "gone": [],
+            },
             "p#1": {"version": self.version, "full": True, "set": records, "gone": []},
         }
         now = time.monotonic()
@@ -104,6 +111,13 @@
         change = self.router.cluster.apply(now, now, PullResponse.from_wire(body))
         self.router.apply_change(now, change)
 
+    def set_home_regions(self, route: str, regions: list[str]) -> None:
+        """The operator has given a route these home regions."""
+        self._configuration[f"Routes/{route}"]["HomeRegions"] = regions
+        self._configuration_version += 1
+        self._configuration["Version"] = f"{self._configuration_version:08x}"
+        self.set_workers(self._known_routes)
+
     def idle_connections(self) -> Iterator[WorkerConnection]:
         """The kept connections to workers."""
         for connections in self.request_handler.connection_pool._idle.values():
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -47,3 +47,25 @@
 def _() -> None:
     for name in ("INFO", "WARNING", "ERROR", "CRITICAL"):
         assert getattr(events, name) == getattr(logbook, name)
+
+
+@test("a full disk under standard error refuses each line, and ends nothing")
+def _() -> None:
+    program = (
+        "import sys\n"
+        "from ashlift.events import ERROR, STARTED, flush, log_event\n"
+        "for number in range(50):\n"
+        "    log_event(STARTED, level=ERROR, zone=number)\n"
+        "flush()\n"
+        "print('goes on')\n"
+    )
+    with open("/dev/full", "wb") as full:
+        done = subprocess.run(
+            [sys.executable, "-c", program],
+            stdout=subprocess.PIPE,
+            stderr=full,
+            text=True,
+            timeout=20,
+            check=False,
+        )
+    assert done.stdout == "goes on\n"
