--- a/ashlift/lab/system/commands.py
+++ b/ashlift/lab/system/commands.py
@@ -86,7 +86,7 @@
 def _print_plan(scenario: Scenario) -> None:
     plan = scenario.plan
     click.echo(
-        f"{scenario.title}: {plan.core} core machines, {plan.edge} gatekeepers, "
+        f"{scenario.title}: {plan.core} core machines, {plan.edge} proxies, "
         f"{plan.workers} workers of each service, {plan.rate:g} requests a second, {plan.until:g} s",
         err=True,
     )
--- a/tests/gatekeeper/test_front_end.py
+++ b/tests/gatekeeper/test_front_end.py
@@ -1,6 +1,5 @@
 """Requests that meet the end of a gatekeeper: who was accepted is answered."""
 
-import socket as blocking_socket
 from collections.abc import Iterator
 
 import gevent
@@ -14,6 +13,7 @@
 from ashlift.gatekeeper.net.front import connection
 from ashlift.gatekeeper.net.front.listener import Front
 from tests.gatekeeper.play import config
+from tests.support.unread_input import read_to_end, send_unread
 
 UP = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
 ENOUGH_S = 5.0
@@ -48,18 +48,6 @@
     front.running.kill()
 
 
-def send_unread(sock: socket.socket, data: bytes) -> None:
-    """Send without a switch of greenlets."""
-    blocking_socket.socket.sendall(sock._sock, data)  # type: ignore[attr-defined]
-
-
-def read_to_end(sock: socket.socket) -> bytes:
-    received = b""
-    while data := sock.recv(65536):
-        received += data
-    return received
-
-
 def test_a_request_that_lies_unread_at_the_end_is_answered(running: RunningFront) -> None:
     sock = running.connect()
     sock.sendall(UP)
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -26,6 +26,7 @@
 from tests.support.proxy_site import ProxySite
 from tests.support.stub_client import ENOUGH_SECONDS, StubClient
 from tests.support.stub_workers import LARGE_BYTES
+from tests.support.unread_input import send_unread
 
 TIMER_SECONDS = 0.002
 
@@ -43,11 +44,6 @@
     return site.history.new_request("/look/0/x", True, b"a body")
 
 
-def send_unread(client: StubClient, request: Request) -> None:
-    """Send without a switch of greenlets: the bytes lie in the kernel and the proxy has not read them."""
-    blocking_socket.socket.sendall(client.sock._sock, request.to_bytes())  # type: ignore[attr-defined]
-
-
 def close_in_the_same_turn(site: ProxySite) -> None:
     """Have the proxy close in the turn of the event loop in which it finds what has been sent.
 
@@ -65,7 +61,7 @@
         client = StubClient(site.history, site.proxy.address)
         client.send(new_request(site))
         request = new_request(site)
-        send_unread(client, request)
+        send_unread(client.sock, request.to_bytes())
         close_in_the_same_turn(site)
         client.read_response(request)
         ends = site.proxy.request_handler.ledger.ends
@@ -78,7 +74,7 @@
         client = StubClient(site.history, site.proxy.address)
         client.send(new_request(site))
         request = new_request(site)
-        send_unread(client, request)
+        send_unread(client.sock, request.to_bytes())
         site.proxy.server.stop_accepting()
         client.read_response(request)
         assert request.status == 200
@@ -89,7 +85,7 @@
     with proxy_site() as site:
         client = StubClient(site.history, site.proxy.address)
         request = new_request(site)
-        send_unread(client, request)
+        send_unread(client.sock, request.to_bytes())
         site.proxy.server.stop_accepting()
         client.read_response(request)
         assert request.status == 200
@@ -225,7 +221,7 @@
         request = new_request(site)
         gevent.sleep(0.0)
         blocking_time.sleep(idle_seconds)
-        send_unread(client, request)
+        send_unread(client.sock, request.to_bytes())
         client.read_response(request)
         assert request.status == 200
 
--- a/tests/registry/test_shutdown.py
+++ b/tests/registry/test_shutdown.py
@@ -1,6 +1,5 @@
 """Requests to the API that meet the end of a registry: who was accepted is answered."""
 
-import socket as blocking_socket
 import time as blocking_time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -15,6 +14,7 @@
 from ashlift.registry.api.resource import Resource
 from ashlift.registry.api.server import HttpServer
 from tests.support.patching import replaced
+from tests.support.unread_input import read_to_end, send_unread
 
 REQUEST = b"GET /held/%d HTTP/1.1\r\nHost: r\r\n\r\n"
 ENOUGH_SECONDS = 5.0
@@ -65,18 +65,6 @@
         running.server.shut_down()
 
 
-def send_unread(sock: socket.socket, data: bytes) -> None:
-    """Send without a switch of greenlets."""
-    blocking_socket.socket.sendall(sock._sock, data)  # type: ignore[attr-defined]
-
-
-def read_to_end(sock: socket.socket) -> bytes:
-    received = b""
-    while data := sock.recv(65536):
-        received += data
-    return received
-
-
 @test("a request that is being answered when the registry ends is answered")
 def _() -> None:
     with running_server() as running:
