--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -29,6 +29,7 @@
 from tests.support.unread_input import send_unread
 
 TIMER_SECONDS = 0.002
+PARTIAL_BYTES = 3  # of a request, that are sent later
 
 
 @contextmanager
@@ -58,9 +59,7 @@
 @test("a request that is found in the same turn of the event loop as the end of the proxy is answered")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        client.send(new_request(site))
-        request = new_request(site)
+        client, request = kept_client(site)
         send_unread(client.sock, request.to_bytes())
         close_in_the_same_turn(site)
         client.read_response(request)
@@ -71,9 +70,7 @@
 @test("a request on a kept connection that has arrived, but is not read, when the proxy closes is answered")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        client.send(new_request(site))
-        request = new_request(site)
+        client, request = kept_client(site)
         send_unread(client.sock, request.to_bytes())
         site.proxy.server.stop_accepting()
         client.read_response(request)
@@ -94,8 +91,7 @@
 @test("a connection that was accepted just before the proxy closes has a moment for its first request")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        wait_for_connections(site, 1)
+        client = connected_client(site)
         site.proxy.server.stop_accepting()
         gevent.sleep(2 * TIMER_SECONDS)
         site.proxy.server.close_idle_connections()
@@ -109,8 +105,7 @@
 @test("a connection that never asks is closed a moment after the proxy has stopped accepting")
 def _() -> None:
     with proxy_site() as site, replaced(client_connection, FIRST_REQUEST_SECONDS=0.0):
-        client = StubClient(site.history, site.proxy.address)
-        wait_for_connections(site, 1)
+        client = connected_client(site)
         site.proxy.server.stop_accepting()
         assert client.sock.recv(1) == b""
 
@@ -158,8 +153,7 @@
 @test("a request that comes too late to end in time is refused at once, as not run")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        wait_for_connections(site, 1)
+        client = connected_client(site)
         site.proxy.request_handler.answer_until = blocking_time.monotonic() + 1.0
         site.proxy.server.stop_accepting()
         request = site.history.new_request("/hold/0/x", False, b"a body", remaining_ms=3000)
@@ -172,8 +166,7 @@
 @test("one that can end in time is served")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        wait_for_connections(site, 1)
+        client = connected_client(site)
         site.proxy.request_handler.answer_until = blocking_time.monotonic() + 5.0
         site.proxy.server.stop_accepting()
         request = site.history.new_request("/hold/0/x", False, b"a body", remaining_ms=3000)
@@ -200,10 +193,7 @@
 @test("at the end of Grace a client that still sends is told that its request has not run")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        request = new_request(site)
-        client.sock.sendall(request.to_bytes()[:-3])
-        wait_for_partial_request(site)
+        client, request = partial_client(site)
         site.proxy.server.stop_accepting()
         site.proxy.server.refuse_partial_requests()
         client.read_response(request)
@@ -216,9 +206,7 @@
     idle_seconds = 0.3
     with proxy_site() as site:
         site.proxy.server.limits = lambda: ClientLimits(idle_timeout=idle_seconds)
-        client = StubClient(site.history, site.proxy.address)
-        client.send(new_request(site))
-        request = new_request(site)
+        client, request = kept_client(site)
         gevent.sleep(0.0)
         blocking_time.sleep(idle_seconds)
         send_unread(client.sock, request.to_bytes())
@@ -307,12 +295,9 @@
 @test("what completes a request after it was refused does not run it")
 def _() -> None:
     with proxy_site() as site:
-        client = StubClient(site.history, site.proxy.address)
-        request = new_request(site)
-        client.sock.sendall(request.to_bytes()[:-3])
-        wait_for_partial_request(site)
+        client, request = partial_client(site)
         site.proxy.server.refuse_partial_requests()
-        client.sock.sendall(request.to_bytes()[-3:])
+        client.sock.sendall(request.to_bytes()[-PARTIAL_BYTES:])
         client.read_response(request)
         wait_for_connections(site, 0)
         assert request.status == 503
@@ -344,7 +329,25 @@
             gevent.sleep(TIMER_SECONDS)
 
 
-def wait_for_partial_request(site: ProxySite) -> None:
+def connected_client(site: ProxySite) -> StubClient:
+    """A client whose connection the proxy has accepted."""
+    client = StubClient(site.history, site.proxy.address)
+    wait_for_connections(site, 1)
+    return client
+
+
+def kept_client(site: ProxySite) -> tuple[StubClient, Request]:
+    """A client with an answer on its connection, and its next request."""
+    client = StubClient(site.history, site.proxy.address)
+    client.send(new_request(site))
+    return client, new_request(site)
+
+
+def partial_client(site: ProxySite) -> tuple[StubClient, Request]:
+    """A client and its request, of which the proxy has read a part."""
+    client, request = StubClient(site.history, site.proxy.address), new_request(site)
+    client.sock.sendall(request.to_bytes()[:-PARTIAL_BYTES])
     with gevent.Timeout(ENOUGH_SECONDS):
         while not any(one._reader.current for one in site.proxy.server.connections):
             gevent.sleep(TIMER_SECONDS)
+    return client, request
