--- a/ashlift/lab/tcp_fault_proxy.py
+++ b/ashlift/lab/tcp_fault_proxy.py
@@ -55,7 +55,7 @@
         self.address: Address = self._listener.getsockname()
         self.waiting_count = 0  # chunks and new connections that wait now
         self._pairs: set[SocketPair] = set()
-        self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._reset_while_cut)]
+        self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._reset_while_partitioned)]
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -64,11 +64,11 @@
         for pair in list(self._pairs):
             self._reset_pair(pair)
 
-    def _is_cut(self) -> bool:
+    def _is_partitioned(self) -> bool:
         directions = (self.outward, self.backward)
         return any(self._state(direction).kind is LinkStateKind.CUT for direction in directions)
 
-    def _wait_while_held(self, direction: Direction) -> bool:
+    def _wait_while_withheld(self, direction: Direction) -> bool:
         """Return when the direction is not held; whether it was."""
         if self._state(direction).kind is not LinkStateKind.HOLD:
             return False
@@ -87,9 +87,9 @@
             gevent.spawn(self._connect_far, near)
 
     def _connect_far(self, near: socket.socket) -> None:
-        if self._wait_while_held(self.outward):
+        if self._wait_while_withheld(self.outward):
             self._count(self.outward, "held")
-        if self._is_cut():
+        if self._is_partitioned():
             self._count(self.outward, "refused")
             _close_with_reset(near)
             return
@@ -111,7 +111,7 @@
         try:
             while True:
                 data = source.recv(RECEIVE_BYTES)
-                if self._wait_while_held(direction):
+                if self._wait_while_withheld(direction):
                     self._count(direction, "held", len(data))
                 if not data:
                     with contextlib.suppress(OSError):
@@ -146,11 +146,11 @@
         for sock in pair:
             _close_with_reset(sock)
 
-    def _reset_while_cut(self) -> None:
+    def _reset_while_partitioned(self) -> None:
         """Reset established connections while a cut lasts; it polls, so that any clock serves."""
         while True:
             gevent.sleep(POLL_SECONDS)
-            if self._pairs and self._is_cut():
+            if self._pairs and self._is_partitioned():
                 for pair in list(self._pairs):
                     self._reset_pair(pair)
 
--- a/ashlift/simulation/failover_figures.py
+++ b/ashlift/simulation/failover_figures.py
@@ -30,7 +30,7 @@
 
 # The words of each fault's events; ZONE and REGION stand for all that is in one of them.
 FAULTS: Final = {
-    "nothing (the order's own time)": [],
+    "nothing (the change's own time)": [],
     "leader killed, back after 0.7 s": ["kill configstore leader"],
     "leader's machine without power": ["power leader"],
     "leader hears nobody": ["oneway core | leader"],
@@ -136,7 +136,7 @@
 
 def failover_table(seeds: range, jobs: int) -> Iterator[str]:
     """Yield the lines of a table: least, median, most in seconds of each fault."""
-    yield f"| {len(seeds)} seeds; s: least, **median**, most | served again | an order acknowledged |"
+    yield f"| {len(seeds)} seeds; s: least, **median**, most | served again | a change acknowledged |"
     yield "| --- | --- | --- |"
     tasks = [(fault, seed) for fault in FAULTS.values() for seed in seeds]
     with Pool(jobs) as pool:
--- a/tests/configstore/test_stored_data.py
+++ b/tests/configstore/test_stored_data.py
@@ -15,10 +15,10 @@
 from ashlift.configstore.stored_names import PENDING_EDIT_STORAGE
 from ashlift.route_reconciliation.edit_codec import encode_edit
 from tests.support import stored_data
-from tests.support.stored_data import TORN, WHOLE, Stored, Values
+from tests.support.stored_data import INTACT, TORN, Stored, Values
 
 ARCHIVE = Path(__file__).parent / "stored_by_147a987.zip"
-NEWEST = {WHOLE: stored_data.writes()[-1], TORN: stored_data.writes()[-2]}
+NEWEST = {INTACT: stored_data.writes()[-1], TORN: stored_data.writes()[-2]}
 
 
 @fixture
@@ -61,7 +61,7 @@
 
 
 @test("stored data: the {disk} disk of 147a987 is read to its newest intact vote, snapshot and edits")
-def _(folder: Path = folder, disk: str = each(WHOLE, TORN)) -> None:
+def _(folder: Path = folder, disk: str = each(INTACT, TORN)) -> None:
     stored_data.unpack(ARCHIVE, folder)
     newest = NEWEST[disk]
     vote, term_index, objects = read_values(folder / disk)
@@ -88,7 +88,7 @@
 
 
 @test("stored data: on the {disk} disk of 147a987 the next write is kept")
-def _(folder: Path = folder, disk: str = each(WHOLE, TORN)) -> None:
+def _(folder: Path = folder, disk: str = each(INTACT, TORN)) -> None:
     stored_data.unpack(ARCHIVE, folder)
     storage = ReplicaStorage(str(folder / disk))
     storage.read()
--- a/tests/gatekeeper/test_front_end.py
+++ b/tests/gatekeeper/test_front_end.py
@@ -91,5 +91,5 @@
     assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
     sock.sendall(b"GET /availability-check HTTP/1.1\r\nX-Trace-Id: t\r\nX-Qos: gold\r\n\r\n")
     assert read_to_end(sock) == b""
-    assert not any(isinstance(told, Left) for told in running.inbox.queue)
+    assert not any(isinstance(event, Left) for event in running.inbox.queue)
     assert running.inbox.empty()
--- a/tests/proxy/test_answers.py
+++ b/tests/proxy/test_answers.py
@@ -159,8 +159,8 @@
 def _() -> None:
     site = ProxySite()
     client = StubClient(site.history, site.proxy.address)
-    whole = site.history.new_request("/hold/0/x", False, BODY, chunked=True)
-    data = whole.to_bytes()
+    request = site.history.new_request("/hold/0/x", False, BODY, chunked=True)
+    data = request.to_bytes()
     for at in range(1, len(data)):
         reader = RequestReader()
         reader.feed(data[:at])
@@ -168,8 +168,8 @@
         reader.feed(data[at:])
         assert [one.body for one in reader.complete] == [BODY]
         assert not reader.error_status
-    client.send(whole, cuts=range(len(data)))
-    assert whole.status == 200
+    client.send(request, cuts=range(len(data)))
+    assert request.status == 200
     site.close()
 
 
--- a/tests/proxy/test_registry_client.py
+++ b/tests/proxy/test_registry_client.py
@@ -88,22 +88,22 @@
     assert again.connect_timeout == dials[0]
 
 
-@test("what comes compressed is taken as if it came plain; one that is cut is told")
+@test("what comes compressed is taken as if it came plain; one that is cut is compressed")
 def _() -> None:
-    word: dict[str, Any] = {f"Routes/r-{number}": {"Host": "h", "Timeout": "2s"} for number in range(1200)}
-    word["Version"] = "0000000c"
+    entries: dict[str, Any] = {f"Routes/r-{number}": {"Host": "h", "Timeout": "2s"} for number in range(1200)}
+    entries["Version"] = "0000000c"
     packer = Registry(RegistryIdentity("core-1", "0", NEAR, "a", "r", 80, 1.5), [NEAR], {"a": "r"}, 0.0)
     packer.operator_config.receive_watch_response(
-        {"index": 7, "full": True, "set": word, "gone": [], "age": 0.0}, 0.0
+        {"index": 7, "full": True, "set": entries, "gone": [], "age": 0.0}, 0.0
     )
     body = {"have": {}, "zone": "a", "region": "r"}
     plain, packed = (
         pull_response(packer, body, 0.0, 0.0),
         pull_response(packer, {**body, "packs": True}, 0.0, 0.0),
     )
-    packed["sources"][OPERATOR_SOURCE] = unpack_update(told := packed["sources"][OPERATOR_SOURCE])
+    packed["sources"][OPERATOR_SOURCE] = unpack_update(compressed := packed["sources"][OPERATOR_SOURCE])
     assert packed["sources"] == plain["sources"]
-    packed["sources"][OPERATOR_SOURCE] = told
+    packed["sources"][OPERATOR_SOURCE] = compressed
     assert 8 * len(encode_response(1, packed)) < len(encode_response(1, plain))
     packed["sources"][OPERATOR_SOURCE]["pack"] = packed["sources"][OPERATOR_SOURCE]["pack"][:-9]
     with raises(ValueError):
--- a/tests/proxy/test_staleness.py
+++ b/tests/proxy/test_staleness.py
@@ -18,19 +18,19 @@
     world.run(2.0)
     for gone in (0, 1):
         for _ in range(4):
-            _taken(world)
+            _commit_one_change(world)
         leader = world.leader()
         ip = next(ip for ip in world.ips if ip != leader and world.nodes[ip].replica)
         world.kill(ip)
         assert world.nodes[ip].snapshot is not None, gone
     for _ in range(4):
-        _taken(world)
+        _commit_one_change(world)
     for ip in world.ips:
         world.kill(ip)
     return world
 
 
-def _taken(world: ReplicaWorld) -> None:
+def _commit_one_change(world: ReplicaWorld) -> None:
     """One change that is acknowledged."""
     for _ in range(20):
         leader = world.leader()
@@ -94,14 +94,14 @@
 def _() -> None:
     world = ReplicaWorld(MEMBERS, 1)
     world.run(10.0)
-    _taken(world)
+    _commit_one_change(world)
     leader = world.leader()
     others = [ip for ip in world.ips if ip != leader]
     for ip in others[:2]:
         world.kill(ip)
     earlier = world.nodes[others[2]].vote, world.nodes[others[2]].snapshot
     for _ in range(3):
-        _taken(world)
+        _commit_one_change(world)
     for ip in world.ips:
         world.kill(ip)
     world.nodes[others[2]].vote, world.nodes[others[2]].snapshot = earlier
--- a/tests/registry/test_outages.py
+++ b/tests/registry/test_outages.py
@@ -138,11 +138,11 @@
         assert answers() == expected, f"at {at}"
 
     expect(8.0, 200, True, True)
-    for cut, until in ((8.0, 28.0), (29.5, 34.0)):  # and again 1.5 s after the rejoin
-        world.run(cut)
+    for partition_at, until in ((8.0, 28.0), (29.5, 34.0)):  # and again 1.5 s after the rejoin
+        world.run(partition_at)
         world.block_links(["core-4"], others)
-        expect(cut + 0.8, 200, True, True)
-        for at in (cut + 2.1, (cut + until) / 2, until - 0.1):
+        expect(partition_at + 0.8, 200, True, True)
+        for at in (partition_at + 2.1, (partition_at + until) / 2, until - 0.1):
             expect(at, 503, False, False)
         world.run(until)
         world.unblock_links()
--- a/tests/support/census.py
+++ b/tests/support/census.py
@@ -146,12 +146,12 @@
     parser.add_argument("folders", nargs="*", default=["tests"], metavar="FOLDER")
     parser.add_argument("--root", type=Path, default=TESTS.parent, metavar="DIR", help="of the tree")
     parser.add_argument("--compare", type=Path, metavar="FILE", help="an earlier census")
-    told = parser.parse_args(arguments)
-    rows = census(told.root, told.folders)
-    if told.compare is None:
+    options = parser.parse_args(arguments)
+    rows = census(options.root, options.folders)
+    if options.compare is None:
         print(*rows, sep="\n")
         return 0
-    old = read_rows(told.compare.read_text())
+    old = read_rows(options.compare.read_text())
     renamed = read_renamed(RENAMED.read_text()) if RENAMED.exists() else {}
     lost = list(losses(old, rows, renamed))
     print(*lost, f"before: {summary(old)}", f"now: {summary(rows)}", sep="\n")
--- a/tests/support/stored_data.py
+++ b/tests/support/stored_data.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-WHOLE: Final = "whole"
+INTACT: Final = "whole"
 TORN: Final = "torn"
 EPOCH: Final = (1980, 1, 1, 0, 0, 0)  # of all files in the archive: alike whenever it is made
 Values = dict[str, Any]
@@ -29,14 +29,14 @@
     objects: Values
 
 
-def _route(name: str, service: str, repeatable: bool) -> Values:
+def _route(name: str, service: str, is_idempotent: bool) -> Values:
     return {
         "Host": "app.example",
         "PathPrefix": f"/{name}/",
-        "RouteType": "idempotent" if repeatable else "non_idempotent",
+        "RouteType": "idempotent" if is_idempotent else "non_idempotent",
         "Timeout": "3000ms",
         "Service": service,
-        "MaxAttempts": 3 if repeatable else 1,
+        "MaxAttempts": 3 if is_idempotent else 1,
         "Anonymous": False,
         "HomeRegions": ["r1", "r2"],
     }
@@ -150,7 +150,7 @@
 
 def write(folder: Path, code: Code) -> None:
     """Write both disks below `folder`."""
-    for name in (WHOLE, TORN):
+    for name in (INTACT, TORN):
         code.persist(str(folder / name), writes())
         code.add_edits(str(folder / name), [edits()[:1], edits()[1:]])
     newest = folder / TORN / "map-b.dat"  # the third write: generations take turns, `b` is the first
@@ -187,10 +187,10 @@
     parser = argparse.ArgumentParser(prog="python -m tests.support.stored_data", description="Write a disk.")
     parser.add_argument("tree", type=Path, help="a checkout of 147a987")
     parser.add_argument("file", type=Path, help="the archive to write")
-    told = parser.parse_args(arguments)
+    options = parser.parse_args(arguments)
     with tempfile.TemporaryDirectory() as name:
-        write(Path(name), code_of_147a987(told.tree))
-        pack(told.file, files(Path(name)))
+        write(Path(name), code_of_147a987(options.tree))
+        pack(options.file, files(Path(name)))
     return 0
 
 
--- a/tests/support/wire_samples.py
+++ b/tests/support/wire_samples.py
@@ -151,10 +151,13 @@
 
 def http(address: Address, line: str, body: bytes = b"", **headers: str) -> bytes:
     """The answer to one HTTP request, after which the connection is to close."""
-    told = {"Host": "app.example", "Connection": "close", **headers}
+    all_headers = {"Host": "app.example", "Connection": "close", **headers}
     if body and "Transfer_Encoding" not in headers:
-        told["Content-Length"] = str(len(body))
-    lines = [f"{line} HTTP/1.1", *(f"{name.replace('_', '-')}: {value}" for name, value in told.items())]
+        all_headers["Content-Length"] = str(len(body))
+    lines = [
+        f"{line} HTTP/1.1",
+        *(f"{name.replace('_', '-')}: {value}" for name, value in all_headers.items()),
+    ]
     return exchange(address, "\r\n".join([*lines, "", ""]).encode() + body)
 
 
@@ -285,7 +288,7 @@
     return json.dumps({"ConfigVersion": f"{version:08x}", "Objects": objects}).encode()
 
 
-BEAT: Final[dict[str, Any]] = {
+HEARTBEAT: Final[dict[str, Any]] = {
     "NodeInfo": {"Service": "fleet", "Zone": "z1", "Capacity": 4, "ConfigVersion": "v1"},
     "Status": {"State": "ready", "CallSeq": 7, "WarmupLeft": "0ms"},
 }
@@ -352,10 +355,10 @@
         """A client's request; the worker's part of it, if it comes there, is kept too."""
         number = len(self._worker.requests)
         title = f"proxy: {line} {name}".strip()
-        told = {"X-Attempt-Id": f"a{len(self.samples)}", **headers}
-        self._keep(title, http(self._system.front, line, body, **told))
-        came = b"".join(one for one in self._worker.requests[number:] if b" /health " not in one)
-        self._keep(f"{title}, at the worker", came)
+        request_headers = {"X-Attempt-Id": f"a{len(self.samples)}", **headers}
+        self._keep(title, http(self._system.front, line, body, **request_headers))
+        forwarded = b"".join(one for one in self._worker.requests[number:] if b" /health " not in one)
+        self._keep(f"{title}, at the worker", forwarded)
 
     def run(self) -> Samples:
         """All calls in their order."""
@@ -391,11 +394,13 @@
 
     def _workers(self) -> None:
         address = f"{self._system.worker_ip}:{WORKER}"
-        self._http("PUT /instances/w1", json.dumps({**BEAT, "Address": address}).encode())
-        late = {**BEAT, "Address": address, "Status": {**BEAT["Status"], "CallSeq": 3}}
+        self._http("PUT /instances/w1", json.dumps({**HEARTBEAT, "Address": address}).encode())
+        late = {**HEARTBEAT, "Address": address, "Status": {**HEARTBEAT["Status"], "CallSeq": 3}}
         self._http("PUT /instances/w1", json.dumps(late).encode(), "too late")
-        self._http("PUT /instances/w2", json.dumps({**BEAT, "Address": "10.0.0.1:0"}).encode(), "no port")
-        self._http("PUT /instances/w2", json.dumps(BEAT).encode(), "no address")
+        self._http(
+            "PUT /instances/w2", json.dumps({**HEARTBEAT, "Address": "10.0.0.1:0"}).encode(), "no port"
+        )
+        self._http("PUT /instances/w2", json.dumps(HEARTBEAT).encode(), "no address")
         self._http("PUT /instances/a/b", b"{}", "no id")
         self._http("DELETE /instances/w3")
         self._order("GET /members")
@@ -442,11 +447,11 @@
         self._call(self._system.store, "store", "drafts", {"add": [waits]}, "with an edit")
         self._order("GET /proposals", name="with one")
         self._order("GET /routes/more", name="with a history")
-        word = json.dumps({"word": "reject", "who": "B", "version": "00000003"}).encode()
-        self._order("POST /proposals/e3", word.replace(b"00000003", b"00000002"), "on an old version")
-        self._order("POST /proposals/e3", word, "rejected")
+        rejection = json.dumps({"word": "reject", "who": "B", "version": "00000003"}).encode()
+        self._order("POST /proposals/e3", rejection.replace(b"00000003", b"00000002"), "on an old version")
+        self._order("POST /proposals/e3", rejection, "rejected")
         until(lambda: http(self._system.registry, "GET /routes/more"), b'"outcome":"rejected"')
-        self._order("POST /proposals/e3", word, "rejected again")
+        self._order("POST /proposals/e3", rejection, "rejected again")
         self._order("GET /config", name="at the end")
 
     def _clients(self) -> None:
@@ -486,9 +491,9 @@
     parser.add_argument("which", choices=["before", "now"], help="147a987, or a tree of today's layout")
     parser.add_argument("tree", type=Path, help="the checkout")
     parser.add_argument("file", type=Path, help="the record to write")
-    told = parser.parse_args(arguments)
-    samples = recorded(told.tree.resolve(), PROGRAMS_BEFORE if told.which == "before" else PROGRAMS)
-    told.file.write_text(json.dumps(samples, indent=1) + "\n")
+    options = parser.parse_args(arguments)
+    samples = recorded(options.tree.resolve(), PROGRAMS_BEFORE if options.which == "before" else PROGRAMS)
+    options.file.write_text(json.dumps(samples, indent=1) + "\n")
     return 0
 
 
