--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -72,6 +72,8 @@
     assert list(unanswered_requests(history, 6.0)) == [calm, early]
     assert not accepted_verdict(history, 6.0).ok
     assert late.describe() not in accepted_verdict(history, 6.0).text
+    history.begin_fault("edge-1", 11.0, termination=True)  # told again: nothing changes
+    assert list(unanswered_requests(history, 6.0)) == [calm, early]
     early.connection_broken = False
     history.begin_fault("edge-1", 9.05)
     assert accepted_verdict(history, 6.0).ok
