--- a/ashlift/simulation/event_arguments.py
+++ b/ashlift/simulation/event_arguments.py
@@ -49,7 +49,7 @@
 
     `*` stands for all machines that have these programs.
     """
-    leader = world.leader()
+    leader = world.leader() if {"leader", "others"} & {*words} else None  # on processes this asks registries
     with_programs = {
         "proxy": world.edge,
         "configstore": world.core,
