Lab: a restart that is due when a run ends does not start its program again

Cause: after soak runs that were ended by SIGTERM at 13:22 three proxies were left behind: their restarts came after the lab had ended all programs. Change: programs of a run that is over are not started, and one whose start is under way is ended.

--- a/ashlift/lab/system/programs.py
+++ b/ashlift/lab/system/programs.py
@@ -34,6 +34,7 @@
         self._log = log
         self._process: subprocess.Popen[bytes] | None = None
         self._is_starting = False
+        self._is_over = False  # the run: it does not start again
 
     @property
     def is_running(self) -> bool:
@@ -53,13 +54,15 @@
 
     def start(self) -> None:
         """Start a process, unless one runs; its output is added to the log."""
-        if self.is_running or self._is_starting:
+        if self.is_running or self._is_starting or self._is_over:
             return  # a start waits for its process: another greenlet may come here meanwhile
         self._is_starting = True
         try:
             self._start_process()
         finally:
             self._is_starting = False
+            if self._is_over:
+                self.kill()
 
     def _start_process(self) -> None:
         self.incarnation += 1
@@ -119,7 +122,8 @@
         self.is_frozen = False
 
     def terminate(self) -> None:
-        """Ask it to end, also where it is frozen."""
+        """Ask it to end, also where it is frozen, and let no restart that is due start it again."""
+        self._is_over = True
         self.signal(signal.SIGCONT)
         # A proxy drains on SIGTERM, for as long as `Bounds` say: too long for the end of a run.
         self.signal(signal.SIGKILL if self.kind == "proxy" else signal.SIGTERM)
