--- a/tests/lab/test_programs.py
+++ b/tests/lab/test_programs.py
@@ -29,3 +29,24 @@
         finally:
             stop_programs([program])
         assert not program.is_running
+
+
+@test("a restart that is under way or due when the run ends leaves no program behind")
+def _() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        popen = subprocess.Popen
+
+        def slow_popen(*arguments: Any, **options: Any) -> Any:
+            gevent.sleep(0.05)
+            return popen(*arguments, **options)
+
+        program = Program("edge-1", "proxy", Path(folder) / "none.toml", Path(folder) / "log")
+        with replaced(subprocess, Popen=slow_popen):
+            start = gevent.spawn(program.start)
+            gevent.sleep(0.0)
+            stop_programs([program])
+            start.join()
+        assert not program.is_running
+        program.start()
+        assert not program.is_running
+        assert program.incarnation == 1
