--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -29,6 +29,7 @@
 from tests.support.unread_input import send_unread
 
 TIMER_SECONDS = 0.002
+PAST_DUE_SECONDS = 0.05  # so that a timer is due for certain
 PARTIAL_BYTES = 3  # of a request, that are sent later
 
 
@@ -208,7 +209,7 @@
         site.proxy.server.limits = lambda: ClientLimits(idle_timeout=idle_seconds)
         client, request = kept_client(site)
         gevent.sleep(0.0)
-        blocking_time.sleep(idle_seconds)
+        blocking_time.sleep(idle_seconds + PAST_DUE_SECONDS)
         send_unread(client.sock, request.to_bytes())
         client.read_response(request)
         assert request.status == 200
@@ -298,6 +299,7 @@
         client, request = partial_client(site)
         site.proxy.server.refuse_partial_requests()
         client.sock.sendall(request.to_bytes()[-PARTIAL_BYTES:])
+        gevent.sleep(PAST_DUE_SECONDS)  # it would reach the worker by now
         client.read_response(request)
         wait_for_connections(site, 0)
         assert request.status == 503
--- a/tests/registry/test_shutdown.py
+++ b/tests/registry/test_shutdown.py
@@ -156,6 +156,6 @@
         sock = running.connect()
         assert running.ask(sock, 1).startswith(b"HTTP/1.1 200 ")
         gevent.sleep(0.0)
-        blocking_time.sleep(idle_seconds)
+        blocking_time.sleep(idle_seconds + 0.05)  # the timer is due for certain
         send_unread(sock, REQUEST % 2)
         assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
