--- a/review/standins.py
+++ b/review/standins.py
@@ -26,6 +26,9 @@
 HEARTBEAT_SECONDS = 1.5
 RESTART_DELAY_SECONDS = 0.5
 WORKER_CAPACITY = 6
+# How a worker answers: 200 with a length; 204, which has no body and, by RFC 9110, no length; 200 without a
+# length, which ends with its connection.
+LENGTH, NO_CONTENT, UNFRAMED = "length", "204", "unframed"
 ZONES = {
     "hou-hall-a": "gulf-west",
     "mob-hall-a": "gulf-central",
@@ -495,7 +498,7 @@
         self.state = "ready"
         self.ran: list[tuple[float, str]] = []  # time and attempt id
         self.arrived: list[tuple[float, str]] = []
-        self.has_content = True  # else its answers are 204, without a body and, as RFC 9110 wants, a length
+        self.answer_style = LENGTH
         self.answered: set[str] = set()  # attempt ids whose whole answer it has written
         self._work_seconds = work_seconds
         self._slots = asyncio.Semaphore(WORKER_CAPACITY)
@@ -604,6 +607,8 @@
                 writer.write(answer)
                 await writer.drain()
                 self.answered.add(headers.get("x-attempt-id", ""))
+                if self.answer_style == UNFRAMED:
+                    return
         except (OSError, EOFError, ValueError, asyncio.CancelledError):
             pass
         finally:
@@ -632,11 +637,19 @@
                     self.record.add(f"worker {self.id}: connection closed during id {attempt}")
                     return None
         seal = f"{self.id}.{attempt}"
-        if not self.has_content:
-            head = f"HTTP/1.1 204 No Content\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n\r\n"
-            return head.encode()
-        answer_body = f"done {attempt}\n".encode()
-        return _answer_bytes(200, {"X-Attempt-Id": attempt, "X-Server-Seal": seal}, answer_body)
+        return _success_bytes(self.answer_style, attempt, seal)
+
+
+def _success_bytes(style: str, attempt: str, seal: str) -> bytes:
+    headers = {"X-Attempt-Id": attempt, "X-Server-Seal": seal}
+    body = f"done {attempt}\n".encode()
+    if style == LENGTH:
+        return _answer_bytes(200, headers, body)
+    status = "204 No Content" if style == NO_CONTENT else "200 OK"
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers.items())]
+    if style == NO_CONTENT:
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+    return ("\r\n".join([*lines, "Connection: close"]) + "\r\n\r\n").encode() + body
 
 
 def _answer_bytes(status: int, headers: dict[str, str], body: bytes) -> bytes:
