review: case 3 shows bookings that are lost when the worker ends

Cause: requests that reach a worker after its leave are cut when it ends, which the case did not play. Change: the worker ends 8.5 s after the acknowledgement; review/standins.py can end one with its connections.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,13 +29,15 @@
 DRAIN_SECONDS = 3.0  # `Drain`
 CONTACT_SECONDS = 4.0  # `Contact`
 BEAT_DELAY_SECONDS = 7.0  # how late the last heartbeat arrives
-SERVES_ON_SECONDS = 14.0  # after the acknowledgement; the page: "at times many seconds"
-INTERVAL_SECONDS = 0.04  # between the requests at each proxy
+SERVES_ON_SECONDS = 8.5  # after the acknowledgement; the page: "at times many seconds"
+WATCH_SECONDS = 12.0  # after the acknowledgement
+WORK_SECONDS = 0.2
+INTERVAL_SECONDS = 0.05  # between the requests at each proxy
 HOST = "desk.example"
 
 
-async def traffic(record: Record, ip: str, sent: dict[str, float]) -> None:
-    """Requests at one proxy; `sent`: when each was sent."""
+async def traffic(record: Record, ip: str, sent: dict[str, float], failed: set[str]) -> None:
+    """Requests at one proxy; `sent`: when each was sent; `failed`: those without a success or a promise."""
 
     async def book() -> None:
         attempt = new_attempt_id()
@@ -43,6 +45,8 @@
         sent[attempt] = record.now()
         answer = await call(ip, FRONT_PORT, "POST", "/hold/1", headers, b"b" * 600, timeout=4.0)
         record.add(f"client: POST /hold/1 id {attempt} at {ip}: {answer}")
+        if answer.status not in (200, 503):
+            failed.add(attempt)
 
     tasks = set()
     while True:
@@ -87,14 +91,18 @@
 
 async def play_day(record: Record, platform: Platform, link: SlowLink, trouble: bool) -> bool:
     """Play the case on a running system; whether the rule is broken."""
-    workers = [Worker(platform, f"i-{n}", "holddesk", n, list(ZONES)[n % 3]) for n in range(3)]
+    workers = [
+        Worker(platform, f"i-{n}", "holddesk", n, list(ZONES)[n], work_seconds=lambda _p, _b: WORK_SECONDS)
+        for n in range(3)
+    ]
     for worker in workers:
         await worker.start()
     objects = [route("r-hold", HOST, "/hold/", "non_idempotent", "holddesk"), service("holddesk"), LIMITS]
     await put_config(platform, "00000000", {"ConfigVersion": "00000001", "Objects": objects})
     await platform.wait_ready()
     sent: dict[str, float] = {}
-    tasks = [asyncio.create_task(traffic(record, machine.ip, sent)) for machine in platform.edge]
+    failed: set[str] = set()
+    tasks = [asyncio.create_task(traffic(record, machine.ip, sent, failed)) for machine in platform.edge]
     await asyncio.sleep(6.0)  # a calm time, longer than `Contact`
     acknowledged = await leave(record, platform, workers[0], link)
     if trouble:
@@ -105,11 +113,16 @@
     in_touch = record.at(in_touch)
     record.add(f"every machine is in touch {in_touch - acknowledged:.2f} s after the acknowledgement")
     await asyncio.sleep(acknowledged + SERVES_ON_SECONDS - record.now())
+    await workers[0].end()
+    record.add(f"worker {workers[0].id}: ends", show=True)
+    await asyncio.sleep(acknowledged + WATCH_SECONDS - record.now())
     for task in tasks:
         task.cancel()
     late = late_arrivals(workers[0], sent, acknowledged, in_touch)
     total = sum(len(worker.arrived) for worker in workers)
     record.add(f"{len(late)} of {total} requests reached the worker that had left", show=True)
+    cut = {attempt for _, attempt in workers[0].ran} & failed
+    record.add(f"bookings that it ran and whose clients got no success: {len(cut)}", show=True)
     if late:
         record.add(f"from {late[0]:.2f} s to {late[-1]:.2f} s after the acknowledgement", show=True)
     return bool(late)
--- a/review/standins.py
+++ b/review/standins.py
@@ -506,6 +506,7 @@
         self._target: tuple[str, int] | None = None
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task[None] | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
@@ -517,10 +518,11 @@
         self._server = await asyncio.start_server(self._serve, self.ip, self.port, limit=1 << 20)
 
     async def end(self) -> None:
-        """End, closing the listener."""
-        if self._beats is not None:
-            self._beats.cancel()
+        """End: close the listener and all connections."""
+        self.pause_beats()
         await self.stop_listening()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     async def stop_listening(self) -> None:
         """Close the listener."""
@@ -590,6 +592,7 @@
         ).encode()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -612,6 +615,7 @@
         except (OSError, EOFError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
