review: a script that is ended by SIGTERM ends its processes too

Cause: a script that was killed by its caller left the programs that it had started. Change: review/standins.py cancels the case on SIGTERM, which stops the platform; exit status 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -713,16 +713,17 @@
     record.add(f"begins, TROUBLE={int(trouble)}", show=True)
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Whoever ends the script has its processes ended as well.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(115.0):
             return await case(record, trouble)
 
     try:
         broken = asyncio.run(bounded())
-    except CannotRunError as error:
-        record.add(f"could not run: {error}", show=True)
-        sys.exit(2)
-    except TimeoutError:
-        record.add("could not run: the time is up", show=True)
+    except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
+        record.add(f"could not run: {str(error) or type(error).__name__}", show=True)
         sys.exit(2)
     record.add("the rule was BROKEN" if broken else "the rule held", show=True)
     sys.exit(1 if broken else 0)
