--- a/review/standins.py
+++ b/review/standins.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -725,5 +726,8 @@
     except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
         record.add(f"could not run: {str(error) or type(error).__name__}", show=True)
         sys.exit(2)
+    except Exception:
+        record.add(f"could not run:\n{traceback.format_exc()}", show=True)
+        sys.exit(2)
     record.add("the rule was BROKEN" if broken else "the rule held", show=True)
     sys.exit(1 if broken else 0)
