proxy: hold messages of others within MemoryMb, each body once

Cause: nothing bounded the bytes that a proxy holds for others; MemoryMb was read and used nowhere.

Change: pools of memory by kind of message (ashlift.memory, proxy.memory). A body is held once, in blocks that all attempts send from, and received no faster than there is memory (banker's algorithm, so that bodies never wait for each other); medium requests have a pool of their own, small ones are not counted. Answers over 256 KiB are relayed as they arrive. A header or trailer that never ends gets 431. Loops over large messages yield: with chunks of two bytes a body kept all other clients waiting for up to 8 s. The time a request took to arrive is taken from its worker's.

Tests: bodies are compared as bytes now; three mutations follow code that moved (is_relayable, _receive_response) with the same snippets and checks; ProxySite.close() also checks that no memory stays held.

--- a/ashlift/gatekeeper/net/front/streaming.py
+++ b/ashlift/gatekeeper/net/front/streaming.py
@@ -19,13 +19,13 @@
 from ashlift.gatekeeper.net.front.reader import RequestReader
 from ashlift.gatekeeper.net.front.rendering import CONTINUE
 from ashlift.gatekeeper.net.front.request import BadRequestError, ClientRequest
-from ashlift.gatekeeper.net.socket_state import peer_has_closed
 from ashlift.gatekeeper.streams.faults import AbortedError, Fault
 from ashlift.gatekeeper.streams.heads import Framing, select_headers
 from ashlift.gatekeeper.streams.pipe import SourceEndedError
 from ashlift.gatekeeper.streams.progress import Lag, ProgressMonitor
 from ashlift.gatekeeper.streams.pump import LagError, Sink, Source
 from ashlift.gatekeeper.streams.stream import StreamedResponse, StreamPolicy, StreamRegistry
+from ashlift.rpc.sockets import peer_has_closed
 
 if TYPE_CHECKING:
     from ashlift.gatekeeper.streams.stream import Stream
--- a/ashlift/gatekeeper/net/http_response.py
+++ b/ashlift/gatekeeper/net/http_response.py
@@ -63,8 +63,11 @@
             self.keep_alive = False
             if not self.done:
                 raise MalformedResponseError(str(error)) from None
-        if self.done:
-            return
+        if not self.done:
+            self._check_size()
+
+    def _check_size(self) -> None:
+        """Raises MalformedResponseError if the response, which is incomplete, is over a limit."""
         if self.head_status == 200 and self.head_complete:
             if self.length is not None and self.length > MAX_RESPONSE_BYTES:
                 raise MalformedResponseError("Content-Length over the limit")
--- a/ashlift/proxy/client_connection.py
+++ b/ashlift/proxy/client_connection.py
@@ -10,26 +10,28 @@
 
 from ashlift.config.object_schema import ClientLimits
 from ashlift.events import WARNING, log_event
-from ashlift.gatekeeper.net.socket_state import peer_has_closed
 from ashlift.invariants import Invariant, monitor
 from ashlift.proxy import events
 from ashlift.proxy.request_counters import RequestEnd
 from ashlift.proxy.request_handler import RequestContext, RequestHandler
-from ashlift.proxy.request_reader import ClientRequest, RequestReader
+from ashlift.proxy.request_reader import ClientRequest
+from ashlift.proxy.request_receiver import RequestReceiver
+from ashlift.proxy.response_writer import ResponseWriter
 from ashlift.proxy.responses import ClientResponse, render
 from ashlift.proxy.shutdown import FIRST_REQUEST_SECONDS
-from ashlift.rpc.sockets import close_after_last_response, has_unread_input, send_all
+from ashlift.rpc.sockets import (
+    close_after_last_response,
+    has_unread_input,
+    peer_has_closed,
+    reset_connection,
+    send_all,
+)
 
 WRITE_TIMEOUT_SECONDS: Final = 5.0  # without progress
-BODY_TIMEOUT_SECONDS: Final = 10.0  # between two parts of a body
-MIN_TIMEOUT_SECONDS: Final = 0.001
 LINGER_SECONDS: Final = 1.0  # for the client to read its last response and close the connection
+UNREAD_BODY_LINGER_SECONDS: Final = 5.0  # while it still sends the body of a refused request
 DISCONNECT_CHECK_SECONDS: Final = 0.05  # interval of the checks while there is unread input
-RECEIVE_BYTES: Final = 65536
-REQUEST_TIMEOUT_STATUS: Final = 408
 UNAVAILABLE_STATUS: Final = 503
-CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
-HEAD_METHOD: Final = b"HEAD"
 _READABLE: Final = 1  # event of libev
 
 
@@ -47,7 +49,8 @@
         self._request_handler = request_handler
         self._limits = limits
         self._is_draining = is_draining
-        self._reader = RequestReader()
+        self._receiver = RequestReceiver(sock, request_handler.memory.requests, self._write)
+        self._reader = self._receiver.reader
         self._accepted_at = time.monotonic()
         self._has_received_request = False
         self._in_request = False
@@ -63,8 +66,11 @@
                 while self._serve_request():
                     pass
                 if self._is_last_response:
-                    close_after_last_response(self._sock, LINGER_SECONDS)
+                    linger_seconds = self._linger_seconds()
+                    self._receiver.discard()
+                    close_after_last_response(self._sock, linger_seconds)
         finally:
+            self._receiver.discard()
             self._sock.close()
             self._drop_pipelined_requests()
 
@@ -92,14 +98,16 @@
         with contextlib.suppress(OSError):
             self._sock._sock.send(response)  # type: ignore[attr-defined]  # non-blocking
             self._sock.shutdown(socket.SHUT_WR)
+        self._receiver.stop()
 
     def _serve_request(self) -> bool:
         """Serve one request; returns whether the connection stays open."""
-        limits = self._limits()
-        self._reader.limits = limits
-        request = self._read_request(limits)
+        request = self._receiver.receive(self._limits())
         if request is None or self._is_last_response:
             return False
+        if isinstance(request, ClientResponse):
+            self._refuse(request)
+            return False
         self._in_request = self._has_received_request = True
         self._request_handler.request_counters.record_received()
         end = RequestEnd.WRITE_FAILED
@@ -110,9 +118,8 @@
                 return False
             keep_alive = request.keep_alive and not self._ends_with_next_response()
             self._is_last_response = not keep_alive
-            self._write(render(response, keep_alive, request.method == HEAD_METHOD))
-            end = RequestEnd.ANSWERED
-            return keep_alive
+            end = self._respond(response, keep_alive, request)
+            return keep_alive and end is RequestEnd.ANSWERED
         finally:
             self._in_request = False
             self._record_end(end)
@@ -144,61 +151,6 @@
             self._request_handler.request_counters.record_received()
             self._record_end(RequestEnd.PIPELINED)
 
-    # ---- reading
-
-    def _read_request(self, limits: ClientLimits) -> ClientRequest | None:
-        """The next request, or None if the connection is to be closed."""
-        reader = self._reader
-        if reader.complete and peer_has_closed(self._sock):
-            return None  # the client no longer waits for its pipelined requests
-        waiting_since = time.monotonic()
-        continue_sent = False
-        while not reader.complete:
-            if reader.error_status:
-                self._reject(reader.error_status)
-                return None
-            if not continue_sent and self._expects_continue():
-                self._write(CONTINUE_RESPONSE)
-                continue_sent = True
-            data = self._receive(self._receive_timeout(limits, waiting_since))
-            if not data:
-                return None
-            if reader.current is None:
-                waiting_since = time.monotonic()
-            reader.feed(data)
-        return reader.complete.pop(0)
-
-    def _expects_continue(self) -> bool:
-        request = self._reader.current
-        if request is None or not request.head_complete or request.body_bytes:
-            return False
-        return request.expects_continue
-
-    def _receive_timeout(self, limits: ClientLimits, waiting_since: float) -> float:
-        """The timeout for the next bytes, in seconds."""
-        request = self._reader.current
-        if request is not None and request.head_complete:
-            return BODY_TIMEOUT_SECONDS
-        timeout = limits.idle_timeout if request is None else limits.header_timeout
-        return max(MIN_TIMEOUT_SECONDS, timeout - (time.monotonic() - waiting_since))
-
-    def _receive(self, timeout_seconds: float) -> bytes:
-        """The next bytes; empty at the end of the stream or after a timeout."""
-        timer = gevent.Timeout(timeout_seconds)
-        timer.start()
-        try:
-            return self._sock.recv(RECEIVE_BYTES)
-        except gevent.Timeout as timeout:
-            if timeout is not timer:
-                raise
-        finally:
-            timer.close()
-        if has_unread_input(self._sock):  # arrived in the same event loop iteration as the timer
-            return self._sock.recv(RECEIVE_BYTES)
-        if self._reader.current is not None:
-            self._reject(REQUEST_TIMEOUT_STATUS)
-        return b""
-
     # ---- processing and writing
 
     def _handle(self, request: ClientRequest) -> ClientResponse | None:
@@ -211,11 +163,30 @@
             self._last_attempt_id = context.attempt_id
             self._client_disconnected = context.client_disconnected
             watcher.close()
+            request.body.clear()
+            self._receiver.memory.release()
 
-    def _reject(self, status: int) -> None:
+    def _respond(self, response: ClientResponse, keep_alive: bool, request: ClientRequest) -> RequestEnd:
+        """Write the response to a request; how the request ended."""
+        try:
+            if ResponseWriter(self._write, request).write(response, keep_alive):
+                return RequestEnd.ANSWERED
+        finally:
+            response.release()
+        self._is_last_response = False
+        reset_connection(self._sock)  # so that the response does not look complete
+        return RequestEnd.WORKER_BROKE_OFF
+
+    def _refuse(self, response: ClientResponse) -> None:
         """Respond to a malformed or incomplete request, and close the connection."""
         self._is_last_response = True
-        self._write(render(ClientResponse(status), keep_alive=False))
+        if response.reason is not None:
+            self._request_handler.count_response(response)
+        self._write(render(response, keep_alive=False))
+
+    def _linger_seconds(self) -> float:
+        """How long to discard input after the last response: longer while a body is being sent."""
+        return LINGER_SECONDS if self._reader.current is None else UNREAD_BODY_LINGER_SECONDS
 
     def _write(self, data: bytes) -> None:
         send_all(self._sock, data, WRITE_TIMEOUT_SECONDS)
--- a/ashlift/proxy/forwarding.py
+++ b/ashlift/proxy/forwarding.py
@@ -23,10 +23,14 @@
 }
 BEARER_SCHEME: Final = "bearer"
 MAX_REMAINING_SECONDS: Final = 3600.0
+MIN_REMAINING_SECONDS: Final = 0.001
 
 
 class RoutingHeaders(NamedTuple):
-    """The values from a request's head that admission needs. `remaining`: the client's timeout in seconds."""
+    """The values from a request's head that admission needs.
+
+    `remaining`: seconds that the client will still wait, now that the request has been received.
+    """
 
     attempt_id: bytes
     host: str
@@ -35,19 +39,34 @@
     remaining: float
 
 
+def client_timeout(request: ClientRequest) -> float:
+    """How long the client waits from the beginning of its request, in seconds.
+
+    Raises BadRequestError if the header is malformed.
+    """
+    remaining_ms = request.header(TIME_REMAINING_HEADER)
+    try:
+        timeout = float(remaining_ms) / 1000 if remaining_ms else MAX_REMAINING_SECONDS
+    except ValueError:
+        raise BadRequestError(BAD_REQUEST_STATUS) from None
+    if not 0 < timeout <= MAX_REMAINING_SECONDS:
+        raise BadRequestError(BAD_REQUEST_STATUS)
+    return timeout
+
+
 def routing_headers(request: ClientRequest) -> RoutingHeaders:
     """Parse the headers that admission needs. Raises BadRequestError if they are malformed."""
     attempt_id = request.header(ATTEMPT_ID_HEADER)
-    remaining_ms = request.header(TIME_REMAINING_HEADER)
+    remaining = client_timeout(request)
     try:
-        remaining = float(remaining_ms) / 1000 if remaining_ms else MAX_REMAINING_SECONDS
         path = request.target.decode("ascii").partition("?")[0]
         host = request.header(HOST_HEADER).decode("ascii")
         scheme, _, key = request.header(AUTHORIZATION_HEADER).decode("ascii").partition(" ")
     except ValueError:
         raise BadRequestError(BAD_REQUEST_STATUS) from None
-    if not attempt_id or not path.startswith("/") or not 0 < remaining <= MAX_REMAINING_SECONDS:
+    if not attempt_id or not path.startswith("/"):
         raise BadRequestError(BAD_REQUEST_STATUS)
+    remaining = max(MIN_REMAINING_SECONDS, remaining - request.receive_seconds)
     api_key = key.strip() if scheme.lower() == BEARER_SCHEME else ""
     return RoutingHeaders(attempt_id, host, path, api_key, remaining)
 
@@ -69,11 +88,10 @@
     return b"\r\n".join(lines)
 
 
-def forwarded_request(head: bytes, worker_id: str, remaining: float, body: bytes) -> bytes:
-    """The bytes of one attempt. `remaining`: seconds until the deadline."""
-    return b"%b\r\nX-Time-Remaining: %d\r\nX-Target-Instance: %b\r\n\r\n%b" % (
-        head,
+def attempt_head(common_head: bytes, worker_id: str, remaining: float) -> bytes:
+    """The head of one attempt. `remaining`: seconds until the deadline."""
+    return b"%b\r\nX-Time-Remaining: %d\r\nX-Target-Instance: %b\r\n\r\n" % (
+        common_head,
         max(1, int(remaining * 1000)),
         worker_id.encode(),
-        body,
     )
--- a/ashlift/proxy/metrics.py
+++ b/ashlift/proxy/metrics.py
@@ -11,6 +11,21 @@
     "requests_outside_home_total", "counter", "route", "Requests received here though no home region is here."
 )
 
+MEMORY_HELD = Metric(
+    "memory_held_bytes",
+    "gauge",
+    "pool",
+    "Memory held by messages of clients and workers, by kind of message.",
+)
+MEMORY_PEAK = Metric("memory_peak_bytes", "gauge", "pool", "The most memory of a pool held at once.")
+MEMORY_CAPACITY = Metric("memory_capacity_bytes", "gauge", "pool", "The memory of a pool.")
+MEMORY_WAITS = Metric(
+    "memory_waits_total",
+    "counter",
+    "pool",
+    "How often a message was received no further, for lack of memory.",
+)
+
 REQUEST_ENDS = Metric(
     "request_ends_total", "counter", "end", "Requests that were read whole, by how they ended."
 )
@@ -21,6 +36,11 @@
     metrics = MetricsRegistry()
     metrics.add(RESPONSES, lambda: handler.responses)
     metrics.add(REQUESTS_OUTSIDE_HOME, lambda: handler.requests_outside_home)
+    pools = handler.memory.pools
+    metrics.add(MEMORY_HELD, lambda: {name: pool.held_bytes for name, pool in pools.items()})
+    metrics.add(MEMORY_PEAK, lambda: {name: pool.peak_bytes for name, pool in pools.items()})
+    metrics.add(MEMORY_CAPACITY, lambda: {name: pool.capacity_bytes for name, pool in pools.items()})
+    metrics.add(MEMORY_WAITS, lambda: {name: pool.waits for name, pool in pools.items()})
     metrics.add(REQUEST_ENDS, lambda: handler.request_counters.ends)
     metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
     return metrics
--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -21,6 +21,7 @@
     STARTED,
     STOPPING,
     UNHANDLED_ERROR,
+    WARNING,
     log_event,
 )
 from ashlift.invariants import Invariant, monitor
@@ -60,6 +61,7 @@
             settings, self.router, incarnation, rng, self._configuration_changed
         )
         self._ready = False
+        self._checked_max_body_bytes: int | None = None
         self._known_tenants: dict[str, Tenant] | None = None
         self._stop = Event()
         self._reload = Event()
@@ -134,12 +136,28 @@
         """Called after each applied response of a registry."""
         self.request_handler.configuration_changed()
         self._log_tenant_changes()
+        self._check_max_body_bytes()
         ready = self.router.is_ready(time.monotonic())
         if ready != self._ready:
             self._ready = ready
             index = self.router.cluster.configuration.version
             log_event(events.READY if ready else events.NOT_READY, index=index)
 
+    def _check_max_body_bytes(self) -> None:
+        """Log once for each value of `MaxBodyBytes` that this machine's memory cannot hold."""
+        max_body_bytes = self._limits().max_body_bytes
+        if max_body_bytes == self._checked_max_body_bytes:
+            return
+        self._checked_max_body_bytes = max_body_bytes
+        capacity_bytes = self.request_handler.memory.requests.large.capacity_bytes
+        if max_body_bytes > capacity_bytes:
+            log_event(
+                events.BODIES_TOO_LARGE,
+                level=WARNING,
+                max_body_bytes=max_body_bytes,
+                capacity_bytes=capacity_bytes,
+            )
+
     def _log_tenant_changes(self) -> None:
         """Log the names of tenants that were added, changed or removed."""
         configuration = self.router.cluster.configuration
--- a/ashlift/proxy/readiness.py
+++ b/ashlift/proxy/readiness.py
@@ -8,6 +8,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ashlift.config.object_schema import ClientLimits
 from ashlift.proxy.request_reader import ClientRequest, RequestReader
 from ashlift.proxy.responses import ClientResponse, render
 from ashlift.rpc.addresses import Address
@@ -45,6 +46,7 @@
 
 def _read_request(sock: socket.socket) -> ClientRequest | None:
     reader = RequestReader()
+    reader.limits = ClientLimits(max_body_bytes=0)
     while not reader.complete:
         data = sock.recv(RECEIVE_BYTES)
         if not data:
--- a/ashlift/proxy/rejections.py
+++ b/ashlift/proxy/rejections.py
@@ -14,6 +14,7 @@
 NO_REGION_RETRY_AFTER_SECONDS: Final = 1.0
 NO_WORKER_RETRY_AFTER_SECONDS: Final = 0.15
 OVERLOAD_RETRY_AFTER_SECONDS: Final = 0.5
+NO_MEMORY_RETRY_AFTER_SECONDS: Final = 0.6
 STOPPING_RETRY_AFTER_SECONDS: Final = 0.05  # short, since other proxies can serve the request
 
 
@@ -31,6 +32,7 @@
     NO_WORKER = "no worker"
     OUTCOME_UNKNOWN = "unanswered"  # it may have run, but there is no response
     DEADLINE_EXCEEDED = "late"
+    NO_MEMORY = "memory"  # other large requests took the memory for too long
     STOPPING = "stopping"  # its deadline is after the end of the graceful shutdown
 
 
@@ -55,4 +57,5 @@
 NO_WORKER: Final = Rejection(503, RejectionReason.NO_WORKER, NO_WORKER_RETRY_AFTER_SECONDS)
 OUTCOME_UNKNOWN: Final = Rejection(504, RejectionReason.OUTCOME_UNKNOWN)
 DEADLINE_EXCEEDED: Final = Rejection(504, RejectionReason.DEADLINE_EXCEEDED)
+NO_MEMORY: Final = Rejection(503, RejectionReason.NO_MEMORY, NO_MEMORY_RETRY_AFTER_SECONDS)
 STOPPING: Final = Rejection(503, RejectionReason.STOPPING, STOPPING_RETRY_AFTER_SECONDS)
--- a/ashlift/proxy/request_counters.py
+++ b/ashlift/proxy/request_counters.py
@@ -12,6 +12,7 @@
 
     ANSWERED = "answered"  # a complete response was handed to the kernel
     CLIENT_GONE = "client_gone"  # the client closed the connection or its sending side before the response
+    WORKER_BROKE_OFF = "cut_by_worker"  # the worker broke off a response that was already being relayed
     WRITE_FAILED = "write_failed"  # the client closed the connection or stopped reading during the response
     DUPLICATE_ID = "repeated"  # it has the id of the preceding request on the connection
     PIPELINED = "pipelined"  # it was pipelined after the last request served on the connection
--- a/ashlift/proxy/request_handler.py
+++ b/ashlift/proxy/request_handler.py
@@ -14,14 +14,15 @@
 
 from ashlift.proxy.admission import AdmittedRequest
 from ashlift.proxy.attempts import AttemptOutcome, AttemptResult
-from ashlift.proxy.forwarding import RoutingHeaders, forwarded_head, forwarded_request, routing_headers
+from ashlift.proxy.forwarding import RoutingHeaders, attempt_head, forwarded_head, routing_headers
 from ashlift.proxy.load_balancer import WorkerState
+from ashlift.proxy.memory import ProxyMemory
 from ashlift.proxy.rejections import STOPPING, Rejection, RejectionReason
 from ashlift.proxy.request_counters import RequestCounters
 from ashlift.proxy.request_progress import RequestProgress
 from ashlift.proxy.request_reader import BadRequestError, ClientRequest
 from ashlift.proxy.request_router import RequestRouter
-from ashlift.proxy.responses import ClientResponse, WorkerResponse, relay
+from ashlift.proxy.responses import ClientResponse, WorkerResponse, rejection_response, relay
 from ashlift.proxy.upstream import Attempt, ConnectionPool, WorkerRequest
 
 MAX_AWAITING_CONFIGURATION: Final = 64  # requests; further ones are rejected without waiting
@@ -47,7 +48,8 @@
 
     def __init__(self, router: RequestRouter) -> None:
         self.router = router
-        self.connection_pool = ConnectionPool()
+        self.memory = ProxyMemory(router.settings.machine_limits)
+        self.connection_pool = ConnectionPool(self.memory.responses)
         self.in_flight = 0
         self.request_counters = RequestCounters()
         self.responses: dict[str, int] = {}  # counts by rejection reason, or by status if relayed
@@ -68,10 +70,14 @@
             self.in_flight -= 1
             self._open_contexts.discard(context)
         if response is not None:
-            counter = response.reason or str(response.status)
-            self.responses[counter] = self.responses.get(counter, 0) + 1
+            self.count_response(response)
         return response
 
+    def count_response(self, response: ClientResponse) -> None:
+        """Count a response by the reason of its rejection, or by its status if it is relayed."""
+        counter = response.reason or str(response.status)
+        self.responses[counter] = self.responses.get(counter, 0) + 1
+
     def configuration_changed(self) -> None:
         """Wake the requests that wait for a newer configuration."""
         for context in self._awaiting_configuration:
@@ -92,10 +98,10 @@
         if admitted is None:
             return None
         if isinstance(admitted, Rejection):
-            return _rejection_response(admitted)
+            return rejection_response(admitted)
         if admitted.deadline > self.serve_until:
             self.router.refund_admission(time.monotonic(), admitted)
-            return _rejection_response(STOPPING)
+            return rejection_response(STOPPING)
         admitted.size_bytes = request.head_bytes + request.body_bytes
         if not admitted.route.allows_region(self.router.settings.region):
             self.requests_outside_home[admitted.route.name] += 1
@@ -148,14 +154,21 @@
         self._context = context
         self._head = forwarded_head(request, admitted)
         self._progress: RequestProgress[Attempt] = RequestProgress(handler.router, admitted)
+        self._worker_responses: list[WorkerResponse] = []
 
     def run(self) -> ClientResponse | None:
         """Make attempts until there is a response; None: the client disconnected."""
+        response: ClientResponse | None = None
         try:
-            return self._run()
+            response = self._run()
         finally:
             for attempt in self._progress.close(time.monotonic()):
                 attempt.cancel()
+            relayed = None if response is None else response.source
+            for worker_response in self._worker_responses:
+                if worker_response is not relayed:
+                    worker_response.discard()
+        return response
 
     def _run(self) -> ClientResponse | None:
         progress = self._progress
@@ -166,9 +179,9 @@
             elif isinstance(step, WorkerResponse):
                 return relay(step)
             elif isinstance(step, Rejection):
-                return _rejection_response(step)
+                return rejection_response(step)
             if self._context.process_exiting and not progress.has_completed:
-                return _rejection_response(self._router.final_rejection(self._admitted))
+                return rejection_response(self._router.final_rejection(self._admitted))
             self._wait()
             if self._context.client_disconnected:
                 return None
@@ -190,7 +203,11 @@
         outcome = self._exchange(attempt, worker)
         self._progress.attempt_ended(time.monotonic(), attempt, outcome)
         if not self._progress.closed:
+            if outcome.response is not None:
+                self._worker_responses.append(outcome.response)
             self._context.wake.set()
+        elif outcome.response is not None:
+            outcome.response.discard()
 
     def _exchange(self, attempt: Attempt, worker: WorkerState) -> AttemptOutcome:
         if not self._router.may_send(self._admitted, worker):
@@ -200,7 +217,8 @@
         request = WorkerRequest(
             worker_id=record.id,
             address=record.address,
-            payload=forwarded_request(self._head, record.id, time_left, self._request.body),
+            head=attempt_head(self._head, record.id, time_left),
+            body=self._request.body,
             attempt_id=self._attempt_id,
             idempotent=self._admitted.route.idempotent,
             time_left=time_left,
@@ -208,7 +226,3 @@
             max_connections=self._router.max_connections(worker),
         )
         return self._connection_pool.exchange(attempt, request)
-
-
-def _rejection_response(rejection: Rejection) -> ClientResponse:
-    return ClientResponse(rejection.status, retry_after=rejection.retry_after, reason=rejection.reason)
--- a/ashlift/proxy/request_reader.py
+++ b/ashlift/proxy/request_reader.py
@@ -6,6 +6,7 @@
 import httptools
 
 from ashlift.config.object_schema import ClientLimits
+from ashlift.proxy.body_buffer import BodyBuffer
 
 CONNECTION_HEADER: Final = b"connection"
 HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -43,20 +44,38 @@
 class ClientRequest:
     """One request from a client, with header names as sent.
 
-    `body_bytes`, `head_bytes`: received so far. `has_body`: the head has Content-Length or Transfer-Encoding.
-    `expects_continue`: the client waits for `100 Continue` before it sends the body.
+    `head_bytes`, `body_bytes`: received so far. `content_length`: None without the header. `has_body`: the
+    head has Content-Length or Transfer-Encoding. `expects_continue`: the client waits for `100 Continue`
+    before it sends the body. `receive_seconds`: from its first byte to its last.
     """
 
     method: bytes = b""
     target: bytes = b""
     headers: Headers = field(default_factory=list)
-    body_chunks: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    body: BodyBuffer = field(default_factory=BodyBuffer)
+    content_length: int | None = None
     head_bytes: int = 0
     keep_alive: bool = True
+    http_version: str = "1.1"
     head_complete: bool = False
     has_body: bool = False
     expects_continue: bool = False
+    receive_seconds: float = 0.0
+
+    @property
+    def accepts_chunks(self) -> bool:
+        """Whether the client can read a response in chunks; otherwise its end is that of the connection."""
+        return self.http_version != "1.0"
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body received so far."""
+        return len(self.body)
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of head and body received so far."""
+        return self.head_bytes + len(self.body)
 
     def header(self, name: bytes) -> bytes:
         """The value of a header, empty if it is missing. Raises BadRequestError if its values differ."""
@@ -69,17 +88,13 @@
         """The combined value of a list header, which may have several lines (RFC 9110, section 5.3)."""
         return b",".join(value for key, value in self.headers if key.lower() == name)
 
-    @property
-    def body(self) -> bytes:
-        """The body received so far."""
-        return self.body_chunks[0] if len(self.body_chunks) == 1 else b"".join(self.body_chunks)
-
 
 class RequestReader:
     """A parser for one connection.
 
     `complete` holds the completely received requests, in order; `current` is the one being received;
     `error_status` is the status of the response to a malformed request after them, 0 if there is no error.
+    `unparsed_bytes`: received since the last complete element, such as a header or a part of a body.
     """
 
     def __init__(self) -> None:
@@ -87,12 +102,15 @@
         self.error_status = 0
         self.current: ClientRequest | None = None
         self.complete: list[ClientRequest] = []
+        self.unparsed_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
         """Parse more bytes. After an error all further bytes are ignored."""
         if self.error_status:
             return
+        request = self.current
+        received_bytes = request.received_bytes if request is not None else 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -103,6 +121,13 @@
         except httptools.HttpParserError as error:
             cause = error.__context__  # the parser wraps what its callbacks raise
             self.error_status = cause.status if isinstance(cause, BadRequestError) else BAD_REQUEST_STATUS
+        if request is None or request is not self.current or request.received_bytes != received_bytes:
+            self.unparsed_bytes = 0
+            return
+        # The parser holds an incomplete header, or a chunk's extension, whatever its size.
+        self.unparsed_bytes += len(data)
+        if self.unparsed_bytes > self.limits.max_header_bytes:
+            self.error_status = self.error_status or HEADERS_TOO_LARGE_STATUS
 
     def _receiving(self) -> ClientRequest:
         assert self.current is not None
@@ -140,20 +165,22 @@
         transfer_encoding = request.header(b"transfer-encoding")
         request.has_body = bool(content_length or transfer_encoding)
         request.expects_continue = request.header(b"expect").lower() == b"100-continue"
-        if content_length and int(content_length) > self.limits.max_body_bytes:
-            raise BadRequestError(CONTENT_TOO_LARGE_STATUS)
+        if content_length:
+            request.content_length = int(content_length)
+            if request.content_length > self.limits.max_body_bytes:
+                raise BadRequestError(CONTENT_TOO_LARGE_STATUS)
 
     def on_body(self, body: bytes) -> None:
         """A part of the body has been received."""
         request = self._receiving()
-        request.body_bytes += len(body)
-        if request.body_bytes > self.limits.max_body_bytes:
+        if request.body_bytes + len(body) > self.limits.max_body_bytes:
             raise BadRequestError(CONTENT_TOO_LARGE_STATUS)
-        request.body_chunks.append(body)
+        request.body.append(body)
 
     def on_message_complete(self) -> None:
         """The request has been received completely."""
         request = self._receiving()
         self.current = None
         request.keep_alive = self._parser.should_keep_alive()
+        request.http_version = self._parser.get_http_version()
         self.complete.append(request)
--- a/ashlift/proxy/upstream.py
+++ b/ashlift/proxy/upstream.py
@@ -12,8 +12,11 @@
 from gevent import socket
 
 from ashlift.gatekeeper.net.http_response import MalformedResponseError
+from ashlift.memory.pool import MemoryPool
 from ashlift.proxy.attempts import AttemptOutcome, AttemptResult
+from ashlift.proxy.body_buffer import BodyBuffer
 from ashlift.proxy.idle_timeout_estimator import IdleTimeoutEstimator
+from ashlift.proxy.response_stream import RECEIVE_BYTES, ResponseMemory, ResponseStream
 from ashlift.proxy.responses import ATTEMPT_ID_HEADER, KEEP_ALIVE_HEADER, WorkerResponse
 from ashlift.rpc.addresses import Address
 from ashlift.rpc.sockets import has_unread_input
@@ -23,7 +26,6 @@
 MAX_IDLE_PER_WORKER: Final = 16
 # A worker may respond to a request of this size or more before it has read all of it.
 MIN_EARLY_RESPONSE_REQUEST_BYTES: Final = 16 << 10
-RECEIVE_BYTES: Final = 65536
 
 
 class WorkerRequest(NamedTuple):
@@ -31,7 +33,8 @@
 
     worker_id: str
     address: Address
-    payload: bytes
+    head: bytes
+    body: BodyBuffer
     attempt_id: bytes
     idempotent: bool
     time_left: float
@@ -44,7 +47,8 @@
     """A connection to a worker. Times are monotonic, in seconds.
 
     `idle_seconds`: how long it had been idle before the current exchange. `reusable_seconds`: how long it may
-    stay idle after this exchange; with 0 it is closed.
+    stay idle after this exchange; with 0 it is closed. `is_streaming`: the rest of a response is still being
+    relayed after the end of the exchange.
     """
 
     sock: socket.socket
@@ -53,6 +57,7 @@
     idle_since: float = 0.0
     idle_seconds: float = 0.0
     reusable_seconds: float = 0.0
+    is_streaming: bool = False
 
 
 class Attempt:
@@ -71,9 +76,13 @@
 
 
 class ConnectionPool:
-    """All connections to workers, by worker id, since a worker's address may be reused by another."""
+    """All connections to workers, by worker id, since a worker's address may be reused by another.
 
-    def __init__(self) -> None:
+    `memory`: for the responses.
+    """
+
+    def __init__(self, memory: MemoryPool) -> None:
+        self._memory = memory
         self._idle: dict[str, deque[WorkerConnection]] = {}
         self._open_count: dict[str, int] = {}
         self._idle_timeout_estimator = IdleTimeoutEstimator()
@@ -102,7 +111,7 @@
         finally:
             timer.close()
             attempt.sock = None
-            if connection is not None:
+            if connection is not None and not connection.is_streaming:
                 self._release(request.worker_id, connection, attempt)
 
     def _send(
@@ -113,10 +122,12 @@
             return AttemptOutcome(AttemptResult.NOT_RUN)
         attempt.sock = connection.sock
         attempt.sent = True
-        connection.sock.sendall(request.payload)
-        is_large = len(request.payload) > MIN_EARLY_RESPONSE_REQUEST_BYTES
+        is_large = len(request.head) + len(request.body) > MIN_EARLY_RESPONSE_REQUEST_BYTES
+        _send_request(connection.sock, request, is_large)
         responded_early = is_large and has_unread_input(connection.sock)
         response = self._read_response(connection, request.attempt_id)
+        if response is not None and not response.done:
+            self._open_stream(attempt, request, connection, response, started_at)
         if responded_early:
             connection.reusable_seconds = 0.0  # the worker may parse the rest of the request as a new one
         elapsed = time.monotonic() - started_at
@@ -125,10 +136,28 @@
         result = AttemptResult.NOT_RUN if response.not_run else AttemptResult.RESPONSE
         return AttemptOutcome(result, response, elapsed)
 
-    @staticmethod
-    def _read_response(connection: WorkerConnection, attempt_id: bytes) -> WorkerResponse | None:
+    def _read_response(self, connection: WorkerConnection, attempt_id: bytes) -> WorkerResponse | None:
         """The response to this attempt, or None if there is no valid one. Sets `reusable_seconds`.
 
+        A response that is not done is too long to be held.
+        """
+        memory = ResponseMemory(self._memory)
+        response: WorkerResponse | None = None
+        try:
+            response = self._receive_response(connection, attempt_id, memory)
+        finally:
+            if response is None:
+                memory.release()
+            else:
+                response.memory = memory
+        return response
+
+    @staticmethod
+    def _receive_response(
+        connection: WorkerConnection, attempt_id: bytes, memory: ResponseMemory
+    ) -> WorkerResponse | None:
+        """See `_read_response`.
+
         A response with another id is a duplicate response to an earlier request. It is skipped once, and the
         connection is not reused.
         """
@@ -140,17 +169,40 @@
                 if not data:
                     return None
                 response.feed(data)
+                if not memory.hold(response):
+                    break
             if response.header(ATTEMPT_ID_HEADER) == attempt_id:
                 break
-            if not response.keep_alive or stray_response:
+            if not response.done or not response.keep_alive or stray_response:
                 return None
             stray_response = True
-        if not (response.is_valid() or response.not_run):
+        if not (response.is_valid() or response.not_run or response.can_be_streamed):
             return None
-        if not stray_response and response.keep_alive and not response.ends_with_connection:
+        if response.done and not stray_response and response.keep_alive:
             connection.reusable_seconds = _keep_alive_seconds(response)
         return response
 
+    def _open_stream(
+        self,
+        attempt: Attempt,
+        request: WorkerRequest,
+        connection: WorkerConnection,
+        response: WorkerResponse,
+        started_at: float,
+    ) -> None:
+        """Leave the connection to the relay of the response."""
+
+        def finish() -> None:
+            if response.done and response.keep_alive:
+                connection.reusable_seconds = _keep_alive_seconds(response)
+            self._release(request.worker_id, connection, attempt)
+
+        assert isinstance(response.memory, ResponseMemory)
+        connection.is_streaming = True
+        response.status = response.head_status
+        deadline = started_at + request.time_left
+        response.stream = ResponseStream(response, response.memory, connection.sock, deadline, finish)
+
     def _was_idle_reset(self, connection: WorkerConnection | None, now: float, elapsed: float) -> bool:
         if connection is None:
             return False
@@ -234,6 +286,17 @@
                 del self._idle[worker_id]
 
 
+def _send_request(sock: socket.socket, request: WorkerRequest, is_large: bool) -> None:
+    """Send a request: a small one in one write, a large one in parts, so that its body is not copied."""
+    if not is_large:
+        sock.sendall(request.head + bytes(request.body))
+        return
+    sock.sendall(request.head)
+    for part in request.body.parts():
+        sock.sendall(part)
+        gevent.sleep(0)  # others have their turn, even if the worker reads without delay
+
+
 def _failed(
     attempt: Attempt, result: AttemptResult, elapsed: float, idle_reset: bool = False
 ) -> AttemptOutcome:
--- a/ashlift/rpc/sockets.py
+++ b/ashlift/rpc/sockets.py
@@ -6,6 +6,8 @@
 """
 
 import contextlib
+import select
+import struct
 from typing import Final
 
 import gevent
@@ -15,6 +17,8 @@
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 2000  # TCP_USER_TIMEOUT: limit for data without an acknowledgement
 SEND_TIMEOUT_SECONDS: Final = UNACKNOWLEDGED_TIMEOUT_MS / 1000  # limit for a write without progress
 RECEIVE_BYTES: Final = 65536  # per read
+RESETTING_LINGER: Final = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
+CLOSE_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 KEEPALIVE_OPTIONS: Final = {
     socket.TCP_KEEPIDLE: 10,  # s without traffic before the first probe
     socket.TCP_KEEPINTVL: 5,  # s between probes
@@ -54,6 +58,13 @@
     return True
 
 
+def peer_has_closed(sock: socket.socket) -> bool:
+    """Whether the peer has closed the connection, even if input from it is still unread."""
+    poll = select.poll()
+    poll.register(sock.fileno(), CLOSE_EVENTS)
+    return bool(poll.poll(0))
+
+
 def stop_listening(server: StreamServer) -> None:
     """Stop listening, after handling the connections that are in the listen queue."""
     if not server.started:
@@ -64,6 +75,13 @@
     server.close()
 
 
+def reset_connection(sock: socket.socket) -> None:
+    """Close a connection with a reset, so that the peer can tell that its last response is incomplete."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING_LINGER)
+    sock.close()
+
+
 def close_after_last_response(sock: socket.socket, timeout: float) -> None:
     """Close a connection without a reset: half-close it, and discard input until the peer closes it too.
 
--- a/tests/proxy/test_responses.py
+++ b/tests/proxy/test_responses.py
@@ -175,7 +175,7 @@
         reader.feed(data[:at])
         assert not reader.complete
         reader.feed(data[at:])
-        assert [one.body for one in reader.complete] == [BODY]
+        assert [bytes(one.body) for one in reader.complete] == [BODY]
         assert not reader.error_status
     client.send(request, cuts=range(len(data)))
     assert request.status == 200
@@ -414,7 +414,7 @@
         check_behaviour("executes and resets"),
     ),
     "attempt id of a response not compared": (
-        ConnectionPool._read_response,
+        ConnectionPool._receive_response,
         "response.header(ATTEMPT_ID_HEADER) == attempt_id",
         "True",
         check_behaviour("duplicate response later"),
@@ -426,19 +426,19 @@
         check_behaviour("executes and resets"),
     ),
     "worker's own 503 relayed": (
-        WorkerResponse.is_valid,
-        "or self.status in NOT_RUN_STATUSES",
+        WorkerResponse.is_relayable,
+        "or status in NOT_RUN_STATUSES",
         "",
         check_behaviour("503 after execution"),
     ),
     "response without X-Server-Seal relayed": (
-        WorkerResponse.is_valid,
+        WorkerResponse.is_relayable,
         "bool(self.header(SERVER_SEAL_HEADER)) and ",
         "",
         check_behaviour("no server seal"),
     ),
     "truncated response relayed": (
-        ConnectionPool._read_response,
+        ConnectionPool._receive_response,
         "    return None\n            response.feed",
         "    response.status, response.done = response.head_status, True\n"
         "                break\n            response.feed",
--- a/tests/support/proxy_history.py
+++ b/tests/support/proxy_history.py
@@ -79,7 +79,7 @@
         request_id = received.header(b"x-attempt-id").decode()
         self.runs[request_id] += 1
         sent = self.requests.get(request_id)
-        content = received.method.decode(), received.target.decode(), received.body
+        content = received.method.decode(), received.target.decode(), bytes(received.body)
         if sent is None or (sent.method, sent.path, sent.body) != content:
             self.unexpected.append(f"a worker ran {content!r:.100} with id {request_id}")
 
--- a/tests/support/proxy_site.py
+++ b/tests/support/proxy_site.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from typing import Any
 
+import gevent
 from gevent import socket
 
 from ashlift.config.object_schema import ClientLimits
@@ -43,6 +44,7 @@
     (REPEAT, TO_CLIENT),
 ]
 SITE_NUMBERS = itertools.count(1)  # keeps worker ids unique: the kernel may reuse an address for another site
+MEMORY_MB = 300  # of an edge machine
 SETTINGS = """
 NodeName = "edge-1"
 Ip = "127.0.0.1"
@@ -53,6 +55,8 @@
 Heartbeat = "1500ms"
 [Zones]
 z1 = "r1"
+[Limits]
+MemoryMb = %d
 [Bounds]
 RetrySlack = 100000
 """
@@ -64,8 +68,8 @@
     `routes`: worker addresses by route name and worker ID. /look/NAME/ is idempotent, /hold/NAME/ is not.
     """
 
-    def __init__(self, routes: dict[str, dict[str, Address]]) -> None:
-        settings = parse_settings(SETTINGS, "trial")
+    def __init__(self, routes: dict[str, dict[str, Address]], memory_mb: int = MEMORY_MB) -> None:
+        settings = parse_settings(SETTINGS % memory_mb, "trial")
         assert isinstance(settings, Settings), settings
         self.router = RequestRouter(settings, random.Random(1), time.monotonic())
         # A pause of this process on a busy machine must not be mistaken for an unreachable worker.
@@ -123,6 +127,13 @@
         for connections in self.request_handler.connection_pool._idle.values():
             yield from connections
 
+    def check_memory_released(self) -> None:
+        """Wait until no request or response is held."""
+        pools = self.request_handler.memory.pools
+        with gevent.Timeout(ENOUGH_SECONDS, AssertionError("memory is still held")):
+            while any(pool.held_bytes for pool in pools.values()):
+                gevent.sleep(0.001)
+
     def close(self) -> None:
         """Stop accepting and close all connections."""
         self.server.stop_accepting()
@@ -178,9 +189,10 @@
         return request
 
     def close(self) -> None:
-        """Check the history, then close proxy, fault proxies and workers."""
+        """Check the history, then close proxy, fault proxies and workers. No memory may remain held."""
         self.history.check()
         self.proxy.close()
+        self.proxy.check_memory_released()
         for fault_proxy in self.fault_proxies.values():
             fault_proxy.close()
         self.workers.close()
--- a/tests/support/stub_workers.py
+++ b/tests/support/stub_workers.py
@@ -93,7 +93,7 @@
 
     def _respond(self, sock: socket.socket, behaviour: str, request: ClientRequest) -> bytes:
         request_id = request.header(b"x-attempt-id").decode()
-        body = expected_body(request_id, request.body)
+        body = expected_body(request_id, bytes(request.body))
         response = worker_response(200, request_id, body)
         if behaviour in ENDING_RESPONSES:
             sock.sendall(ENDING_RESPONSES[behaviour](request_id, response, body))
@@ -122,6 +122,13 @@
     return "\r\n".join(head).encode() + b"\r\n\r\n" + body
 
 
+def chunked_response(attempt_id: str, body: bytes) -> bytes:
+    """An encoded 200 response with a body in one long chunk."""
+    head = worker_response(200, attempt_id, body).partition(b"\r\n\r\n")[0]
+    head = head.replace(b"Content-Length: %d" % len(body), b"Transfer-Encoding: chunked")
+    return head + b"\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+
+
 # The response of each behaviour, built from the request id, a complete response, and its body.
 RESPONSES: dict[str, Callable[[str, bytes, bytes], bytes]] = {
     "success": lambda _id, response, _body: response,
@@ -138,6 +145,9 @@
     "large body": lambda attempt_id, _response, body: worker_response(
         200, attempt_id, body + bytes(LARGE_BYTES)
     ),
+    "long chunked body": lambda attempt_id, _response, body: chunked_response(
+        attempt_id, body + bytes(1 << 20)
+    ),
     "invalid response": lambda _id, _response, _body: b"\x00\x01 no answer \r\n\r\n",
     "invalid bytes after the response": lambda _id, response, _body: response + b"HTTP/1.1 20",
     "no server seal": lambda _id, response, _body: response.replace(b"X-Server-Seal", b"X-Other"),
@@ -153,4 +163,7 @@
     ),
     "no content length": lambda _id, response, _body: response.replace(b"Content-Length", b"X-Length"),
     "truncated body": lambda _id, response, _body: response[:-3],
+    "long chunked body, broken off": lambda attempt_id, _response, body: chunked_response(
+        attempt_id, body + bytes(1 << 20)
+    )[: 900 << 10],
 }
