registry, store: large calls within the memory of a core machine

Cause: bodies, their parsed values (up to 20 times the size) and responses were held for every caller at once; the parser held a header without end; and a loop that reads frames kept its last decoded value until the next frame.

Change: the API's connections receive within pools, large bodies are executed one at a time, long responses share a pool, GET /config reads four at a time; who waits for over 0.8 s gets 503 and goes on to the next registry. The store refuses `submit` of 64 KiB or more beyond 8 MiB in progress before it is decoded, as UNAVAILABLE, which registries retry.

The recorded wire samples are unchanged. A mutation of the framing test follows `feed` to `feed_payloads`.

--- a/ashlift/configstore/server.py
+++ b/ashlift/configstore/server.py
@@ -27,6 +27,7 @@
 from ashlift.events import ERROR, WARNING, log_event
 from ashlift.response_status import SERVICE_UNAVAILABLE
 from ashlift.rpc.client import ClientPool
+from ashlift.rpc.concurrency_limit import ConcurrencyLimit
 from ashlift.rpc.server import serve
 
 if TYPE_CHECKING:
@@ -67,7 +68,8 @@
             **self._requests.handlers(),
             requests.PENDING_EDITS: self._handle_pending_edits,
         }
-        self.rpc_server = serve((settings.ip, port), handlers)
+        limit = ConcurrencyLimit({requests.SUBMIT})
+        self.rpc_server = serve((settings.ip, port), handlers, limit)
 
     def run(self) -> None:
         """Serve until the replica has handed over its role after `shut_down`."""
--- a/ashlift/registry/__main__.py
+++ b/ashlift/registry/__main__.py
@@ -20,6 +20,7 @@
 from ashlift.registry.api.lookup import LookupResource
 from ashlift.registry.api.members import MembersResource
 from ashlift.registry.api.proposals import ProposalsResource
+from ashlift.registry.api.request_memory import ApiMemory
 from ashlift.registry.api.resource import Resource
 from ashlift.registry.api.route_edits import RouteEditService
 from ashlift.registry.api.routes import RoutesResource
@@ -61,7 +62,8 @@
         self._loops = ReplicationLoops(self._registry, store, self._notifier, clients, store_port + 1)
         resources = self._resources(store)
         addresses = {settings.bindings.control, settings.bindings.directory} - {None}
-        self._http_servers = [HttpServer(address, resources) for address in addresses if address]
+        memory = ApiMemory(settings.machine_limits)
+        self._http_servers = [HttpServer(address, resources, memory) for address in addresses if address]
 
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT, or until a loop has failed; returns the exit status."""
--- a/ashlift/registry/api/config.py
+++ b/ashlift/registry/api/config.py
@@ -2,13 +2,17 @@
 
 from typing import Final
 
+from gevent.lock import Semaphore
+
 from ashlift.errors import Failure
 from ashlift.registry.api.command_responses import command_response, outcome_unknown_response
-from ashlift.registry.api.messages import HttpRequest, HttpResponse, error_response
+from ashlift.registry.api.messages import NO_MEMORY, HttpRequest, HttpResponse, error_response
 from ashlift.registry.api.resource import Resource, parse_json
 from ashlift.registry.store_client import StoreClient
 
 MAX_CONFIG_BYTES: Final = 8 << 20
+MAX_CONCURRENT_READS: Final = 4  # each holds the configuration in several forms
+MAX_READ_WAIT_SECONDS: Final = 0.8  # operators' clients try the next registry after 1 s
 
 
 class ConfigResource(Resource):
@@ -18,9 +22,18 @@
 
     def __init__(self, store: StoreClient) -> None:
         self._store = store
+        self._read_slots = Semaphore(MAX_CONCURRENT_READS)
 
     def get(self, _request: HttpRequest) -> HttpResponse:
         """The committed configuration; 404 if there is none yet."""
+        if not self._read_slots.acquire(timeout=MAX_READ_WAIT_SECONDS):
+            return NO_MEMORY
+        try:
+            return self._read()
+        finally:
+            self._read_slots.release()
+
+    def _read(self) -> HttpResponse:
         entries = self._store.read()
         if isinstance(entries, Failure):
             return outcome_unknown_response(entries)
--- a/ashlift/registry/api/messages.py
+++ b/ashlift/registry/api/messages.py
@@ -62,3 +62,6 @@
 def error_response(status: int, error: str, retry_after_seconds: float | None = None) -> HttpResponse:
     """A response with an error message."""
     return HttpResponse(status, {"error": error}, retry_after_seconds)
+
+
+NO_MEMORY: Final = error_response(503, "others take the memory", retry_after_seconds=0.5)
--- a/ashlift/registry/api/server.py
+++ b/ashlift/registry/api/server.py
@@ -8,9 +8,11 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ashlift.config.settings import MachineLimits
 from ashlift.registry.api.connection import ApiConnection
 from ashlift.registry.api.messages import HttpRequest, HttpResponse, error_response
 from ashlift.registry.api.pause_detector import CHECK_INTERVAL_SECONDS, PauseDetector
+from ashlift.registry.api.request_memory import ApiMemory
 from ashlift.registry.api.resource import DEFAULT_MAX_BODY_BYTES, Resource
 from ashlift.rpc.addresses import Address
 from ashlift.rpc.sockets import stop_listening
@@ -21,8 +23,11 @@
 class HttpServer:
     """Listens on one address."""
 
-    def __init__(self, address: Address, resources: Mapping[str, Resource]) -> None:
-        """`resources`: by the first segment of the path."""
+    def __init__(
+        self, address: Address, resources: Mapping[str, Resource], memory: ApiMemory | None = None
+    ) -> None:
+        """`resources`: by the first segment of the path. `memory`: for requests."""
+        self.memory = memory or ApiMemory(MachineLimits())
         self._resources = resources
         self._connections: set[ApiConnection] = set()
         self.is_shutting_down = False
--- a/ashlift/rpc/client.py
+++ b/ashlift/rpc/client.py
@@ -160,12 +160,16 @@
         try:
             while data := connection.sock.recv(RECEIVE_BYTES):
                 connection.received_bytes += len(data)
-                for value in decoder.feed(data):
-                    self._deliver(connection, value)
+                self._deliver_all(connection, decoder, data)
         except (OSError, ValueError):
             pass
         self._disconnect(connection)
 
+    def _deliver_all(self, connection: Connection, decoder: FrameDecoder, data: bytes) -> None:
+        """Pass on all responses that `data` completes, and keep none of them."""
+        for value in decoder.feed(data):
+            self._deliver(connection, value)
+
     def _deliver(self, connection: Connection, value: Any) -> None:
         """Pass a response to its caller, if it still waits. Raises ValueError for a number not yet used."""
         number, result = decode_response(value)
--- a/ashlift/rpc/framing.py
+++ b/ashlift/rpc/framing.py
@@ -29,6 +29,14 @@
     return _HEADER.pack(len(payload), zlib.crc32(payload, crc_seed)) + payload
 
 
+def decode_payload(payload: bytes) -> Any:
+    """Decode the value of a frame. Raises ValueError if it is not CBOR."""
+    try:
+        return cbor2.loads(payload)
+    except cbor2.CBORDecodeError as error:
+        raise ValueError(str(error)) from None
+
+
 class FrameDecoder:
     """Decodes the frames of one connection; buffers an incomplete frame until the rest of it arrives."""
 
@@ -42,13 +50,17 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Any]:
-        """Return the values of all frames that `data` completes.
+        """Return the values of all frames that `data` completes; raises ValueError as `feed_payloads`."""
+        return [decode_payload(payload) for payload in self.feed_payloads(data)]
+
+    def feed_payloads(self, data: bytes) -> list[bytes]:
+        """Return the encoded values of all frames that `data` completes.
 
-        Raises ValueError for a frame that is too large, has a wrong checksum or is not CBOR. The rest of the
+        Raises ValueError for a frame that is too large or has a wrong checksum. The rest of the
         stream cannot be trusted then, so the connection must be closed.
         """
         self._buffer += data
-        values = []
+        payloads = []
         while len(self._buffer) >= _HEADER.size:
             size, checksum = _HEADER.unpack_from(self._buffer)
             if size > MAX_FRAME_BYTES:
@@ -59,9 +71,6 @@
             payload = bytes(self._buffer[_HEADER.size : end])
             if zlib.crc32(payload, self._crc_seed) != checksum:
                 raise ValueError("frame checksum does not match")
-            try:
-                values.append(cbor2.loads(payload))
-            except cbor2.CBORDecodeError as error:
-                raise ValueError(str(error)) from None
+            payloads.append(payload)
             del self._buffer[:end]
-        return values
+        return payloads
--- a/ashlift/rpc/messages.py
+++ b/ashlift/rpc/messages.py
@@ -4,12 +4,17 @@
 `[number, null, reason, detail]`. The number is that of the request; a client's request numbers rise.
 """
 
+from io import BytesIO
 from typing import Any, Final, NamedTuple
 
+import cbor2
+
 from ashlift.errors import Failure
 from ashlift.rpc.framing import REQUEST_CRC_SEED, RESPONSE_CRC_SEED, encode_frame
 
 REQUEST_FIELDS: Final = 3
+REQUEST_ARRAY_MARKER: Final = bytes([0x80 | REQUEST_FIELDS])  # the first byte of a CBOR array of that length
+MAX_REQUEST_HEADER_BYTES: Final = 256
 RESPONSE_FIELDS: Final = 2
 FAILURE_FIELDS: Final = 4
 
@@ -22,6 +27,13 @@
     body: Any
 
 
+class RequestHeader(NamedTuple):
+    """The fields of a request before its body."""
+
+    number: int
+    method: str
+
+
 class Response(NamedTuple):
     """A decoded response; `result`: the body, or a Failure."""
 
@@ -53,6 +65,27 @@
     raise ValueError("malformed request")
 
 
+def decode_request_header(payload: bytes) -> RequestHeader:
+    """Decode the beginning of a request's payload, without its body. Raises ValueError if it is malformed."""
+    stream = BytesIO(payload[:MAX_REQUEST_HEADER_BYTES])
+    if stream.read(1) != REQUEST_ARRAY_MARKER:
+        raise ValueError("malformed request")
+    try:
+        number = cbor2.load(stream)
+        method = cbor2.load(stream)
+    except cbor2.CBORDecodeError as error:
+        raise ValueError(str(error)) from None
+    if not isinstance(number, int) or not isinstance(method, str):
+        raise ValueError("malformed request")
+    return RequestHeader(number, method)
+
+
+def refused_request(payload: bytes) -> Request:
+    """The request with this payload, without its body. Raises ValueError if it is malformed."""
+    header = decode_request_header(payload)
+    return Request(header.number, header.method, None)
+
+
 def decode_response(value: Any) -> Response:
     """Decode the value of a response's frame. Raises ValueError if it is malformed."""
     if isinstance(value, list) and value and isinstance(value[0], int):
--- a/ashlift/rpc/server.py
+++ b/ashlift/rpc/server.py
@@ -11,8 +11,9 @@
 
 from ashlift.errors import Failure, FailureReason
 from ashlift.rpc.addresses import Address
-from ashlift.rpc.framing import REQUEST_CRC_SEED, FrameDecoder
-from ashlift.rpc.messages import Request, decode_request, encode_response
+from ashlift.rpc.concurrency_limit import ConcurrencyLimit, LimitSlot
+from ashlift.rpc.framing import REQUEST_CRC_SEED, FrameDecoder, decode_payload
+from ashlift.rpc.messages import Request, decode_request, encode_response, refused_request
 from ashlift.rpc.sockets import (
     RECEIVE_BYTES,
     configure_socket,
@@ -29,11 +30,14 @@
 
 
 class RpcServer(StreamServer):
-    """Listens on one address. `handlers`: by method."""
+    """Listens on one address. `handlers`: by method. `limit`: of concurrent large requests."""
 
-    def __init__(self, address: Address, handlers: Mapping[str, Handler]) -> None:
+    def __init__(
+        self, address: Address, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
+    ) -> None:
         super().__init__(address, self._serve_connection, backlog=ACCEPT_BACKLOG)
         self._handlers = handlers
+        self._limit = limit or ConcurrencyLimit()
         self._connections: set[_ServerConnection] = set()
         self.is_shutting_down = False
 
@@ -58,7 +62,7 @@
                 return
 
     def _serve_connection(self, sock: socket.socket, _: Address) -> None:
-        connection = _ServerConnection(sock, self._handlers, lambda: self.is_shutting_down)
+        connection = _ServerConnection(sock, self._handlers, lambda: self.is_shutting_down, self._limit)
         self._connections.add(connection)
         try:
             connection.run()
@@ -66,12 +70,14 @@
             self._connections.discard(connection)
 
 
-def serve(address: Address, handlers: Mapping[str, Handler]) -> RpcServer:
+def serve(
+    address: Address, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
+) -> RpcServer:
     """Start a server that runs `handlers[method](body)` in a greenlet for each request.
 
     A handler returns a body or a Failure. Raises OSError if the address cannot be bound.
     """
-    server = RpcServer(address, handlers)
+    server = RpcServer(address, handlers, limit)
     server.start()
     return server
 
@@ -83,13 +89,18 @@
     """
 
     def __init__(
-        self, sock: socket.socket, handlers: Mapping[str, Handler], is_shutting_down: Callable[[], bool]
+        self,
+        sock: socket.socket,
+        handlers: Mapping[str, Handler],
+        is_shutting_down: Callable[[], bool],
+        limit: ConcurrencyLimit,
     ) -> None:
         """`is_shutting_down`: whether to close the connection once no request is in progress."""
         self.requests_in_progress = 0
         self._is_shutting_down = is_shutting_down
         self._sock = sock
         self._handlers = handlers
+        self._limit = limit
         self._decoder = FrameDecoder(REQUEST_CRC_SEED)
         self._accepted_at = time.monotonic()
         self._send_lock = Semaphore()
@@ -100,16 +111,24 @@
         try:
             configure_socket(self._sock)
             while data := self._sock.recv(RECEIVE_BYTES):
-                for value in self._decoder.feed(data):
-                    request = decode_request(value)
-                    self._check_number(request)
-                    self.requests_in_progress += 1
-                    gevent.spawn(self._respond, request)
+                self._start_requests(data)
         except (OSError, ValueError):
             pass
         finally:
             self._sock.close()
 
+    def _start_requests(self, data: bytes) -> None:
+        """Start all requests that `data` completes. Raises ValueError if it is not valid.
+
+        A function of its own, so that no local variable keeps a large request until the next one arrives.
+        """
+        for payload in self._decoder.feed_payloads(data):
+            slot = self._limit.try_start(payload)
+            request = refused_request(payload) if slot is None else decode_request(decode_payload(payload))
+            self._check_number(request)
+            self.requests_in_progress += 1
+            gevent.spawn(self._respond, request, slot)
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress and no part of another has arrived."""
         if self.requests_in_progress or self._decoder.has_partial_frame:
@@ -124,10 +143,12 @@
             raise ValueError(f"request number {request.number} after {self._last_number}")
         self._last_number = request.number
 
-    def _respond(self, request: Request) -> None:
+    def _respond(self, request: Request, slot: LimitSlot | None) -> None:
         try:
-            self._send(self._execute(request))
+            self._send(self._execute(request, slot))
         finally:
+            if slot is not None:
+                slot.release()
             self.requests_in_progress -= 1
             if self._is_shutting_down():
                 self.close_if_idle()  # now, before the peer sends a request that would not be answered
@@ -142,10 +163,15 @@
                 self._sock.close()
                 raise
 
-    def _execute(self, request: Request) -> bytes:
-        """Run the request's handler and encode the response."""
+    def _execute(self, request: Request, slot: LimitSlot | None) -> bytes:
+        """Run the request's handler and encode the response. `slot`: None if the request is refused."""
         handler = self._handlers.get(request.method)
-        result = handler(request.body) if handler else Failure(FailureReason.NOT_FOUND, request.method)
+        if slot is None:
+            result: Any = Failure(FailureReason.UNAVAILABLE, f"{request.method}: too many bytes in progress")
+        elif handler is None:
+            result = Failure(FailureReason.NOT_FOUND, request.method)
+        else:
+            result = handler(request.body)
         try:
             return encode_response(request.number, result)
         except ValueError as error:
--- a/tests/registry/test_request_parser.py
+++ b/tests/registry/test_request_parser.py
@@ -3,7 +3,7 @@
 from ward import each, test
 
 from ashlift.registry.api.messages import HttpRequest
-from ashlift.registry.api.request_parser import RequestParser
+from ashlift.registry.api.request_parser import MAX_UNPARSED_BYTES, RequestParser
 
 
 def parse(data: bytes, chunk_bytes: int) -> RequestParser:
@@ -47,3 +47,15 @@
         parser = parse(data, chunk_bytes)
         assert parser.error
         assert parser.error.status == status
+
+
+@test("a header that never ends is rejected, and so is a trailer")
+def _(
+    begin: bytes = each(
+        b"GET /a HTTP/1.1\r\nX-Long: ",
+        b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Long: ",
+    ),
+) -> None:
+    parser = parse(begin + b"a" * 2 * MAX_UNPARSED_BYTES, 4096)
+    assert parser.error is not None
+    assert parser.error.status == 431
--- a/tests/rpc/test_framing.py
+++ b/tests/rpc/test_framing.py
@@ -106,7 +106,7 @@
 
 MUTATIONS: dict[str, tuple[Callable[..., Any], str, str, Callable[[], None]]] = {
     "the checksum is not compared": (
-        FrameDecoder.feed,
+        FrameDecoder.feed_payloads,
         "zlib.crc32(payload, self._crc_seed) != checksum",
         "False",
         read_mixed_frames,
