soak: clients that send large bodies, and a verdict on every program's memory

`lab system` and the soak sample the resident memory of each program (verdict MEMORY, 200 MB, which the settings name as MemoryMb).

--- a/ashlift/gatekeeper/cli.py
+++ b/ashlift/gatekeeper/cli.py
@@ -302,11 +302,14 @@
 @click.option("--proxies", type=click.IntRange(2, 150), default=9, show_default=True)
 @click.option("--seconds", type=click.FloatRange(19, 120), default=30.0, show_default=True)
 @click.option("--keep-failed", type=click.Path(file_okay=False, path_type=Path), default=None)
-def lab_soak(first: int, seeds: int, proxies: int, seconds: float, keep_failed: Path | None) -> None:
+@click.option("--large-uploads", is_flag=True, help="Clients also send bodies of up to 64 MiB.")
+def lab_soak(
+    first: int, seeds: int, proxies: int, seconds: float, keep_failed: Path | None, large_uploads: bool
+) -> None:
     """Inject random, overlapping faults into real processes, for many seeds; any broken invariant fails."""
     from ashlift.lab.system import soak
 
-    sys.exit(soak.run_soak(first, seeds, proxies, seconds, keep_failed))
+    sys.exit(soak.run_soak(first, seeds, proxies, seconds, keep_failed, large_uploads))
 
 
 @lab_group.command("sim")
--- a/ashlift/lab/system/machine_settings.py
+++ b/ashlift/lab/system/machine_settings.py
@@ -1,6 +1,7 @@
 """Settings files (TOML) for the machines of a run, in the format of `ashlift.config.settings`. Pure."""
 
 from collections.abc import Mapping
+from typing import Final
 
 import attrs
 
@@ -16,6 +17,8 @@
 from ashlift.simulation.base_world import HEARTBEAT_SECONDS
 from ashlift.simulation.plan import ZONES
 
+MEMORY_MB: Final = 200  # of every machine, as on the smallest edge machines
+
 
 @attrs.frozen
 class ClusterSettings:
@@ -70,7 +73,7 @@
         return {
             "Zones": dict(self.zones),
             "Bindings": {name: f"{machine.ip}:{port}" for name, port in ports.items()},
-            "Limits": {"FileDescriptors": 1024},
+            "Limits": {"FileDescriptors": 1024, "MemoryMb": MEMORY_MB},
             "FaultTolerance": {"Machines": 1, "Zones": 1, "Regions": 1},
             "Bounds": {
                 _bound_key(field): _bound_value(field, getattr(self.bounds, field.name)) for field in fields
--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -139,11 +139,18 @@
             ports = {"configstore": machine.store_port, "registry": CONTROL_PORT, "proxy": FRONT_PORT}
             program.wait_until_listening((machine.ip, ports[kind]), deadline)
 
+    def named_programs(self) -> dict[str, Program]:
+        """The programs by kind and machine."""
+        return {f"{kind}@{machine}": program for (machine, kind), program in self._programs.items()}
+
+    def proxy_addresses(self) -> list[tuple[str, int]]:
+        """Where clients connect to the proxies."""
+        return [(self.machines[name].ip, FRONT_PORT) for name in self.edge]
+
     def program_problems(self) -> list[str]:
         """Broken invariants and abnormal exits of programs, found in logs, exit statuses and metrics."""
         problems = list(violations_in_logs(self._directory.log_paths()))
-        for program in self._programs.values():
-            name = f"{program.kind}@{program.machine}"
+        for name, program in self.named_programs().items():
             if program.failure_status is not None:
                 problems.append(f"{name} ended by itself with status {program.failure_status}")
             port = METRICS_PORTS.get(program.kind)
--- a/ashlift/lab/system/runs.py
+++ b/ashlift/lab/system/runs.py
@@ -3,15 +3,17 @@
 import contextlib
 import signal
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, cast
 
 import gevent
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from ashlift.lab.checker import Verdict
 from ashlift.lab.results import Results, RunDescription
 from ashlift.lab.system.accepted_requests import accepted_verdict
+from ashlift.lab.system.large_uploads import LargeUploads
+from ashlift.lab.system.memory_watch import MemoryWatch
 from ashlift.lab.system.process_world import ProcessWorld
 from ashlift.lab.system.program_health import health_verdict
 from ashlift.lab.system.saved_runs import RunEvent, rule_verdicts, to_lab_history
@@ -30,7 +32,8 @@
 class PlayedRun:
     """The result of one run.
 
-    `duration`: seconds of real time; `max_lag`: longest lag of the lab process, in seconds.
+    `duration`: seconds of real time; `max_lag`: longest lag of the lab process, in seconds. `upload_results`:
+    how many large uploads ended with each status.
     """
 
     scenario: Scenario
@@ -40,6 +43,7 @@
     events: list[RunEvent]
     duration: float
     max_lag: float = 0.0
+    upload_results: Mapping[str, int] = field(factory=dict)
 
     @property
     def is_ok(self) -> bool:
@@ -103,9 +107,12 @@
     on_progress: Callable[[str], None],
     on_event: Callable[[ScenarioEvent], None],
     keep_files: bool = False,
+    with_large_uploads: bool = False,
 ) -> PlayedRun:
     """Run a scenario on processes; `keep_files`: keep the directory of settings, disks and logs.
 
+    `with_large_uploads`: clients also send large bodies.
+
     Raises StoppedError on a signal, RuntimeError or OSError if the scenario cannot be run. All processes are
     stopped in any case.
     """
@@ -114,17 +121,26 @@
     with _stopped_by_signals():
         try:
             world.begin()
+            watch = MemoryWatch(world.named_programs)
+            uploads = LargeUploads(world.proxy_addresses(), seed) if with_large_uploads else None
             player = ScenarioPlayer(
                 scenario, seed, make_world=lambda _plan: cast(World, world), on_event=on_event
             )
             player.run()
+            if uploads is not None:
+                uploads.stop()
+            watch.stop()
             run = _judge(player, seed, world.events, began)
             verdicts = [
                 *run.verdicts,
                 accepted_verdict(world.history, world.bounds.grace),
                 health_verdict(world.program_problems()),
+                watch.verdict(),
             ]
-            return evolve(run, verdicts=verdicts, max_lag=world.real_time_loop.max_lag)
+            results = {} if uploads is None else dict(uploads.results)
+            return evolve(
+                run, verdicts=verdicts, max_lag=world.real_time_loop.max_lag, upload_results=results
+            )
         finally:
             world.stop()
             if not keep_files:
--- a/ashlift/lab/system/soak.py
+++ b/ashlift/lab/system/soak.py
@@ -6,7 +6,8 @@
 
 import click
 
-from ashlift.lab.system.runs import StoppedError, play_on_processes
+from ashlift.lab.system.memory_watch import VERDICT_NAME
+from ashlift.lab.system.runs import PlayedRun, StoppedError, play_on_processes
 from ashlift.lab.system.soak_scenario import max_concurrent_faults, soak_scenario
 from ashlift.simulation.history import History
 from ashlift.simulation.scenario import Scenario, ScenarioEvent
@@ -14,16 +15,24 @@
 STOPPED_STATUS = 130  # the shell convention for SIGINT: 128 + 2
 
 
-def run_soak(first_seed: int, seed_count: int, proxies: int, seconds: float, keep_failed: Path | None) -> int:
+def run_soak(
+    first_seed: int,
+    seed_count: int,
+    proxies: int,
+    seconds: float,
+    keep_failed: Path | None,
+    with_large_uploads: bool,
+) -> int:
     """Run the seeds one after the other, print a line for each, and return the exit status.
 
-    `keep_failed`: directory for the scenarios of failed seeds. Raises ClickException if a seed cannot be run.
+    `keep_failed`: directory for the scenarios of failed seeds. `with_large_uploads`: clients also send large
+    bodies. Raises ClickException if a seed cannot be run.
     """
     failed: list[int] = []
     for seed in range(first_seed, first_seed + seed_count):
         try:
             scenario = soak_scenario(seed, proxies, seconds)
-            is_ok = _play(scenario, seed)
+            is_ok = _play(scenario, seed, with_large_uploads)
         except StoppedError as error:
             click.echo(f"stopped by {error}; all processes are ended", err=True)
             return STOPPED_STATUS
@@ -39,9 +48,11 @@
     return 1 if failed else 0
 
 
-def _play(scenario: Scenario, seed: int) -> bool:
+def _play(scenario: Scenario, seed: int, with_large_uploads: bool) -> bool:
     began = time.monotonic()
-    run = play_on_processes(scenario, seed, _ignore_progress, _ignore_event)
+    run = play_on_processes(
+        scenario, seed, _ignore_progress, _ignore_event, with_large_uploads=with_large_uploads
+    )
     served = sum(200 <= request.status < 300 for request in run.history.requests)
     broken = [verdict for verdict in run.verdicts if not verdict.ok]
     click.echo(
@@ -49,7 +60,7 @@
         f"{len(run.history.requests)} requests, {served} served, "
         f"{_closed_unread_count(run.history)} closed unread, "
         f"{len(scenario.events)} events, up to {max_concurrent_faults(scenario)} faults at once, "
-        f"{time.monotonic() - began:.0f} s, at most {run.max_lag:.2f} s late"
+        f"{time.monotonic() - began:.0f} s, at most {run.max_lag:.2f} s late{_uploads_text(run)}"
     )
     for verdict in broken:
         click.echo(f"  {verdict.line()}")
@@ -57,6 +68,15 @@
     return not broken
 
 
+def _uploads_text(run: PlayedRun) -> str:
+    """Return how the large uploads ended, and the memory that the programs took."""
+    if not run.upload_results:
+        return ""
+    results = ", ".join(f"{count} x {status}" for status, count in sorted(run.upload_results.items()))
+    memory = next(verdict.text for verdict in run.verdicts if verdict.name == VERDICT_NAME)
+    return f"; large uploads: {results}; {memory}"
+
+
 def _closed_unread_count(history: History) -> int:
     """Return how many requests were on a connection that closed before they reached a worker."""
     return sum(request.connection_broken and not request.arrivals for request in history.requests)
--- a/tests/lab/test_machine_layout.py
+++ b/tests/lab/test_machine_layout.py
@@ -4,8 +4,18 @@
 
 from ashlift.config import settings
 from ashlift.config.settings import Bounds
-from ashlift.lab.system.machine_layout import lay_out_machines, machine_links
+from ashlift.lab.system.machine_layout import (
+    CONTROL_PORT,
+    DIRECTORY_PORT,
+    FRONT_PORT,
+    MAX_MACHINES,
+    READINESS_PORT,
+    WORKER_PORT,
+    lay_out_machines,
+    machine_links,
+)
 from ashlift.lab.system.machine_settings import ClusterSettings
+from ashlift.lab.system.programs import METRICS_PORTS
 from ashlift.simulation.plan import ZONES, Plan
 
 BOUNDS = Bounds(revocation_strict=True, drain=2.5)
@@ -46,3 +56,11 @@
     for link in links:
         caller_offset = link.listen_address[1] - first_ports[link.caller]
         assert caller_offset == link.target_address[1] - first_ports[link.callee]
+
+
+@test("no link listens on an external port, however many machines there are")
+def _() -> None:
+    machines = lay_out_machines(Plan(core=5, edge=MAX_MACHINES - 5), 20)
+    ports = {link.listen_address[1] for link in machine_links(machines)}
+    assert not ports & {FRONT_PORT, READINESS_PORT, CONTROL_PORT, DIRECTORY_PORT, WORKER_PORT}
+    assert not ports & set(METRICS_PORTS.values())
