--- a/ashlift/gatekeeper/admission/control.py
+++ b/ashlift/gatekeeper/admission/control.py
@@ -15,8 +15,8 @@
 from ashlift.gatekeeper.admission.state import Attempt, Customer, PendingRequest, ServerStats
 
 FRESH_TOTAL_WINDOWS = 0.5  # age in quota windows up to which a counter total is used without a new call
-CUSTOMER_IDLE_MS = 30_000.0  # without requests, after which a customer's state is dropped
-MAINTENANCE_MS = 250.0  # between passes over all servers and customers
+CUSTOMER_IDLE_MS = 30_000.0  # without requests; then its state is dropped, as its quota is full again
+MAINTENANCE_MS = 250.0  # between passes over all servers and customers, for which each gateway pays
 HUNG_USUAL_FACTOR = 6.0  # an attempt is hung after this many times the usual latency of its class,
 HUNG_SLOWEST_FACTOR = 1.5  # and this many times its slowest recent latency
 RETRIES_PER_REQUEST = 0.15  # retry tokens that each request adds
--- a/ashlift/gatekeeper/admission/counter.py
+++ b/ashlift/gatekeeper/admission/counter.py
@@ -8,7 +8,7 @@
 from ashlift.gatekeeper.admission.state import Customer
 
 NEAR_QUOTA_RATIO = 0.3  # of the soft limit, from which a customer's counts may soon change a decision
-NEAR_CALL_MS = 200.0  # between the calls for such a customer
+NEAR_CALL_MS = 200.0  # between the calls for such a customer: few requests pass uncounted meanwhile
 FAR_CALL_WINDOWS = 0.5  # added to that for other customers, in quota windows
 KEY_EPOCH_WINDOWS = 4.0  # quota windows for which a counter key is used; counts that arrive later are lost
 MAX_KEY_TTL_MS = 50_000.0  # below the 60 s after which the counter drops a key
@@ -16,15 +16,15 @@
 IN_FLIGHT_EPOCH_MS = 6_000.0  # after which the attempts of a crashed gateway no longer count
 STEP_INTERVAL_MS = 50.0  # between periodic steps
 MAX_CALL_RATE = 120.0  # calls a second of one gateway
-GROUP_CALL_RATE = 600.0  # calls a second of all gateways, at the start
+GROUP_CALL_RATE = 600.0  # calls a second of all gateways, at the start: the responses tell what it bears
 GROUP_MIN_CALL_RATE = 12.0  # calls a second of all gateways while the counter fails, to notice its recovery
 CALL_RATE_RISE = 0.02  # of the maximum, with each successful call
 FAILED_CUT_FACTOR = 0.7  # of the call rate, with a failed call
-OVERLOADED_CUT_FACTOR = 0.9  # of the call rate, with a call that the counter rejected
+OVERLOADED_CUT_FACTOR = 0.9  # with a call that the counter rejected: a few are, in any burst of calls
 CUT_INTERVAL_MS = 100.0  # between two cuts of the call rate
-MAX_SAVED_CALLS = 3.0  # call tokens beyond those of a quarter of a second
-RESERVED_CALLS = 2.0  # call tokens kept for held requests in a large group of gateways
-COUNTER_DOWN_FAILURES = 3  # failed calls in a row, after which the counter counts as down
+MAX_SAVED_CALLS = 3.0  # call tokens beyond those of a quarter of a second: few requests come in bunches
+RESERVED_CALLS = 2.0  # call tokens kept for held requests in a large group: a late total decides nothing
+COUNTER_DOWN_FAILURES = 3  # failed calls in a row, after which it is down: a busy counter loses some
 
 
 class CounterSync(CustomerQuotas):
--- a/ashlift/gatekeeper/admission/overload.py
+++ b/ashlift/gatekeeper/admission/overload.py
@@ -6,11 +6,11 @@
 from ashlift.gatekeeper.admission.state import GatewayState
 
 HIGH_PRESSURE = 0.4  # mean of latency over target latency, above which the fleet is overloaded
-INITIAL_LIMIT_PER_SERVER = 4.0  # attempts in flight from all gateways together
+INITIAL_LIMIT_PER_SERVER = 4.0  # attempts in flight from all gateways; more is found out step by step
 MIN_LIMIT_PER_SERVER = 3.0  # attempts in flight from all gateways together: fewer would leave cores idle
-LIMIT_CUT_FACTOR = 0.97  # of the limit, in each step under high pressure
+LIMIT_CUT_FACTOR = 0.97  # of the limit, in each step under high pressure: halves in about a second
 LIMIT_RISE_PER_SERVER = 0.02  # attempts in each step; additive, so that the gateways' limits converge
-SMALL_LIMIT = 10.0  # attempts, below which the limit holds for the mean in flight only
+SMALL_LIMIT = 10.0  # attempts, below which it holds for the mean in flight: few requests come in bunches
 SCATTER_DEVIATIONS = 1.0  # standard deviations of the number in flight that are allowed above the limit
 MEAN_VALUE_GAIN = 0.02  # weight of one request in the mean value
 
@@ -26,7 +26,7 @@
         rank = value / (value + self.mean_value) if value > 0 else 0.0
         gain = min(1.0, self.in_flight_limit / SMALL_LIMIT)
         self.mean_in_flight += gain * (self.in_flight - self.mean_in_flight)
-        # Without pressure, the scatter of a small number in flight (the root of its mean) may pass the limit.
+        # The root of the mean, unless under pressure: without it, many gateways would reject what has room.
         calm = max(0.0, 1 - self.pressure / HIGH_PRESSURE)
         scatter = SCATTER_DEVIATIONS * calm * self.sparsity * math.sqrt(max(0.0, self.in_flight_limit))
         ranked_limit = self.in_flight_limit * (0.75 + 0.5 * rank)
@@ -37,7 +37,7 @@
         if self.in_flight_limit <= 0:
             self.in_flight_limit = INITIAL_LIMIT_PER_SERVER * servers_each
         elif self.pressure > HIGH_PRESSURE:
-            # Cut only on new answers: repeated cuts on the same ones would go too deep.
+            # Cut only on new answers, which are rare with few in flight: cuts on old ones would go too deep.
             cut = LIMIT_CUT_FACTOR if self.recent_answers else 1.0
             lowered = min(self.in_flight_limit, self.mean_in_flight) * cut
             self.in_flight_limit = max(MIN_LIMIT_PER_SERVER * servers_each, lowered)
--- a/ashlift/gatekeeper/admission/quota.py
+++ b/ashlift/gatekeeper/admission/quota.py
@@ -7,10 +7,10 @@
 
 HARD_LIMIT_FACTOR = 3.0  # times the soft limit; between the two, requests are refused with a probability
 TOTAL_FADE_WINDOWS = 2.0  # quota windows in which a counter total loses its meaning,
-TOTAL_FADE_GAPS = 6.0  # or so many gaps between the customer's requests here, if that is longer
-ADHERENCE_DECAY = 0.98  # of the adherence ratios, with each counted request
+TOTAL_FADE_GAPS = 6.0  # or so many gaps between its requests here, if longer: rare ones are rarely read
+ADHERENCE_DECAY = 0.98  # of the adherence ratios, with each counted request: some fifty of them weigh
 ADHERENCE_PRIOR_WEIGHT = 3.0  # requests' weight of the wider group's ratio as prior of a narrower one
-MAX_COUNTED_REQUESTS = 3  # of a customer: those with more form one group
+MAX_COUNTED_REQUESTS = 3  # of a customer: further ones tell nothing new, so those with more form one group
 IN_FLIGHT_STALE_MS = 1_500.0  # after which a total of attempts in flight is ignored
 
 
--- a/ashlift/gatekeeper/admission/servers.py
+++ b/ashlift/gatekeeper/admission/servers.py
@@ -8,24 +8,24 @@
 from ashlift.gatekeeper.admission.overload import OverloadControl
 from ashlift.gatekeeper.admission.state import Attempt, PendingRequest, ServerStats
 
-MIN_SUBSET_SERVERS = 8  # servers that a gateway uses, however little traffic it has
-GATEWAYS_PER_SERVER = 12  # gateways that use each server, at least
+MIN_SUBSET_SERVERS = 8  # that a gateway with little traffic uses: each is seen often enough to be judged
+GATEWAYS_PER_SERVER = 12  # gateways that use each server, at least: their uneven traffic evens out
 GOLDEN_STEP = (5**0.5 - 1) / 2  # multiples of it, modulo 1, are evenly spread for any number of gateways
 MIN_RATIO_GAIN = 0.15  # least weight of one answer in a server's latency ratio
 MAX_RATIO_GAIN = 0.5  # below 1, so that a single slow answer does not eject a server
 RATIO_FADE_MS = 10_000.0  # in which latency ratios and unanswered scores lose their meaning
-USUAL_LATENCY_GAIN = 0.02  # weight of one answer in the usual latency of its class
-SLOW_RATIO = 1.5  # times the usual latency, up to which servers count as equally fast
-HUNG_LATER_ANSWERS = 3  # answers to later attempts at the same server, after which an attempt may be hung
+USUAL_LATENCY_GAIN = 0.02  # weight of one answer in the usual latency of its class: some fifty count
+SLOW_RATIO = 1.5  # x usual latency, up to which servers are alike: answers vary more than machines do
+HUNG_LATER_ANSWERS = 3  # of its server to later attempts: then the attempt may be hung, not the server
 LIST_RETRY_MS = 250.0  # half the pause after a first failed call for the server list, doubled each time
-SLOWEST_DECAY = 0.998  # of the slowest recent latency, with each answer
+SLOWEST_DECAY = 0.998  # of the slowest recent latency, with each answer: halves in about 350
 SILENT_FACTOR = 3.0  # times the usual latency without an answer, after which a server counts as slower
 LOAD_REPORT_FADE_MS = 1_000.0  # in which a load report loses its meaning
 EJECTION_RATIO = 3.0  # times the healthy latency ratio, above which a server is ejected
 EJECTION_FAILURES = 2  # failures in a row that eject a server
 FIRST_EJECTION_MS = 1_000.0  # doubled with each further ejection
 MAX_EJECTION_MS = 8_000.0
-MAX_EJECTED_RATIO = 0.7  # of the subset, ejected for latency
+MAX_EJECTED_RATIO = 0.7  # of the subset, ejected for latency: chance must not empty the list
 UNANSWERED_STEP = 0.4  # added to a server's score for a class with each unanswered attempt; at most 1
 UNANSWERED_COST_FACTOR = 20.0  # cost at score 1: such a server is used only if there is no other
 COLD_LOAD_SAFETY = 0.5  # of the permitted load on cold servers: true capacities are not known
