proxy: a connection that relayed a long response returns to the pool

Also, a connection with a stray response or an early one could be used again after a relayed answer.

Cause: `is_streaming` stayed set, and the end of a relay did not know why a connection must not be used again.

Change: the end of the relay clears the mark; `may_be_reused` is kept with the connection, and one function decides.

--- a/ashlift/proxy/upstream.py
+++ b/ashlift/proxy/upstream.py
@@ -47,8 +47,8 @@
     """A connection to a worker. Times are monotonic, in seconds.
 
     `idle_seconds`: how long it had been idle before the current exchange. `reusable_seconds`: how long it may
-    stay idle after this exchange; with 0 it is closed. `is_streaming`: the rest of a response is still being
-    relayed after the end of the exchange.
+    stay idle after this exchange; with 0 it is closed. `may_be_reused`: nothing but the response is expected
+    on it. `is_streaming`: the rest of a response is still being relayed after the end of the exchange.
     """
 
     sock: socket.socket
@@ -57,6 +57,7 @@
     idle_since: float = 0.0
     idle_seconds: float = 0.0
     reusable_seconds: float = 0.0
+    may_be_reused: bool = True
     is_streaming: bool = False
 
 
@@ -126,10 +127,13 @@
         _send_request(connection.sock, request, is_large)
         responded_early = is_large and has_unread_input(connection.sock)
         response = self._read_response(connection, request.attempt_id)
-        if response is not None and not response.done:
-            self._open_stream(attempt, request, connection, response, started_at)
         if responded_early:
-            connection.reusable_seconds = 0.0  # the worker may parse the rest of the request as a new one
+            connection.may_be_reused = False  # the worker may parse the rest of the request as a new one
+        if response is not None:
+            if response.done:
+                connection.reusable_seconds = _reusable_seconds(connection, response)
+            else:
+                self._open_stream(attempt, request, connection, response, started_at)
         elapsed = time.monotonic() - started_at
         if response is None:
             return AttemptOutcome(AttemptResult.CONNECTION_LOST, None, elapsed)
@@ -137,7 +141,7 @@
         return AttemptOutcome(result, response, elapsed)
 
     def _read_response(self, connection: WorkerConnection, attempt_id: bytes) -> WorkerResponse | None:
-        """The response to this attempt, or None if there is no valid one. Sets `reusable_seconds`.
+        """The response to this attempt, or None if there is no valid one. Sets `may_be_reused`.
 
         A response that is not done is too long to be held.
         """
@@ -178,8 +182,7 @@
             stray_response = True
         if not (response.is_valid() or response.not_run or response.can_be_streamed):
             return None
-        if response.done and not stray_response and response.keep_alive:
-            connection.reusable_seconds = _keep_alive_seconds(response)
+        connection.may_be_reused = not stray_response
         return response
 
     def _open_stream(
@@ -193,8 +196,8 @@
         """Leave the connection to the relay of the response."""
 
         def finish() -> None:
-            if response.done and response.keep_alive:
-                connection.reusable_seconds = _keep_alive_seconds(response)
+            connection.is_streaming = False
+            connection.reusable_seconds = _reusable_seconds(connection, response)
             self._release(request.worker_id, connection, attempt)
 
         assert isinstance(response.memory, ResponseMemory)
@@ -306,6 +309,13 @@
     return AttemptOutcome(result, None, elapsed, idle_reset)
 
 
+def _reusable_seconds(connection: WorkerConnection, response: WorkerResponse) -> float:
+    """How long the connection may stay idle after a response; 0: it is to be closed."""
+    if not response.done or not response.keep_alive or not connection.may_be_reused:
+        return 0.0
+    return _keep_alive_seconds(response)
+
+
 def _keep_alive_seconds(response: WorkerResponse) -> float:
     """How long the connection may stay idle, from the response's `Keep-Alive` header if there is one."""
     keep_alive = response.header(KEEP_ALIVE_HEADER) or b""
--- a/tests/proxy/test_memory_waits.py
+++ b/tests/proxy/test_memory_waits.py
@@ -5,7 +5,7 @@
 
 import gevent
 from gevent import socket
-from ward import test
+from ward import raises, test
 
 from ashlift.memory.pool import MemoryPool, MemoryShare
 from ashlift.memory.requests import RequestPools
@@ -193,3 +193,47 @@
             head, _, body = bytes(received).partition(b"\r\n\r\n")
             assert b"chunked" not in head
             assert (len(body) >= 1 << 20) == is_whole
+
+
+@test("a connection to a worker is used again after long and short responses, and none is left over")
+def _() -> None:
+    with full_site() as site:
+        client = site.connect()
+        for behaviour in ("long chunked body", "success") * 3:
+            site.workers.behaviours = dict.fromkeys(site.routes["0"], behaviour)
+            request = site.history.new_request("/look/0/x", True)
+            if behaviour == "success":
+                client.send(request)
+                assert request.status == 200
+                continue
+            client.sock.sendall(request.to_bytes())
+            received = b""
+            with gevent.Timeout(ENOUGH_SECONDS, TIMED_OUT):
+                while not received.endswith(b"\r\n0\r\n\r\n"):
+                    received += client.sock.recv(65536)
+            assert len(received) > 1 << 20
+        client.close()
+        with gevent.Timeout(ENOUGH_SECONDS, TIMED_OUT):
+            while site.proxy.server.connections:
+                gevent.sleep(0.001)
+        pool = site.proxy.request_handler.connection_pool
+        assert site.workers.reused_connections == 5
+        assert sum(pool._open_count.values()) == len(list(site.proxy.idle_connections())) == 1
+
+
+@test("a connection to a worker that breaks off a long response is closed and no longer counted")
+def _() -> None:
+    with full_site() as site:
+        site.workers.behaviours = dict.fromkeys(site.routes["0"], "long chunked body, broken off")
+        for _ in range(3):
+            request = site.history.new_request("/look/0/x", True)
+            sock = socket.create_connection(site.proxy.address)
+            sock.sendall(request.to_bytes())
+            with gevent.Timeout(ENOUGH_SECONDS, TIMED_OUT), raises(ConnectionResetError):
+                while sock.recv(65536):
+                    pass
+            sock.close()
+        with gevent.Timeout(ENOUGH_SECONDS, TIMED_OUT):
+            while site.proxy.server.connections:
+                gevent.sleep(0.001)
+        assert not site.proxy.request_handler.connection_pool._open_count
--- a/tests/proxy/test_responses.py
+++ b/tests/proxy/test_responses.py
@@ -446,7 +446,7 @@
     ),
     "connection reused after an early response": (
         ConnectionPool._send,
-        "connection.reusable_seconds = 0.0  # the worker",
+        "connection.may_be_reused = False  # the worker",
         "pass  # the worker",
         check_early_response,
     ),
