registry: expired workers, trust in heartbeats and distances in modules of their own

Change: expired_workers, heartbeat_trust and nearest_registries; what they do is as it was. The region of each zone is read at each call, as a reload of the settings replaces it.

--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -4,7 +4,6 @@
 every change other than usage or load; handlers of long polls then check again whether they can respond.
 """
 
-import math
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
@@ -13,12 +12,13 @@
 from ashlift.invariants import Invariant, monitor
 from ashlift.registry.codec import encode_delta, is_partial_config_update, without_workers
 from ashlift.registry.endpoint_directory import EndpointDirectory, LookupResult
+from ashlift.registry.heartbeat_trust import HeartbeatTrust
 from ashlift.registry.home_regions import CLIENT_REGION_ONLY, HomeRegions, RegionPolicy
 from ashlift.registry.identity import RegistryIdentity
-from ashlift.registry.lease_clock import PAUSE_THRESHOLD_SECONDS, LeaseClock
+from ashlift.registry.lease_clock import LeaseClock
 from ashlift.registry.load_reports import LoadReports
 from ashlift.registry.local_records import ChangeCounter, LocalRecords
-from ashlift.registry.locality import UNKNOWN_DISTANCE, Locality
+from ashlift.registry.locality import Locality
 from ashlift.registry.messages import (
     Json,
     PullRequest,
@@ -28,8 +28,9 @@
     SwapRequest,
     SwapResponse,
 )
+from ashlift.registry.nearest_registries import NearestRegistries
 from ashlift.registry.operator_config import OperatorConfigReplica
-from ashlift.registry.peer_registries import ALIVE_SECONDS, MIN_UPTIME_SECONDS, PeerRegistries
+from ashlift.registry.peer_registries import ALIVE_SECONDS, PeerRegistries
 from ashlift.registry.proxy_sessions import ProxySessions
 from ashlift.registry.records import WorkerRecord
 from ashlift.registry.replicated_source import ReplicatedSource
@@ -37,11 +38,9 @@
 from ashlift.rpc.fragmentation import Fragmenter
 from ashlift.rpc.sources import OPERATOR_SOURCE
 
-PEER_REACHABLE_SECONDS: Final = 2.0  # proxies are told of peers that responded within this time first
 # If the configuration was confirmed longer ago, clients are kept in their region, because home regions may
 # have changed since. An election takes about one second.
 MAX_REGION_POLICY_AGE_SECONDS: Final = 3.0
-TRUST_CACHE_SECONDS: Final = 0.05  # short against the 0.25 s between exchanges with a peer
 
 
 class TickResult(NamedTuple):
@@ -64,7 +63,6 @@
         self.identity = identity
         self.seeds = seeds
         self.zones = zones
-        self._locality = Locality(identity.zone, identity.region)
         self._changes = ChangeCounter()
         self._clock = LeaseClock(now)
         self._local_records = LocalRecords(self._changes)
@@ -73,8 +71,8 @@
         self.instances = WorkerInstances(
             self._local_records, self.peers, self._clock, identity.heartbeat_seconds
         )
-        self._trusted_since = now  # see `_heartbeats_trusted_since`
-        self._trusted_computed_at = -math.inf
+        self._nearest = NearestRegistries(identity, self.peers, lambda: self.zones)
+        self._heartbeat_trust = HeartbeatTrust(self.peers, self._clock, self.core_members)
         self.heartbeat_outcomes: Counter[str] = Counter({outcome.value: 0 for outcome in HeartbeatOutcome})
         load_reports = LoadReports(self._local_records.source, self.instances.capacity)
         self.sessions = ProxySessions(
@@ -103,7 +101,7 @@
     def tick(self, now: float) -> TickResult:
         """Expire leases. Must be called several times a second."""
         was_paused = self._clock.tick(now)
-        self.instances.expire(now, self._heartbeats_trusted_since(now))
+        self.instances.expire(now, self._heartbeat_trust.since(now))
         self.sessions.expire(now)
         return TickResult(was_paused, self.peers.expire(now))
 
@@ -119,7 +117,7 @@
     def pull_response(self, request: PullRequest, received_at: float, now: float) -> PullResponse:
         """The response to a proxy's pull: the updates that it lacks."""
         updates = {}
-        trusted_since = self._heartbeats_trusted_since(now)
+        trusted_since = self._heartbeat_trust.since(now)
         for name, source in self.sources():
             delta = source.delta_since(request.versions.get(name))
             if delta is not None and delta.full and self.peers.has_ended_before(name, trusted_since):
@@ -199,46 +197,17 @@
 
     def heartbeat_target(self, zone: str, now: float) -> str:
         """Address of the nearest available registry, to which a worker in `zone` should send heartbeats."""
-        localities = [(self.identity.ip, self._locality)]
-        for peer in self.peers.replicas.values():
-            if (
-                now - peer.last_contact_at < PAUSE_THRESHOLD_SECONDS
-                and now - peer.started_at > MIN_UPTIME_SECONDS
-            ):
-                localities.append((peer.ip, peer.locality))
-        region = next(
-            (locality.region for _, locality in localities if locality.zone == zone), self.zones.get(zone)
-        )
-
-        def preference(candidate: tuple[str, Locality]) -> tuple[int, bool, str]:
-            ip, locality = candidate
-            return locality.distance_from(zone, region), ip != self.identity.ip, ip
-
-        nearest_ip, _ = min(localities, key=preference)
-        return f"{nearest_ip}:{self.identity.http_port}"
+        return self._nearest.heartbeat_target(zone, now)
 
     def record_heartbeat(
         self, worker_id: str, record: WorkerRecord, not_written_before: float, now: float
     ) -> HeartbeatOutcome:
         """Record a worker's heartbeat; `not_written_before`: earliest time at which it can have been sent."""
-        trusted_since = self._heartbeats_trusted_since(now)
+        trusted_since = self._heartbeat_trust.since(now)
         outcome = self.instances.record_heartbeat(worker_id, record, now, not_written_before, trusted_since)
         self.heartbeat_outcomes[outcome] += 1
         return outcome
 
-    def _heartbeats_trusted_since(self, now: float) -> float:
-        """A heartbeat sent earlier may be from a worker whose departure is not known here.
-
-        An isolated registry takes every heartbeat, for the proxies that are isolated with it.
-        """
-        if not 0.0 <= now - self._trusted_computed_at < TRUST_CACHE_SECONDS:
-            running_since = self.peers.majority_running_since(self.core_members(), now)
-            if running_since is None:
-                running_since = -math.inf if self.is_isolated(now) else self._clock.resumed_at
-            self._trusted_since = running_since
-            self._trusted_computed_at = now
-        return self._trusted_since
-
     def is_departure_confirmed(self, worker_id: str, recorded_at: float) -> bool:
         """Whether a majority of core members holds the drain or deregistration recorded at that time.
 
@@ -262,16 +231,7 @@
 
     def registries_by_distance(self, zone: str, region: str, now: float) -> list[str]:
         """IPs of the registries for a proxy in that zone: reachable ones first, nearest first."""
-        localities = {self.identity.ip: self._locality}
-        for name in self.peers.contacted_within(PEER_REACHABLE_SECONDS, now):
-            peer = self.peers.replicas[name]
-            localities[peer.ip] = peer.locality
-
-        def preference(ip: str) -> tuple[int, str]:
-            locality = localities.get(ip)
-            return UNKNOWN_DISTANCE if locality is None else locality.distance_from(zone, region), ip
-
-        return sorted(set(self.core_members()) | set(localities), key=preference)
+        return self._nearest.by_distance(zone, region, self.core_members(), now)
 
     def receive_swap_request(self, request: SwapRequest, now: float) -> None:
         """Record that another registry has requested the local records."""
--- a/ashlift/registry/worker_instances.py
+++ b/ashlift/registry/worker_instances.py
@@ -18,6 +18,7 @@
     WORKER_PREFIX,
 )
 from ashlift.registry.departures import HeldDepartures
+from ashlift.registry.expired_workers import ExpiredWorkers
 from ashlift.registry.lease_clock import LEASE_HEARTBEATS, LeaseClock
 from ashlift.registry.local_records import LocalRecords
 from ashlift.registry.peer_registries import PeerRegistries
@@ -28,7 +29,6 @@
 # Lease of a worker whose departure may be unknown here: enough for its next heartbeat and a repetition.
 UNCERTAIN_LEASE_HEARTBEATS: Final = 2
 TOMBSTONE_RETENTION_SECONDS: Final = 30.0  # for which a tombstone is kept
-EXPIRED_RETENTION_SECONDS: Final = 60.0  # for which the last record of an expired worker is kept
 
 
 class HeartbeatOutcome(StrEnum):
@@ -51,30 +51,6 @@
     not_written_before: float
 
 
-class ExpiredWorkers:
-    """The last records of workers with expired leases, to tell delayed heartbeats from new ones."""
-
-    def __init__(self) -> None:
-        self._last: dict[str, tuple[float, WorkerRecord]] = {}  # by ID: expiry time and last record
-
-    def add(self, worker_id: str, record: WorkerRecord, call_seq: int, now: float) -> None:
-        """Keep the record of a worker whose lease has expired; `call_seq` is that of its last heartbeat."""
-        self._last[worker_id] = now, record._replace(call_seq=call_seq)
-
-    def is_late(self, worker_id: str, record: WorkerRecord) -> bool:
-        """Whether the heartbeat is older than the last one of the same incarnation (the same address)."""
-        _, last = self._last.get(worker_id, (0.0, record))
-        return record.call_seq < last.call_seq and record.address == last.address
-
-    def prune(self, now: float) -> None:
-        """Drop records whose delayed heartbeats can no longer arrive."""
-        self._last = {
-            worker_id: (expired_at, record)
-            for worker_id, (expired_at, record) in self._last.items()
-            if now - expired_at <= EXPIRED_RETENTION_SECONDS
-        }
-
-
 class WorkerInstances:
     """Heartbeats, leases and tombstones of the workers that report to this registry."""
 
