--- a/ashlift/proxy/cluster_view.py
+++ b/ashlift/proxy/cluster_view.py
@@ -90,7 +90,7 @@
 
     def _merge(self, now: float, change: ClusterChange) -> None:
         """Merge what changed. Retained records are checked each time, since the uptime has increased."""
-        if self._departures.learn(change.departures, now):
+        if self._departures.learn(change.departures):
             change.workers = True
         if change.workers or self._retained_workers.missing_since:
             self._merge_workers(now)
@@ -110,7 +110,7 @@
         for worker_id in self._retained_workers.missing_since:
             # It may have restarted in the meantime, so it is in slow start until a registry lists it again.
             newest[worker_id] = replace(self.workers[worker_id], warm_at=math.inf)
-        for worker_id in self._departures.precluded(newest):
+        for worker_id in self._departures.precluded(newest, now):
             newest[worker_id] = replace(newest[worker_id], ready=False)
         self.workers = newest
         self.by_service = {}
--- a/ashlift/proxy/departures.py
+++ b/ashlift/proxy/departures.py
@@ -17,20 +17,19 @@
         self._lease_seconds = worker_lease
         self._known: dict[str, Departure] = {}
 
-    def learn(self, reported: Mapping[str, Departure], now: float) -> bool:
-        """Add what registries report, and forget what is past its retention; returns whether any is new."""
+    def learn(self, reported: Mapping[str, Departure]) -> bool:
+        """Add what registries report; returns whether any of it is new."""
         new = {
             worker_id: departure
             for worker_id, departure in reported.items()
             if departure.supersedes(self._known.get(worker_id))
         }
-        if new:
-            self._known.update(new)
-            self._forget(now)
+        self._known.update(new)
         return bool(new)
 
-    def precluded(self, workers: Mapping[str, Worker]) -> Iterator[str]:
+    def precluded(self, workers: Mapping[str, Worker], now: float) -> Iterator[str]:
         """Yield the IDs of the ready workers whose newest record is older than their departure."""
+        self._forget(now)
         for worker_id, departure in self._known.items():
             worker = workers.get(worker_id)
             if worker is None or not worker.ready:
