soak: workers that leave by DELETE, series of signals, clients on open connections until the end

Change: three workers a seed leave by DELETE, the registry that they call is killed around it (a second one behind it in half of the cases), and their last heartbeats arrive when the faults are over; twice a seed one proxy gets SIGHUP, SIGTERM, SIGHUP and SIGTERM within two seconds, at times SIGKILL; clients go on using connections that are open to a proxy that is told to end, until it is gone. The test of seven reloads counted three before the series.

--- a/ashlift/lab/system/connection_pool.py
+++ b/ashlift/lab/system/connection_pool.py
@@ -54,6 +54,10 @@
             connection.close()
         return answer
 
+    def has_open(self, address: Address) -> bool:
+        """Whether there is an idle connection to that address that its peer has not closed."""
+        return any(not has_unread_input(sock) for sock in self._idle[address])
+
     def _take_idle(self, address: Address) -> socket.socket | None:
         """Return the most recently used connection that its peer has not closed, None if there is none."""
         idle = self._idle[address]
--- a/ashlift/lab/system/http_clients.py
+++ b/ashlift/lab/system/http_clients.py
@@ -24,6 +24,8 @@
 # which it accepts connections, with most of them around the end of that time.
 REQUESTS_WHILE_ACCEPTING: Final = 3
 REQUESTS_AROUND_CLOSE: Final = 12
+# On connections that are open already, until the process is gone.
+REQUESTS_ON_OPEN_CONNECTIONS: Final = 16
 CLOSE_OFFSET_SECONDS: Final = (-0.06, 0.08)
 
 
@@ -57,17 +59,27 @@
         self._access = access
         self._connections = ConnectionPool()
 
-    def send_during_shutdown(self, proxy: str, accept_seconds: float) -> None:
-        """Keep sending to a proxy that shuts down. `accept_seconds`: how long it accepts connections."""
+    def send_during_shutdown(self, proxy: str, accept_seconds: float, grace_seconds: float) -> None:
+        """Keep sending to a proxy that shuts down.
+
+        `accept_seconds`: how long it accepts connections; `grace_seconds`: how long it may run on.
+        """
         rng = self.loop.rng
+        for _ in range(REQUESTS_ON_OPEN_CONNECTIONS):
+            self.loop.call_later(rng.uniform(0.0, grace_seconds), self._send_on_open_connection, proxy)
         for _ in range(REQUESTS_WHILE_ACCEPTING):
             self.loop.call_later(rng.uniform(0.0, accept_seconds), self._send_to_proxy, proxy)
         for _ in range(REQUESTS_AROUND_CLOSE):
             delay = accept_seconds + rng.uniform(*CLOSE_OFFSET_SECONDS)
             self.loop.call_later(max(0.0, delay), self._send_to_proxy, proxy)
 
-    def _send_to_proxy(self, proxy: str) -> None:
-        """Send a request of a random pattern to this proxy."""
+    def _send_on_open_connection(self, proxy: str) -> None:
+        """Send a request to this proxy if one of the connections to it is idle and has not been closed."""
+        if self._connections.has_open((self._access.ips[proxy], FRONT_PORT)):
+            self._send_to_proxy(proxy, reuse=True)
+
+    def _send_to_proxy(self, proxy: str, reuse: bool | None = None) -> None:
+        """Send a request of a random pattern to this proxy; `reuse`: as for `_exchange`."""
         if not self.patterns:
             return
         now = self.loop.now
@@ -78,7 +90,7 @@
             pattern.path, pattern.idempotent, pattern.key, self.machine.zone, self.machine.region, now
         )
         request.proxy = proxy
-        self.send_request(operation, request)
+        self._start_exchange(operation, request, reuse)
 
     def close_connections(self) -> None:
         """Close all idle connections."""
@@ -86,10 +98,14 @@
 
     def send_request(self, operation: ClientOperation, request: Request) -> None:
         """Start sending the request to its proxy."""
+        self._start_exchange(operation, request, None)
+
+    def _start_exchange(self, operation: ClientOperation, request: Request, reuse: bool | None) -> None:
         if len(self._access.sent_requests) < MAX_REQUESTS:
-            gevent.spawn(self._exchange, operation, request)
+            gevent.spawn(self._exchange, operation, request, reuse)
 
-    def _exchange(self, operation: ClientOperation, request: Request) -> None:
+    def _exchange(self, operation: ClientOperation, request: Request, reuse: bool | None) -> None:
+        """Send the request and handle its answer; `reuse`: whether on an idle connection, None: at random."""
         timeout = max(MIN_TIMEOUT_SECONDS, operation.deadline - self.loop.now)
         attempt_id = f"{request.id:016x}"
         self._access.sent_requests[attempt_id] = request
@@ -109,7 +125,8 @@
             request.received = self.loop.now
 
         address = (self._access.ips[request.proxy], FRONT_PORT)
-        reuse = self.loop.rng.random() < REUSE_PROBABILITY
+        if reuse is None:
+            reuse = self.loop.rng.random() < REUSE_PROBABILITY
         answer = self._connections.exchange(
             address, head + content.body, timeout, CONNECT_TIMEOUT_SECONDS, record_received, reuse
         )
--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -271,7 +271,7 @@
         accepting = accept_seconds(self.bounds.grace)
         for clients in self.client_populations:
             if clients.machine.region == self.machines[proxy].region:
-                cast(HttpClients, clients).send_during_shutdown(proxy, accepting)
+                cast(HttpClients, clients).send_during_shutdown(proxy, accepting, self.bounds.grace)
         program = self._programs[proxy, "proxy"]
         if self.loop.rng.random() < STALL_PROBABILITY:
             self.loop.call_later(accepting - STALL_SECONDS / 2, self._stall, program, program.incarnation)
--- a/ashlift/lab/system/soak_scenario.py
+++ b/ashlift/lab/system/soak_scenario.py
@@ -1,7 +1,9 @@
 """Generates the scenarios of the soak test from a seed: overlapping faults of all supported kinds. Pure.
 
-They extend the simulator's random faults by overlapping rolling restarts of proxies and by workers that lose
-answers. Home regions are always set, so that lookups from a region without ready proxies are exercised.
+They extend the simulator's random faults by overlapping rolling restarts of proxies, by series of signals to
+one proxy, by workers that lose answers, and by workers that leave by DELETE, with a late heartbeat behind it
+and the registry that took it killed. Home regions are always set, so that lookups from a region without ready
+proxies are exercised.
 """
 
 import random
@@ -24,6 +26,12 @@
 HOMES: Final = (["r1"], ["r1", "r2"])
 LOST_ANSWER_PROBABILITIES: Final = (0.2, 0.5)
 SERVICES: Final = ("fleet", "desk", "bill")
+LEAVING_WORKERS: Final = 3
+LEAVE_BEFORE_CALM_SECONDS: Final = (2.5, 7.0)
+CALL_TIMEOUT_SECONDS: Final = 1.0  # between a worker's last heartbeat, which is late, and its DELETE
+LATE_AFTER_CALM_SECONDS: Final = (4.0, 7.5)  # when late heartbeats arrive: proxies are in contact again
+KILL_AFTER_LEAVE_SECONDS: Final = (0.0, 1.2)
+SIGNAL_SERIES: Final = 2  # each to one proxy
 DEFAULT_FAULT_SECONDS: Final = 4.0  # assumed for a fault without a duration
 FAULT_WORDS: Final = frozenset(
     {"kill", "freeze", "term", "power", "wipe", "cut", "oneway", "sick", "break", "crash"}
@@ -43,6 +51,8 @@
         *_core_restarts(rng, plan, calm_at),
         *_reloads(rng, plan, calm_at),
         *_lost_answers(rng, plan, calm_at),
+        *_leaving_workers(rng, plan, calm_at),
+        *_signal_series(rng, plan, calm_at),
     ]
     events = [event for event in drawn.events if _is_supported(plan, event)]
     ordered = sorted([*events, *added], key=lambda event: event.at)
@@ -107,3 +117,39 @@
         at = rng.uniform(FIRST_EVENT_SECONDS, calm_at)
         yield ScenarioEvent(round(at, 2), (fault, worker, f"{probability:g}"))
         yield ScenarioEvent(round(calm_at, 2), (fault, worker, "0"))
+
+
+def _leaving_workers(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
+    """Yield workers that leave by DELETE, with the registry that they call killed around it.
+
+    Their late heartbeats arrive when the faults are over and proxies are in contact again, while they still
+    serve. A second registry is killed behind the first in half of the cases.
+    """
+    core = [f"core-{number + 1}" for number in range(plan.core)]
+    for service in rng.sample(SERVICES, LEAVING_WORKERS):
+        at = max(FIRST_EVENT_SECONDS, calm_at - rng.uniform(*LEAVE_BEFORE_CALM_SECONDS))
+        late_seconds = calm_at + rng.uniform(*LATE_AFTER_CALM_SECONDS) - at
+        registry, next_registry = rng.sample(core, 2)
+        worker = f"{service}-{rng.randint(1, plan.workers)}"
+        words = ["leave", worker, "at", registry, "on", f"{FAULT_FREE_SECONDS + calm_at - at:.2f}"]
+        yield ScenarioEvent(round(at, 2), (*words, "late", f"{late_seconds:.2f}"))
+        killed_at = at + CALL_TIMEOUT_SECONDS + rng.uniform(*KILL_AFTER_LEAVE_SECONDS)
+        yield ScenarioEvent(round(min(killed_at, calm_at), 2), ("kill", "registry", registry))
+        if rng.random() < 0.5:
+            killed_at += rng.uniform(*KILL_AFTER_LEAVE_SECONDS)
+            yield ScenarioEvent(round(min(killed_at, calm_at), 2), ("kill", "registry", next_registry))
+
+
+def _signal_series(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
+    """Yield signals to one proxy in quick succession: SIGHUP, SIGTERM twice, and in some cases SIGKILL."""
+    core = [f"core-{number + 1}" for number in range(plan.core)]
+    for _ in range(SIGNAL_SERIES):
+        proxy = f"edge-{rng.randint(1, plan.edge)}"
+        at = rng.uniform(FIRST_EVENT_SECONDS, calm_at - 4.0)
+        reload = ("seeds", *rng.sample(core, 3))
+        yield ScenarioEvent(round(at, 2), reload)
+        yield ScenarioEvent(round(at + rng.uniform(0.0, 0.3), 2), ("term", "proxy", proxy))
+        yield ScenarioEvent(round(at + rng.uniform(0.3, 0.8), 2), reload)
+        yield ScenarioEvent(round(at + rng.uniform(0.3, 2.0), 2), ("term", "proxy", proxy))
+        if rng.random() < 0.3:
+            yield ScenarioEvent(round(at + rng.uniform(1.0, 4.0), 2), ("kill", "proxy", proxy))
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -16,6 +16,7 @@
 from ashlift.lab.system.soak_scenario import max_concurrent_faults, soak_scenario
 from ashlift.lab.system.supported_scenarios import unsupported_parts
 from ashlift.metrics import INVARIANT_VIOLATIONS, MetricsRegistry
+from ashlift.simulation.event_arguments import parse_arguments
 from ashlift.simulation.history import History, Request
 from ashlift.simulation.scenario import parse_scenarios
 
@@ -79,13 +80,44 @@
     assert accepted_verdict(history, 6.0).ok
 
 
-@test("soak scenarios terminate every kind of program, and reload settings three times")
+@test("soak scenarios terminate every kind of program, and reload settings seven times")
 def _() -> None:
     words = [event.words for seed in SEEDS for event in soak_scenario(seed, 9, SECONDS).events]
     ended = {kind for word, kind, *_ in (each for each in words if len(each) > 1) if word == "term"}
     assert ended == {"proxy", "registry", "configstore"}
     reloads = [word for word, *_ in words if word == "seeds"]
-    assert len(reloads) == 3 * len(SEEDS)
+    assert len(reloads) == 7 * len(SEEDS)
+
+
+@test("in soak scenarios workers leave by DELETE, registries are killed, late heartbeats come in calm time")
+def _() -> None:
+    for seed in SEEDS:
+        scenario = soak_scenario(seed, 9, SECONDS)
+        leaves = [event for event in scenario.events if event.words[0] == "leave"]
+        assert len(leaves) == 3
+        for event in leaves:
+            options = parse_arguments(list(event.words)).options
+            assert SECONDS - 9.0 + 4.0 <= event.at + float(options["late"]) <= SECONDS - 1.0
+            assert event.at + 1.0 + float(options["on"]) >= SECONDS
+            assert any(
+                other.words == ("kill", "registry", options["at"]) and event.at < other.at < event.at + 2.5
+                for other in scenario.events
+            )
+
+
+@test("in soak scenarios a proxy gets SIGHUP, SIGTERM and again SIGTERM within three seconds")
+def _() -> None:
+    for seed in SEEDS:
+        events = soak_scenario(seed, 9, SECONDS).events
+        terms = [(event.at, event.words[2]) for event in events if event.words[:2] == ("term", "proxy")]
+        twice = [
+            (at, later)
+            for at, proxy in terms
+            for later, other in terms
+            if proxy == other and at < later < at + 2.5
+        ]
+        reloads = [event.at for event in events if event.words[0] == "seeds"]
+        assert any(at - 0.5 < reload < later + 0.9 for at, later in twice for reload in reloads)
 
 
 @test("a connection is reused unless its peer has closed it or sent Connection: close")
