--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -25,8 +25,8 @@
 from ashlift.lab.system.registry_status import RegistryStatus
 from ashlift.lab.system.run_directory import RunDirectory
 from ashlift.lab.system.saved_runs import RunEvent
+from ashlift.lab.system.shutdown_load import load_during_shutdown
 from ashlift.lab.system.worker_servers import WorkerServers
-from ashlift.proxy.shutdown import accept_seconds
 from ashlift.simulation.base_world import HEARTBEAT_SECONDS, RESTART_SECONDS, BaseWorld
 from ashlift.simulation.event_loop import EventLoop
 from ashlift.simulation.plan import ZONES, Plan
@@ -44,8 +44,6 @@
 START_TIMEOUT_SECONDS: Final = 30.0  # until all programs listen
 TERMINATION_POLL_SECONDS: Final = 0.1
 PROGRESS_SECONDS: Final = 0.5
-STALL_PROBABILITY: Final = 0.5  # for each proxy that is terminated
-STALL_SECONDS: Final = 0.1
 FIRST_NETWORK: Final = 20  # second octet of the loopback addresses
 NETWORK_COUNT: Final = 200
 
@@ -259,33 +257,15 @@
                 program.signal(signal.SIGTERM)
                 self._record(program.machine, f"{program.kind} told to end")
                 if program.kind == "proxy":
-                    self._load_during_shutdown(program.machine)
+                    clients = self._clients_near(program.machine)
+                    load_during_shutdown(self.loop, program, clients, self.bounds.grace)
                 self._restart_after_exit(program)
 
-    def _load_during_shutdown(self, proxy: str) -> None:
-        """Have the clients of its region send requests to a proxy that is shutting down.
-
-        With STALL_PROBABILITY the proxy is suspended around the moment at which it stops accepting, as on a
-        busy machine: when resumed it finds the deadline passed and new connections in its backlog.
-        """
-        accepting = accept_seconds(self.bounds.grace)
-        for clients in self.client_populations:
-            if clients.machine.region == self.machines[proxy].region:
-                cast(HttpClients, clients).send_during_shutdown(proxy, accepting, self.bounds.grace)
-        program = self._programs[proxy, "proxy"]
-        if self.loop.rng.random() < STALL_PROBABILITY:
-            self.loop.call_later(accepting - STALL_SECONDS / 2, self._stall, program, program.incarnation)
-
-    def _stall(self, program: Program, incarnation: int) -> None:
-        """Suspend a program for STALL_SECONDS. Not recorded as a fault: a busy machine does the same."""
-        if program.incarnation == incarnation and program.is_running and not program.is_frozen:
-            program.signal(signal.SIGSTOP)
-            self.loop.call_later(STALL_SECONDS, self._end_stall, program, incarnation)
-
-    @staticmethod
-    def _end_stall(program: Program, incarnation: int) -> None:
-        if program.incarnation == incarnation and not program.is_frozen:
-            program.signal(signal.SIGCONT)
+    def _clients_near(self, machine: str) -> list[HttpClients]:
+        """The clients in the region of a machine."""
+        region = self.machines[machine].region
+        populations = cast(list[HttpClients], self.client_populations)
+        return [clients for clients in populations if clients.machine.region == region]
 
     def _restart_after_exit(self, program: Program) -> None:
         if program.is_running:
