--- a/review/5/case.py
+++ b/review/5/case.py
@@ -26,12 +26,12 @@
 
 HOST = "counter.example"
 DRAIN, CONTACT = 3.0, 4.0
-LEAVE_AT, DOWN_S, END = 6.0, 0.4, 17.0
+LEAVE_AT, DOWN_S, END = 6.0, 0.35, 17.0
 SERVES_ON_S = [5.0, 5.3, 5.6]  # after its acknowledgement, each of those that leave
 EDGE = ["hou-hall-a", "hou-hall-a", "mob-hall-a"]
 WORKERS, LEAVING = 20, 3  # a share of 0.15 leaves
-CUT_BEFORE_S = 0.1  # from the beginning of the cut to the worker's DELETE
-KILL_AFTER_S = 0.1  # from the acknowledgement to the loss of power
+CUT_BEFORE_S = 0.02  # from the beginning of the cut to the worker's DELETE
+KILL_AFTER_S = 0.05  # from the acknowledgement to the loss of power
 CLIENTS, PER_S = 60, 4.0
 
 
