Programs wait for an address, a disk or a settings file that comes late

The store found out only after it had read and written its disk, so that two processes could vote with one disk. A settings file caught while being written ended the start. Connections that took all descriptors ended the store with 70 (105).

Cause: ends of a process were the answer to what passes by itself: EADDRINUSE at bind, an incomplete file, EMFILE at accept (gevent hands that to the hub's error handler, which ended the store).

Change: open_listener retries and logs event 109; the store locks its folder (flock, event 223) and opens its listener before it reads the disk; an invalid settings file is read again for 1 s at a start; accept errors are event 111. SIGTERM and SIGINT end each of these waits. Each program logs its exit status (110) and ends without the interpreter's shutdown. The registry's and the proxy's two ways to notice a changed file are one, SettingsFile, which can't miss a change between reading and watching.

--- a/ashlift/configstore/events.py
+++ b/ashlift/configstore/events.py
@@ -29,6 +29,7 @@
 DISK_WRITE_FAILED: Final = EventType(211, "disk write failed")
 STORAGE_UNREADABLE: Final = EventType(212, "stored data unreadable")
 DISK_WRITE_SLOW: Final = EventType(218, "slow disk write")
+DIRECTORY_IN_USE: Final = EventType(223, "data directory in use by another process")
 
 # Operator commands and route edits
 COMMAND_EVALUATION_FAILED: Final = EventType(214, "operator command could not be evaluated")
--- a/ashlift/configstore/server.py
+++ b/ashlift/configstore/server.py
@@ -29,6 +29,7 @@
 from ashlift.rpc.client import ClientPool
 from ashlift.rpc.concurrency_limit import ConcurrencyLimit
 from ashlift.rpc.server import serve
+from ashlift.rpc.sockets import Listener
 
 if TYPE_CHECKING:
     from ashlift.configstore.pending_edits import PendingEditStorage
@@ -49,9 +50,14 @@
 
 
 class ConfigStoreServer:
-    """One replica of the configuration store, serving from its creation on. Its state is in `folder`."""
+    """One replica of the configuration store, serving from its creation on.
 
-    def __init__(self, settings: Settings, folder: str, clock: Clock = time.monotonic) -> None:
+    Its state is in `folder`. `listener`: for RPC, opened before the state is read.
+    """
+
+    def __init__(
+        self, settings: Settings, folder: str, listener: Listener, clock: Clock = time.monotonic
+    ) -> None:
         self._folder = folder
         self._pending_edits: PendingEditStorage | None = None
         port = settings.internal_ports[0]
@@ -69,7 +75,7 @@
             requests.PENDING_EDITS: self._handle_pending_edits,
         }
         limit = ConcurrencyLimit({requests.SUBMIT})
-        self.rpc_server = serve((settings.ip, port), handlers, limit)
+        self.rpc_server = serve(listener, handlers, limit)
 
     def run(self) -> None:
         """Serve until the replica has handed over its role after `shut_down`."""
--- a/ashlift/events.py
+++ b/ashlift/events.py
@@ -35,6 +35,9 @@
 UNHANDLED_ERROR: Final = EventType(105, "invariant violated")
 INVARIANT_BROKEN: Final = EventType(107, "invariant does not hold")
 METRICS_UNAVAILABLE: Final = EventType(106, "metrics endpoint unavailable")
+ADDRESS_UNAVAILABLE: Final = EventType(109, "address not available yet")
+PROCESS_ENDS: Final = EventType(110, "process ends")
+CONNECTION_NOT_ACCEPTED: Final = EventType(111, "connection not accepted")
 
 STARTUP_BUFFER_SECONDS: Final = 2.0  # long enough for the store to elect a leader and proxies to become ready
 MAX_BUFFERED_EVENTS: Final = 200
--- a/ashlift/process.py
+++ b/ashlift/process.py
@@ -10,13 +10,12 @@
 
 import gevent
 
-from ashlift.events import CRITICAL, UNHANDLED_ERROR, log_event
+from ashlift import exit_status
+from ashlift.events import CRITICAL, PROCESS_ENDS, UNHANDLED_ERROR, log_event
 
 SETTINGS_PATH_VARIABLE: Final = "ASHLIFT_SETTINGS"
 DEFAULT_SETTINGS_PATH: Final = "/etc/ashlift/settings.toml"
 TERMINATION_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
-EXIT_INVALID_SETTINGS: Final = os.EX_CONFIG  # of the configuration store; registry and proxy exit with 2
-EXIT_INTERNAL_ERROR: Final = os.EX_SOFTWARE
 
 _EXPECTED_EXCEPTIONS: Final = (KeyboardInterrupt, SystemExit, gevent.GreenletExit)
 
@@ -51,6 +50,7 @@
             return
         log_event(UNHANDLED_ERROR, level=CRITICAL, error=repr(value))
         hub.print_exception(context, kind, value, traceback)
-        os._exit(EXIT_INTERNAL_ERROR)
+        log_event(PROCESS_ENDS, status=exit_status.INTERNAL_ERROR)
+        os._exit(exit_status.INTERNAL_ERROR)
 
     hub.handle_error = handle_error
--- a/ashlift/proxy/program.py
+++ b/ashlift/proxy/program.py
@@ -7,12 +7,15 @@
 from typing import Final
 
 import gevent
+from gevent import socket
 from gevent.event import Event
 
-from ashlift import process
+from ashlift import exit_status, process
 from ashlift.config.object_schema import ClientLimits
 from ashlift.config.routing_table import Tenant
-from ashlift.config.settings import Settings, read_settings
+from ashlift.config.settings import Settings
+from ashlift.config.settings_file import SettingsFile
+from ashlift.errors import Failure
 from ashlift.events import (
     CRITICAL,
     ERROR,
@@ -25,33 +28,34 @@
     log_event,
 )
 from ashlift.invariants import Invariant, monitor
+from ashlift.listeners import log_accept_errors, open_listener
 from ashlift.metrics_server import serve_metrics
 from ashlift.proxy import events
 from ashlift.proxy.metrics import proxy_metrics
+from ashlift.proxy.readiness import LISTEN_BACKLOG as READINESS_BACKLOG
 from ashlift.proxy.readiness import serve_readiness
 from ashlift.proxy.registry_poller import RegistryPoller
 from ashlift.proxy.request_handler import RequestHandler
 from ashlift.proxy.request_router import RequestRouter
-from ashlift.proxy.server import ProxyServer
+from ashlift.proxy.server import LISTEN_BACKLOG, ProxyServer
 from ashlift.proxy.shutdown import shutdown_schedule
+from ashlift.rpc.addresses import Address
 
 SETTINGS_CHECK_SECONDS: Final = 1.0
 IDLE_CHECK_SECONDS: Final = 1.0
 MAX_LOGGED_NAMES: Final = 5
 DRAIN_CHECK_SECONDS: Final = 0.02
 
-EXIT_OK: Final = 0
-EXIT_SETTINGS_INVALID: Final = 2
-EXIT_INVARIANT_VIOLATED: Final = 70
-
 
 class Program:
-    """A proxy process. `path`: of the settings file, which is read again when it changes."""
+    """A proxy process. `settings_file` is read again when it changes."""
 
-    def __init__(self, path: str, settings: Settings, metrics_port: int | None = None) -> None:
+    def __init__(
+        self, settings_file: SettingsFile, settings: Settings, metrics_port: int | None = None
+    ) -> None:
         rng = random.Random(os.urandom(8))
         incarnation = os.urandom(4).hex()
-        self.path = path
+        self._settings_file = settings_file
         self.settings = settings
         self._metrics_port = metrics_port
         self.router = RequestRouter(settings, rng, time.monotonic())
@@ -73,11 +77,16 @@
         readiness_address = self.settings.bindings.readiness
         if client_address is None or readiness_address is None:
             log_event(SETTINGS_INVALID, level=ERROR, error="Bindings: Front and Readiness are needed")
-            return EXIT_SETTINGS_INVALID
+            return exit_status.INVALID_SETTINGS
         process.on_termination(self._stop.set)
         process.on_reload(self._reload.set)
-        serve_readiness(readiness_address, lambda: self.router.is_ready(time.monotonic()))
-        self.proxy_server.listen(client_address)
+        log_accept_errors()
+        listeners = self._open_listeners(readiness_address, client_address)
+        if isinstance(listeners, Failure):
+            return self._not_listening(listeners)
+        readiness_listener, client_listener = listeners
+        serve_readiness(readiness_listener, lambda: self.router.is_ready(time.monotonic()))
+        self.proxy_server.listen(client_listener)
         if self._metrics_port is not None:
             serve_metrics((self.settings.ip, self._metrics_port), proxy_metrics(self.request_handler))
         for loop in (self.registry_poller.run, self._close_idle_connections, self._watch_settings):
@@ -86,6 +95,24 @@
         self._stop.wait()
         return self._shut_down()
 
+    def _open_listeners(
+        self, readiness_address: Address, client_address: Address
+    ) -> tuple[socket.socket, socket.socket] | Failure:
+        readiness_listener = open_listener(readiness_address, READINESS_BACKLOG, self._stop.is_set)
+        if isinstance(readiness_listener, Failure):
+            return readiness_listener
+        client_listener = open_listener(client_address, LISTEN_BACKLOG, self._stop.is_set)
+        if isinstance(client_listener, Failure):
+            return client_listener
+        return readiness_listener, client_listener
+
+    def _not_listening(self, failure: Failure) -> int:
+        """The exit status without listeners: told to end meanwhile, or an address can never be bound."""
+        if self._stop.is_set():
+            return exit_status.OK
+        log_event(SETTINGS_INVALID, level=ERROR, error=failure.detail)
+        return exit_status.CANNOT_LISTEN
+
     def _shut_down(self) -> int:
         """Shut down gracefully: report as not ready, stop accepting, exit when all requests have ended.
 
@@ -104,7 +131,7 @@
         self.proxy_server.refuse_partial_requests()
         self._serve_until(schedule.exit_at)
         self._log_stopped(started_at, time.monotonic() >= schedule.serve_until)
-        return EXIT_INVARIANT_VIOLATED if self.invariant_violated else EXIT_OK
+        return exit_status.INTERNAL_ERROR if self.invariant_violated else exit_status.OK
 
     def _serve_until(self, deadline: float) -> None:
         """Serve open connections until `deadline`, or until there are none left."""
@@ -199,16 +226,14 @@
 
     def _watch_settings(self) -> None:
         """Read the settings again after SIGHUP or a change of the file."""
-        last_signature = _file_signature(self.path)
         while True:
-            if self._reload.wait(SETTINGS_CHECK_SECONDS) or _file_signature(self.path) != last_signature:
+            if self._reload.wait(SETTINGS_CHECK_SECONDS) or self._settings_file.has_changed():
                 self._reload.clear()
-                last_signature = _file_signature(self.path)
                 self._read_settings()
 
     def _read_settings(self) -> None:
         """Read the settings again. Only the seeds can change while the process runs."""
-        settings = read_settings(self.path)
+        settings = self._settings_file.read()
         if isinstance(settings, list):
             for failure in settings:
                 log_event(SETTINGS_INVALID, level=ERROR, error=failure.detail)
@@ -221,12 +246,3 @@
     listed = ",".join(names[:MAX_LOGGED_NAMES])
     more = len(names) - MAX_LOGGED_NAMES
     return f"{listed},and {more} more" if more > 0 else listed
-
-
-def _file_signature(path: str) -> tuple[int, int]:
-    """Modification time in ns and size of a file, for detecting changes; zeros if it does not exist."""
-    try:
-        status = os.stat(path)
-    except OSError:
-        return 0, 0
-    return status.st_mtime_ns, status.st_size
--- a/ashlift/proxy/readiness.py
+++ b/ashlift/proxy/readiness.py
@@ -19,8 +19,8 @@
 RECEIVE_BYTES: Final = 4096
 
 
-def serve_readiness(address: Address, is_ready: Callable[[], bool]) -> StreamServer:
-    """Start the server. Raises OSError if the address cannot be bound."""
+def serve_readiness(listener: socket.socket, is_ready: Callable[[], bool]) -> StreamServer:
+    """Start the server on a listening socket."""
 
     def serve(sock: socket.socket, _: Address) -> None:
         try:
@@ -29,7 +29,7 @@
         finally:
             sock.close()
 
-    server = StreamServer(address, serve, backlog=LISTEN_BACKLOG)
+    server = StreamServer(listener, serve)
     server.start()
     return server
 
--- a/ashlift/proxy/server.py
+++ b/ashlift/proxy/server.py
@@ -11,7 +11,7 @@
 from ashlift.proxy.client_connection import ClientConnection
 from ashlift.proxy.request_handler import RequestHandler
 from ashlift.rpc.addresses import Address
-from ashlift.rpc.sockets import stop_listening
+from ashlift.rpc.sockets import Listener, as_listening_socket, stop_listening
 
 LISTEN_BACKLOG: Final = 1024
 
@@ -29,9 +29,9 @@
         self.connections: set[ClientConnection] = set()
         self._server: StreamServer | None = None
 
-    def listen(self, address: Address) -> None:
-        """Start accepting connections. Raises OSError if the address cannot be bound."""
-        self._server = StreamServer(address, self._serve, backlog=LISTEN_BACKLOG)
+    def listen(self, listener: Listener) -> None:
+        """Start accepting connections. Raises OSError if an address cannot be bound."""
+        self._server = StreamServer(as_listening_socket(listener, LISTEN_BACKLOG), self._serve)
         self._server.start()
 
     def stop_accepting(self) -> None:
--- a/ashlift/registry/api/server.py
+++ b/ashlift/registry/api/server.py
@@ -15,28 +15,30 @@
 from ashlift.registry.api.request_memory import ApiMemory
 from ashlift.registry.api.resource import DEFAULT_MAX_BODY_BYTES, Resource
 from ashlift.rpc.addresses import Address
-from ashlift.rpc.sockets import stop_listening
+from ashlift.rpc.sockets import Listener, as_listening_socket, stop_listening
 
 LISTEN_BACKLOG: Final = 1024
 
 
 class HttpServer:
-    """Listens on one address."""
+    """Serves the connections of one listener."""
 
     def __init__(
-        self, address: Address, resources: Mapping[str, Resource], memory: ApiMemory | None = None
+        self, listener: Listener, resources: Mapping[str, Resource], memory: ApiMemory | None = None
     ) -> None:
-        """`resources`: by the first segment of the path. `memory`: for requests."""
+        """`resources`: by the first segment of the path. `memory`: for requests.
+
+        Raises OSError if an address cannot be bound.
+        """
         self.memory = memory or ApiMemory(MachineLimits())
         self._resources = resources
         self._connections: set[ApiConnection] = set()
         self.is_shutting_down = False
         self._pause_detector = PauseDetector(time.monotonic())
-        self._server = StreamServer(address, self._serve_connection, backlog=LISTEN_BACKLOG)
-        self._server.reuse_addr = 1  # type: ignore[misc]
+        self._server = StreamServer(as_listening_socket(listener, LISTEN_BACKLOG), self._serve_connection)
 
     def start(self) -> None:
-        """Listen. Raises OSError if the address is not available."""
+        """Start accepting connections."""
         self._server.start()
         gevent.spawn(self._check_for_pauses)
 
--- a/ashlift/rpc/server.py
+++ b/ashlift/rpc/server.py
@@ -16,6 +16,8 @@
 from ashlift.rpc.messages import Request, decode_request, encode_response, refused_request
 from ashlift.rpc.sockets import (
     RECEIVE_BYTES,
+    Listener,
+    as_listening_socket,
     configure_socket,
     has_unread_input,
     send_all,
@@ -30,12 +32,12 @@
 
 
 class RpcServer(StreamServer):
-    """Listens on one address. `handlers`: by method. `limit`: of concurrent large requests."""
+    """Serves one listener. `handlers`: by method. `limit`: of concurrent large requests."""
 
     def __init__(
-        self, address: Address, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
+        self, listener: Listener, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
     ) -> None:
-        super().__init__(address, self._serve_connection, backlog=ACCEPT_BACKLOG)
+        super().__init__(as_listening_socket(listener, ACCEPT_BACKLOG), self._serve_connection)
         self._handlers = handlers
         self._limit = limit or ConcurrencyLimit()
         self._connections: set[_ServerConnection] = set()
@@ -71,13 +73,13 @@
 
 
 def serve(
-    address: Address, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
+    listener: Listener, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
 ) -> RpcServer:
     """Start a server that runs `handlers[method](body)` in a greenlet for each request.
 
-    A handler returns a body or a Failure. Raises OSError if the address cannot be bound.
+    A handler returns a body or a Failure. Raises OSError if an address cannot be bound.
     """
-    server = RpcServer(address, handlers, limit)
+    server = RpcServer(listener, handlers, limit)
     server.start()
     return server
 
--- a/ashlift/rpc/sockets.py
+++ b/ashlift/rpc/sockets.py
@@ -14,6 +14,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ashlift.rpc.addresses import Address
+
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 2000  # TCP_USER_TIMEOUT: limit for data without an acknowledgement
 SEND_TIMEOUT_SECONDS: Final = UNACKNOWLEDGED_TIMEOUT_MS / 1000  # limit for a write without progress
 RECEIVE_BYTES: Final = 65536  # per read
@@ -26,6 +28,27 @@
 }
 
 
+Listener = Address | socket.socket  # an address to bind, or a socket that listens already
+
+
+def listen(address: Address, backlog: int) -> socket.socket:
+    """Return a socket that listens at `address`. Raises OSError if the address cannot be bound."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def as_listening_socket(listener: Listener, backlog: int) -> socket.socket:
+    """Return `listener` if it is a socket, else one that listens at its address. Raises OSError."""
+    return listener if isinstance(listener, socket.socket) else listen(listener, backlog)
+
+
 def configure_socket(sock: socket.socket) -> None:
     """Disable Nagle's algorithm, and detect peers that disappeared without closing the connection."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/configstore/test_replica_storage.py
+++ b/tests/configstore/test_replica_storage.py
@@ -50,7 +50,8 @@
 
         shutil.rmtree(folder, ignore_errors=True)
         with replaced(server, ReplicaStorage=SlowStorage), replaced(replica_runner, log_event=log_event):
-            running = server.ConfigStoreServer(SETTINGS, str(folder), lambda: now[0])
+            address = SETTINGS.ip, SETTINGS.internal_ports[0]
+            running = server.ConfigStoreServer(SETTINGS, str(folder), address, lambda: now[0])
         running.rpc_server.stop()
         assert running.replica.vote.is_voter == (failure is None)
     assert [value for event, value in logged if event == events.DISK_WRITE_SLOW] == [2.0, 3.0]
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -3,6 +3,7 @@
 from ward import each, test
 
 from ashlift.config.settings import Settings, parse_settings
+from ashlift.config.settings_file import SettingsFile
 from ashlift.proxy.program import Program
 from ashlift.proxy.shutdown import SERVE_FRACTION, accept_seconds
 from tests.proxy.test_registry_client import TEXT
@@ -12,7 +13,7 @@
 def _() -> None:
     settings = parse_settings(TEXT)
     assert isinstance(settings, Settings)
-    program = Program("none", settings)
+    program = Program(SettingsFile("none"), settings)
 
     def loop() -> None:
         raise LookupError("unexpected")
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -14,6 +14,7 @@
 
 from ashlift.config.object_schema import ClientLimits
 from ashlift.config.settings import parse_settings
+from ashlift.config.settings_file import SettingsFile
 from ashlift.invariants import InvariantViolationError, monitor
 from ashlift.proxy import client_connection, shutdown
 from ashlift.proxy.program import Program
@@ -320,7 +321,7 @@
 def short_grace_program(grace: float) -> Program:
     settings: Any = parse_settings(TEXT)
     settings = evolve(settings, bounds=evolve(settings.bounds, grace=grace))
-    return Program("none", settings)
+    return Program(SettingsFile("none"), settings)
 
 
 def wait_for_connections(site: ProxySite, count: int) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,11 +5,11 @@
 
 from ward import each, test
 
-from ashlift import process
+from ashlift import exit_status, process
 
 SCRIPT = """
 import gevent
-from ashlift import process
+from ashlift import exit_status, process
 process.exit_on_unhandled_error()
 def fail(): raise {error}
 gevent.spawn(fail)
@@ -24,7 +24,7 @@
         [sys.executable, "-c", SCRIPT.format(error=error)], capture_output=True, text=True, timeout=30
     )
     if "ValueError" in error:
-        assert done.returncode == process.EXIT_INTERNAL_ERROR == 70
+        assert done.returncode == exit_status.INTERNAL_ERROR == 70
         assert "ValueError('broken')" in done.stderr
     else:
         assert done.returncode == 3
@@ -33,6 +33,6 @@
 
 @test("exit statuses and the settings path match the deploy file")
 def _() -> None:
-    assert process.EXIT_INVALID_SETTINGS == 78
+    assert exit_status.INVALID_STORE_SETTINGS == 78
     assert process.SETTINGS_PATH_VARIABLE == "ASHLIFT_SETTINGS"
     assert process.DEFAULT_SETTINGS_PATH == "/etc/ashlift/settings.toml"
