A log that cannot be written neither stops a program nor changes its end

What callers saw: with standard error a pipe that is full and not read, each of the three programs stopped working 2 s after its start and ended on SIGKILL alone; with a pipe without a reader or a full disk they ended with 120 after SIGTERM; with closed descriptors with 1, or (the store) not at all.

Cause: log lines were written with blocking writes in the event loop, and the interpreter's last flush of standard error set the exit status. A closed descriptor's number goes to the next socket or data file.

Change: standard error is a LogStream, which writes what fits without waiting and counts the rest (event 112, ashlift_log_lines_lost_total). Descriptors 0 to 2 are opened on the null device where they are closed. Where logbook cannot be loaded (no descriptors left), lines are written without it.

--- a/ashlift/entry_point.py
+++ b/ashlift/entry_point.py
@@ -10,12 +10,15 @@
 import sys
 
 from ashlift import exit_status
+from ashlift.log_stream import open_missing_standard_descriptors, replace_standard_error
 from ashlift.startup_signals import handle_early_signals
 
 
 def run_program(module_name: str) -> None:
     """Run `main` of the module and end the process with the exit status that it returns."""
     handle_early_signals()
+    open_missing_standard_descriptors()
+    replace_standard_error()
     os._exit(_exit_status(module_name))
 
 
--- a/ashlift/events.py
+++ b/ashlift/events.py
@@ -4,16 +4,16 @@
 
 Importing logbook is slow, so it is deferred until after startup: events are buffered for the first seconds
 and then written with their original times. An event at level ERROR or above, a full buffer and the end of the
-process flush the buffer at once.
+process flush the buffer at once. While logbook cannot be loaded, events are written without it.
 """
 
 import atexit
 import sys
 import time
-from typing import TYPE_CHECKING, Any, Final, NamedTuple
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
 
-if TYPE_CHECKING:
-    import logbook
+from ashlift.log_stream import lost_log_texts
 
 
 class EventType(NamedTuple):
@@ -39,12 +39,17 @@
 ADDRESS_UNAVAILABLE: Final = EventType(109, "address not available yet")
 PROCESS_ENDS: Final = EventType(110, "process ends")
 CONNECTION_NOT_ACCEPTED: Final = EventType(111, "connection not accepted")
+LOG_LINES_LOST: Final = EventType(112, "log lines lost")
 
 STARTUP_BUFFER_SECONDS: Final = 2.0  # long enough for the store to elect a leader and proxies to become ready
 MAX_BUFFERED_EVENTS: Final = 200
 
+LineWriter = Callable[[int, str, str], None]  # takes a level, the time of day and a line
+_LEVEL_NAMES: Final = {INFO: "INFO", WARNING: "WARNING", ERROR: "ERROR", CRITICAL: "CRITICAL"}
+
 _buffer: list[tuple[int, str, str]] = []  # level, UTC time, line
-_logger: "logbook.Logger | None" = None  # None: events are buffered
+_write_line: "LineWriter | None" = None  # None: events are buffered
+_reported_lost_lines = 0
 _process_name = ""  # program@node
 
 
@@ -62,18 +67,30 @@
     """Log an event as one line: its number, text and fields."""
     line = f"{event.number} {event.text} {' '.join(f'{key}={value}' for key, value in fields.items())}"
     _buffer.append((level, _time_of_day(time.time()), line))
-    if _logger is not None or level >= ERROR or len(_buffer) >= MAX_BUFFERED_EVENTS:
+    if _write_line is not None or level >= ERROR or len(_buffer) >= MAX_BUFFERED_EVENTS:
         flush()
 
 
 def flush() -> None:
     """Write the buffered events; later ones are written as they are logged."""
-    global _logger
-    if _logger is None:
-        _logger = _open_logger()
+    global _write_line
+    if _write_line is None:
+        _write_line = _open_logger()
+    write_line = _write_line or _write_plainly
     while _buffer:
-        level, time_of_day, line = _buffer.pop(0)
-        _logger.log(level, "{}", line, extra={"time_of_day": time_of_day})
+        lost_before = lost_log_texts()
+        write_line(*_buffer.pop(0))
+        if lost_log_texts() == lost_before:
+            _report_lost_lines()
+
+
+def _report_lost_lines() -> None:
+    """Log how many lines were lost since the last report, now that a line could be written."""
+    global _reported_lost_lines
+    lost = lost_log_texts() - _reported_lost_lines
+    if lost:
+        _reported_lost_lines += lost
+        log_event(LOG_LINES_LOST, level=WARNING, lines=lost)
 
 
 def _time_of_day(now: float) -> str:
@@ -81,12 +98,25 @@
     return time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now % 1 * 1e6):06d}"
 
 
-def _open_logger() -> "logbook.Logger":
-    import logbook  # deferred, because it is slow to load
-
+def _open_logger() -> LineWriter | None:
+    """Return a writer by logbook; None if logbook cannot be loaded, e.g. for lack of descriptors."""
+    try:
+        import logbook  # deferred, because it is slow to load
+    except Exception:
+        return None
     handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
     handler.format_string = (
         "{record.extra[time_of_day]} {record.level_name} " + _process_name + " {record.message}"
     )
     handler.push_application()
-    return logbook.Logger("ashlift")
+    logger = logbook.Logger("ashlift")
+
+    def write_line(level: int, time_of_day: str, line: str) -> None:
+        logger.log(level, "{}", line, extra={"time_of_day": time_of_day})
+
+    return write_line
+
+
+def _write_plainly(level: int, time_of_day: str, line: str) -> None:
+    if sys.stderr is not None:
+        sys.stderr.write(f"{time_of_day} {_LEVEL_NAMES[level]} {_process_name} {line}\n")
--- a/ashlift/metrics.py
+++ b/ashlift/metrics.py
@@ -35,6 +35,12 @@
 )
 
 
+LOG_LINES_LOST: Final = Metric(
+    "log_lines_lost_total", "counter", "stream", "Lines of the log that could not be written (event 112)."
+)
+LOG_STREAM: Final = "stderr"
+
+
 class MetricsRegistry:
     """The metrics of a process, each with a function that reads its values."""
 
--- a/ashlift/proxy/metrics.py
+++ b/ashlift/proxy/metrics.py
@@ -1,7 +1,8 @@
 """The proxy's metrics. docs/operations/system.md describes them."""
 
 from ashlift.invariants import monitor
-from ashlift.metrics import INVARIANT_VIOLATIONS, Metric, MetricsRegistry
+from ashlift.log_stream import lost_log_texts
+from ashlift.metrics import INVARIANT_VIOLATIONS, LOG_LINES_LOST, LOG_STREAM, Metric, MetricsRegistry
 from ashlift.proxy.request_handler import RequestHandler
 
 RESPONSES = Metric(
@@ -43,4 +44,5 @@
     metrics.add(MEMORY_WAITS, lambda: {name: pool.waits for name, pool in pools.items()})
     metrics.add(REQUEST_ENDS, lambda: handler.request_counters.ends)
     metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
+    metrics.add(LOG_LINES_LOST, lambda: {LOG_STREAM: lost_log_texts()})
     return metrics
--- a/ashlift/registry/metrics.py
+++ b/ashlift/registry/metrics.py
@@ -4,7 +4,8 @@
 from collections import Counter
 
 from ashlift.invariants import monitor
-from ashlift.metrics import INVARIANT_VIOLATIONS, Metric, MetricsRegistry
+from ashlift.log_stream import lost_log_texts
+from ashlift.metrics import INVARIANT_VIOLATIONS, LOG_LINES_LOST, LOG_STREAM, Metric, MetricsRegistry
 from ashlift.registry.registry import Registry
 
 LOOKUP_ANSWERS = Metric(
@@ -30,4 +31,5 @@
     metrics.add(DEPARTURES, registry.instances.departures.counts)
     metrics.add(READY_PROXIES, ready_proxies)
     metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
+    metrics.add(LOG_LINES_LOST, lambda: {LOG_STREAM: lost_log_texts()})
     return metrics
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -10,9 +10,10 @@
 ALLOWED: dict[str, set[str]] = {
     "errors": set(),
     "exit_status": set(),
+    "log_stream": set(),
     "startup_signals": {"exit_status"},
-    "entry_point": {"events", "exit_status", "startup_signals"},
-    "events": set(),
+    "entry_point": {"events", "exit_status", "log_stream", "startup_signals"},
+    "events": {"log_stream"},
     "response_status": set(),
     "memory": set(),
     "metrics": set(),
@@ -37,6 +38,7 @@
         "rpc",
     },
     "registry": {
+        "log_stream",
         "config",
         "entry_point",
         "errors",
@@ -53,6 +55,7 @@
         "rpc",
     },
     "proxy": {
+        "log_stream",
         "config",
         "entry_point",
         "errors",
