Lab: every end of a process is recorded and judged, also by a signal

Now each end is recorded with its status and the signals sent, and an unexpected one breaks INVARIANTS; a program that ends by itself is started again, as the platform does. Programs start as in the deploy file (-S), within 0.3 s in a drawn order. The soak signals a reload to programs of each kind while they start again after a kill.

Not counted: SIGHUP before the program's first instruction, while the interpreter starts.

--- a/ashlift/lab/system/process_world.py
+++ b/ashlift/lab/system/process_world.py
@@ -9,6 +9,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Final, cast
 
 import gevent
@@ -19,6 +20,7 @@
 from ashlift.lab.system.machine_connectivity import MachineConnectivity
 from ashlift.lab.system.machine_layout import CONTROL_PORT, FRONT_PORT, LabMachine, lay_out_machines
 from ashlift.lab.system.machine_settings import ClusterSettings
+from ashlift.lab.system.process_ends import ProcessEnd
 from ashlift.lab.system.program_health import read_metrics, violations_in_logs, violations_in_metrics
 from ashlift.lab.system.programs import METRICS_PORTS, Program, stop_programs
 from ashlift.lab.system.real_time_loop import RealTimeLoop
@@ -41,6 +43,7 @@
     "core": ["configstore", "registry"],
     "all": ["configstore", "registry", "proxy"],
 }
+START_SPREAD_SECONDS: Final = 0.3
 START_TIMEOUT_SECONDS: Final = 30.0  # until all programs listen
 TERMINATION_POLL_SECONDS: Final = 0.1
 PROGRESS_SECONDS: Final = 0.5
@@ -117,7 +120,8 @@
                 log = self._directory.log_path(machine, kind)
                 program = Program(machine.name, kind, self._directory.settings_path(machine), log)
                 self._programs[machine.name, kind] = program
-                program.start()
+                program.on_end = partial(self._program_ended, program)
+        self._start_all()
         self._wait_until_listening()
         self.real_time_loop.begin()
         self._connectivity.begin(self.real_time_loop.started)
@@ -126,6 +130,22 @@
             self._write_settings(machine, bootstrap=False)
         self.populate()
 
+    def _start_all(self) -> None:
+        """Start all programs within START_SPREAD_SECONDS of each other, in a random order."""
+        programs = list(self._programs.values())
+        self.real_time_loop.rng.shuffle(programs)
+        for program in programs:
+            program.start()
+            gevent.sleep(START_SPREAD_SECONDS / len(programs))
+
+    def _program_ended(self, program: Program, end: ProcessEnd) -> None:
+        """Start a program again that neither a kill nor SIGTERM has ended, as the platform does."""
+        if signal.SIGKILL in end.signals or signal.SIGTERM in end.signals:
+            return
+        self.begin_fault(program.machine)
+        self._record(program.machine, f"{program.kind}: {end}")
+        self.loop.call_later(RESTART_SECONDS, self._restart, program)
+
     def _write_settings(self, machine: LabMachine, bootstrap: bool) -> None:
         settings = ClusterSettings(list(self.machines.values()), self.seeds, self.bounds)
         self._directory.write_settings(machine, settings, bootstrap)
@@ -149,8 +169,7 @@
         """Broken invariants and abnormal exits of programs, found in logs, exit statuses and metrics."""
         problems = list(violations_in_logs(self._directory.log_paths()))
         for name, program in self.named_programs().items():
-            if program.failure_status is not None:
-                problems.append(f"{name} ended by itself with status {program.failure_status}")
+            problems += [f"{name}: {end}" for end in program.ends if not end.is_expected]
             port = METRICS_PORTS.get(program.kind)
             if port is not None and program.is_running and not program.is_frozen:
                 problems += self._problems_in_metrics(name, (self.machines[program.machine].ip, port))
--- a/ashlift/lab/system/programs.py
+++ b/ashlift/lab/system/programs.py
@@ -4,7 +4,9 @@
 import os
 import signal
 import sys
+import sysconfig
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Final
 
@@ -12,6 +14,7 @@
 from gevent import socket, subprocess
 
 from ashlift.invariants import FATAL_INVARIANTS_VARIABLE
+from ashlift.lab.system.process_ends import ProcessEnd, is_interpreter_starting
 from ashlift.metrics_server import METRICS_OPTION
 
 CHECKOUT: Final = Path(__file__).resolve().parents[3]  # the programs run from this checkout
@@ -30,6 +33,10 @@
         self.kind = kind
         self.incarnation = 0
         self.is_frozen = False
+        self.ends: list[ProcessEnd] = []
+        self.on_end: Callable[[ProcessEnd], None] | None = None
+        self._signals: set[signal.Signals] = set()  # sent to its present process
+        self._uncaught_signals: set[signal.Signals] = set()
         self._settings = settings
         self._log = log
         self._process: subprocess.Popen[bytes] | None = None
@@ -41,12 +48,6 @@
         """Whether its process exists; true also while it is frozen."""
         return self._process is not None and self._process.poll() is None
 
-    @property
-    def failure_status(self) -> int | None:
-        """The exit status of its process if that exited by itself with a failure."""
-        status = self._process.poll() if self._process is not None else None
-        return status if status is not None and status > 0 else None
-
     @property
     def pid(self) -> int | None:
         """The id of its process while it runs."""
@@ -67,12 +68,15 @@
     def _start_process(self) -> None:
         self.incarnation += 1
         self.is_frozen = False
+        self._signals = set()
+        self._uncaught_signals = set()
         environment = {**os.environ, "ASHLIFT_SETTINGS": str(self._settings), FATAL_INVARIANTS_VARIABLE: "1"}
+        environment["PYTHONPATH"] = sysconfig.get_path("platlib")  # as `-S` leaves it out
         port = METRICS_PORTS.get(self.kind)
         options = [] if port is None else [METRICS_OPTION, str(port)]
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", f"ashlift.{self.kind}", *options],
+                [sys.executable, "-S", "-m", f"ashlift.{self.kind}", *options],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -81,6 +85,20 @@
                 # Ctrl-C must reach only the lab, which then ends the programs.
                 start_new_session=True,
             )
+        gevent.spawn(self._record_end, self._process, self.incarnation, self._signals, self._uncaught_signals)
+
+    def _record_end(
+        self,
+        process: "subprocess.Popen[bytes]",
+        incarnation: int,
+        signals: set[signal.Signals],
+        uncaught_signals: set[signal.Signals],
+    ) -> None:
+        status = process.wait()
+        end = ProcessEnd(incarnation, status, frozenset(signals), frozenset(uncaught_signals))
+        self.ends.append(end)
+        if self.on_end is not None:
+            self.on_end(end)
 
     def wait_until_listening(self, address: tuple[str, int], deadline: float) -> None:
         """Return when the program listens at `address`.
@@ -102,6 +120,9 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if its process is running."""
         if self._process is not None and self.is_running:
+            if is_interpreter_starting(self._process.pid, number):
+                self._uncaught_signals.add(number)
+            self._signals.add(number)
             with contextlib.suppress(OSError):
                 self._process.send_signal(number)
 
--- a/ashlift/lab/system/soak_scenario.py
+++ b/ashlift/lab/system/soak_scenario.py
@@ -1,9 +1,9 @@
 """Generates the scenarios of the soak test from a seed: overlapping faults of all supported kinds. Pure.
 
 They extend the simulator's random faults by overlapping rolling restarts of proxies, by series of signals to
-one proxy, by workers that lose answers, and by workers that leave by DELETE, with a late heartbeat behind it
-and the registry that took it killed. Home regions are always set, so that lookups from a region without ready
-proxies are exercised.
+one proxy, by signals to programs that are just starting, by workers that lose answers, and by workers that
+leave by DELETE, with a late heartbeat behind it and the registry that took it killed. Home regions are always
+set, so that lookups from a region without ready proxies are exercised.
 """
 
 import random
@@ -13,6 +13,7 @@
 from attrs import evolve
 
 from ashlift.lab.system.supported_scenarios import unsupported_parts
+from ashlift.simulation.base_world import RESTART_SECONDS
 from ashlift.simulation.plan import Plan
 from ashlift.simulation.random_faults import FAULT_FREE_SECONDS, FIRST_EVENT_SECONDS, random_scenario
 from ashlift.simulation.scenario import Scenario, ScenarioEvent
@@ -32,6 +33,9 @@
 LATE_AFTER_CALM_SECONDS: Final = (4.0, 7.5)  # when late heartbeats arrive: proxies are in contact again
 KILL_AFTER_LEAVE_SECONDS: Final = (0.0, 1.2)
 SIGNAL_SERIES: Final = 2  # each to one proxy
+PROXY_STARTS_WITH_RELOAD: Final = 3
+CORE_STARTS_WITH_RELOAD: Final = 1  # of each program
+START_SECONDS: Final = (0.0, 0.6)  # after its restart, a program may still be starting
 DEFAULT_FAULT_SECONDS: Final = 4.0  # assumed for a fault without a duration
 FAULT_WORDS: Final = frozenset(
     {"kill", "freeze", "term", "power", "wipe", "cut", "oneway", "sick", "break", "crash"}
@@ -53,6 +57,7 @@
         *_lost_answers(rng, plan, calm_at),
         *_leaving_workers(rng, plan, calm_at),
         *_signal_series(rng, plan, calm_at),
+        *_reloads_at_starts(rng, plan, calm_at),
     ]
     events = [event for event in drawn.events if _is_supported(plan, event)]
     ordered = sorted([*events, *added], key=lambda event: event.at)
@@ -153,3 +158,17 @@
         yield ScenarioEvent(round(at + rng.uniform(0.3, 2.0), 2), ("term", "proxy", proxy))
         if rng.random() < 0.3:
             yield ScenarioEvent(round(at + rng.uniform(1.0, 4.0), 2), ("kill", "proxy", proxy))
+
+
+def _reloads_at_starts(rng: random.Random, plan: Plan, calm_at: float) -> Iterator[ScenarioEvent]:
+    """Yield kills of programs of all kinds, and SIGHUP to every program while they start again."""
+    core = [f"core-{number + 1}" for number in range(plan.core)]
+    edge = [f"edge-{number + 1}" for number in range(plan.edge)]
+    starts = [("proxy", name) for name in rng.sample(edge, min(PROXY_STARTS_WITH_RELOAD, len(edge)))]
+    for kind in ("registry", "configstore"):
+        starts += [(kind, name) for name in rng.sample(core, CORE_STARTS_WITH_RELOAD)]
+    for kind, machine in starts:
+        killed_at = rng.uniform(FIRST_EVENT_SECONDS, calm_at - RESTART_SECONDS - START_SECONDS[1])
+        reloaded_at = killed_at + RESTART_SECONDS + rng.uniform(*START_SECONDS)
+        yield ScenarioEvent(round(killed_at, 2), ("kill", kind, machine))
+        yield ScenarioEvent(round(reloaded_at, 2), ("seeds", *rng.sample(core, 3)))
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -80,13 +80,27 @@
     assert accepted_verdict(history, 6.0).ok
 
 
-@test("soak scenarios terminate every kind of program, and reload settings seven times")
+@test("soak scenarios terminate every kind of program, and reload settings twelve times")
 def _() -> None:
     words = [event.words for seed in SEEDS for event in soak_scenario(seed, 9, SECONDS).events]
     ended = {kind for word, kind, *_ in (each for each in words if len(each) > 1) if word == "term"}
     assert ended == {"proxy", "registry", "configstore"}
     reloads = [word for word, *_ in words if word == "seeds"]
-    assert len(reloads) == 7 * len(SEEDS)
+    assert len(reloads) == 12 * len(SEEDS)
+
+
+@test("in soak scenarios each kind of program is signalled to reload while it starts again after a kill")
+def _() -> None:
+    for seed in SEEDS:
+        events = soak_scenario(seed, 9, SECONDS).events
+        reloads = [event.at for event in events if event.words[0] == "seeds"]
+        signalled = [
+            event.words[1]
+            for event in events
+            if event.words[0] == "kill" and any(event.at + 0.49 <= at <= event.at + 1.11 for at in reloads)
+        ]
+        assert {"registry", "configstore"} <= set(signalled)
+        assert signalled.count("proxy") >= 3
 
 
 @test("in soak scenarios workers leave by DELETE, registries are killed, late heartbeats come in calm time")
