--- a/tests/programs/test_signals.py
+++ b/tests/programs/test_signals.py
@@ -12,9 +12,15 @@
 STEPS = 10
 
 
-def wait_for_early_handlers(program: StartedProgram) -> None:
-    """Wait until the program has handlers for all three signals."""
-    assert wait_for(lambda: program.exit_status() is not None or all(map(program.catches, SIGNALS)))
+def wait_for_first_instruction(program: StartedProgram) -> None:
+    """Wait until the program has handlers for all three signals, or has begun to load its libraries."""
+    assert wait_for(
+        lambda: (
+            program.exit_status() is not None
+            or all(map(program.catches, SIGNALS))
+            or program.has_loaded("greenlet")
+        )
+    )
     assert program.exit_status() is None, program.log
 
 
@@ -23,7 +29,7 @@
 def _(kind: str = each(*KINDS)) -> None:
     with started_programs() as new_program:
         program = new_program(kind).start()
-        wait_for_early_handlers(program)
+        wait_for_first_instruction(program)
         assert not program.has_loaded("gevent")
 
 
@@ -32,7 +38,7 @@
 def _(kind: str = each(*KINDS)) -> None:
     with started_programs() as new_program:
         program = new_program(kind).start()
-        wait_for_early_handlers(program)
+        wait_for_first_instruction(program)
         program.send(signal.SIGHUP)
         program.wait_until_listening()
         assert program.terminate() == 0, program.log
@@ -44,7 +50,7 @@
 def _(kind: str = each(*KINDS), milliseconds: int = each(*[30] * len(KINDS))) -> None:
     with started_programs() as new_program:
         program = new_program(kind).start()
-        wait_for_early_handlers(program)
+        wait_for_first_instruction(program)
         while not program.listens():
             program.send(signal.SIGHUP)
             time.sleep(milliseconds / 1000)
@@ -57,14 +63,12 @@
 @test("{number} during the start of the {kind} ends it with status 0, at whatever moment")
 def _(kind: str = each(*KINDS * 2), number: int = each(*[signal.SIGTERM] * 3, *[signal.SIGINT] * 3)) -> None:
     with started_programs() as new_program:
-        programs = [new_program(kind).start() for _ in range(1)]
         for step in range(STEPS):
-            program = programs[-1]
-            wait_for_early_handlers(program)
+            program = new_program(kind).start()
+            wait_for_first_instruction(program)
             time.sleep(step * STEP_SECONDS)
             program.send(signal.Signals(number))
             assert program.wait() == 0, f"{step}: {program.log}"
-            programs.append(new_program(kind).start())
 
 
 # Guards against a signal that ends a process which is ending in good order (issue 76).
