--- a/tests/lab/test_memory_watch.py
+++ b/tests/lab/test_memory_watch.py
@@ -1,11 +1,13 @@
 """The verdict on the memory of the programs of a run."""
 
 import os
+import socket
 
 from ward import test
 
 from ashlift.lab.system.machine_settings import MEMORY_MB
-from ashlift.lab.system.memory_watch import BYTES_PER_MB, MemoryWatch, resident_bytes
+from ashlift.lab.system.memory_watch import BYTES_PER_MB, MemoryWatch
+from ashlift.lab.system.process_memory import read_process_memory, resident_bytes
 
 
 @test("the resident memory of a process is read, and is 0 once it has ended")
@@ -14,6 +16,21 @@
     assert resident_bytes(2**22 + 1) == 0
 
 
+@test("bytes that have arrived and are unread count, also before their connection is accepted")
+def _() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        before = read_process_memory({"own": os.getpid()})["own"].unread_bytes
+        with socket.create_connection(listener.getsockname()) as client:
+            client.sendall(bytes(5000))
+            assert read_process_memory({"own": os.getpid()})["own"].unread_bytes - before == 5000
+            accepted, _address = listener.accept()
+            with accepted:
+                assert read_process_memory({"own": os.getpid()})["own"].unread_bytes - before == 5000
+                accepted.recv(2000)
+                assert read_process_memory({"own": os.getpid()})["own"].unread_bytes - before == 3000
+    assert read_process_memory({"ended": 2**22 + 1})["ended"].counted_bytes == 0
+
+
 @test("a program over its memory fails the verdict, and is named")
 def _() -> None:
     watch = MemoryWatch(dict)
--- a/tests/support/started_program.py
+++ b/tests/support/started_program.py
@@ -69,6 +69,17 @@
         self.settings_path.write_text(self.settings_text)
         self.process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def name(self) -> str:
+        """Kind and machine."""
+        return f"{self.kind}@{self.machine.name}"
+
+    @property
+    def pid(self) -> int:
+        """Of the running process."""
+        assert self.process is not None
+        return self.process.pid
+
     @property
     def address(self) -> tuple[str, int]:
         """What it listens on: for clients, for workers, or for other stores."""
