Every listener and process has a sum that it can't pass, whatever clients send

Callers saw: a proxy or registry over its memory (unread up to 415 MB of 100), a registry ended for want of descriptors, a store at 768 MB, no answers. Cause: nothing bounded what the kernel holds of unread input; connections were taken up to the descriptors; thousands of tiny headers and pipelined requests took some 30 times their bytes; responses were read 64 KiB at a time before the pool was asked; incomplete RPC frames were not summed; any byte renewed a time-out.

--- a/ashlift/configstore/server.py
+++ b/ashlift/configstore/server.py
@@ -29,6 +29,7 @@
 from ashlift.response_status import SERVICE_UNAVAILABLE
 from ashlift.rpc.client import ClientPool
 from ashlift.rpc.concurrency_limit import ConcurrencyLimit
+from ashlift.rpc.connection_limit import affordable_connections
 from ashlift.rpc.server import serve
 from ashlift.rpc.sockets import Listener
 
@@ -38,6 +39,7 @@
 # Time for calls in progress to finish after the leadership transfer; registries retry at another store when
 # the connection closes.
 SHUTDOWN_SECONDS: Final = 1.0
+RPC_CONNECTIONS_FRACTION: Final = 0.5  # of all connections: accepted ones
 _RANDOM_SEED_BYTES: Final = 16
 
 
@@ -76,7 +78,10 @@
             requests.PENDING_EDITS: self._handle_pending_edits,
         }
         limit = ConcurrencyLimit({requests.SUBMIT})
-        self.rpc_server = serve(listener, handlers, limit)
+        machine_limits = settings.machine_limits
+        connections = affordable_connections(machine_limits.file_descriptors, machine_limits.memory_mb)
+        max_connections = int(RPC_CONNECTIONS_FRACTION * connections)
+        self.rpc_server = serve(listener, handlers, limit, max_connections)
 
     def run(self) -> None:
         """Serve until the replica has handed over its role after `shut_down`."""
--- a/ashlift/memory/requests.py
+++ b/ashlift/memory/requests.py
@@ -114,6 +114,10 @@
         assert self._wanted_share is not None
         self._wanted_pool.stop_waiting(self._wanted_share)
 
+    def held_bytes(self, pool: MemoryPool) -> int:
+        """What the request holds of a pool."""
+        return self._share.held_bytes if self._share is not None and self._pool is pool else 0
+
     def request_complete(self, received_bytes: int) -> None:
         """The request has been received completely."""
         if self._share is not None:
--- a/ashlift/metrics_server.py
+++ b/ashlift/metrics_server.py
@@ -16,7 +16,8 @@
 from ashlift.events import METRICS_UNAVAILABLE, WARNING, log_event
 from ashlift.metrics import CONTENT_TYPE, MetricsRegistry
 from ashlift.rpc.addresses import MAX_PORT, Address
-from ashlift.rpc.sockets import send_all
+from ashlift.rpc.connection_limit import ClosableSocket, ConnectionLimit
+from ashlift.rpc.sockets import listen, send_all
 
 METRICS_OPTION: Final = "--metrics-port"
 METRICS_PATH: Final = "/metrics"
@@ -24,6 +25,7 @@
 MAX_REQUEST_BYTES: Final = 8192
 RECEIVE_BYTES: Final = 4096
 LISTEN_BACKLOG: Final = 8
+MAX_CONNECTIONS: Final = 8
 END_OF_HEAD: Final = b"\r\n\r\n"
 
 
@@ -40,16 +42,21 @@
 def serve_metrics(address: Address, metrics: MetricsRegistry) -> StreamServer | None:
     """Start the endpoint; return None if the address cannot be bound."""
 
+    limit = ConnectionLimit(MAX_CONNECTIONS)
+
     def handle_connection(sock: socket.socket, _: Address) -> None:
+        connection = ClosableSocket(sock)
+        limit.admit(connection)
         with (
             contextlib.closing(sock),
             contextlib.suppress(OSError, gevent.Timeout),
             gevent.Timeout(REQUEST_TIMEOUT_SECONDS),
         ):
             send_all(sock, _response(_read_target(sock), metrics))
+        limit.remove(connection)
 
-    server = StreamServer(address, handle_connection, backlog=LISTEN_BACKLOG)
     try:
+        server = StreamServer(listen(address, LISTEN_BACKLOG), handle_connection)
         server.start()
     except OSError as error:
         log_event(METRICS_UNAVAILABLE, level=WARNING, error=error)
--- a/ashlift/proxy/readiness.py
+++ b/ashlift/proxy/readiness.py
@@ -12,21 +12,28 @@
 from ashlift.proxy.request_reader import ClientRequest, RequestReader
 from ashlift.proxy.responses import ClientResponse, render
 from ashlift.rpc.addresses import Address
+from ashlift.rpc.connection_limit import ClosableSocket, ConnectionLimit
 
 READINESS_PATH: Final = b"/readiness"
 REQUEST_TIMEOUT_SECONDS: Final = 5.0
 LISTEN_BACKLOG: Final = 64
+MAX_CONNECTIONS: Final = 24
 RECEIVE_BYTES: Final = 4096
 
 
 def serve_readiness(listener: socket.socket, is_ready: Callable[[], bool]) -> StreamServer:
     """Start the server on a listening socket."""
 
+    limit = ConnectionLimit(MAX_CONNECTIONS)
+
     def serve(sock: socket.socket, _: Address) -> None:
+        connection = ClosableSocket(sock)
+        limit.admit(connection)
         try:
             with contextlib.suppress(OSError, gevent.Timeout), gevent.Timeout(REQUEST_TIMEOUT_SECONDS):
                 _respond(sock, is_ready)
         finally:
+            limit.remove(connection)
             sock.close()
 
     server = StreamServer(listener, serve)
--- a/ashlift/proxy/request_handler.py
+++ b/ashlift/proxy/request_handler.py
@@ -49,7 +49,7 @@
     def __init__(self, router: RequestRouter) -> None:
         self.router = router
         self.memory = ProxyMemory(router.settings.machine_limits)
-        self.connection_pool = ConnectionPool(self.memory.responses)
+        self.connection_pool = ConnectionPool(self.memory.responses, self.memory.max_worker_connections)
         self.in_flight = 0
         self.request_counters = RequestCounters()
         self.responses: dict[str, int] = {}  # counts by rejection reason, or by status if relayed
--- a/ashlift/proxy/request_reader.py
+++ b/ashlift/proxy/request_reader.py
@@ -7,6 +7,7 @@
 
 from ashlift.config.object_schema import ClientLimits
 from ashlift.proxy.body_buffer import BodyBuffer
+from ashlift.proxy.header_list import HeaderList
 
 CONNECTION_HEADER: Final = b"connection"
 HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -23,6 +24,7 @@
     )
 )
 HEADER_LINE_EXTRA_BYTES: Final = 4  # colon, space and line end
+END_OF_HEAD: Final = b"\r\n\r\n"  # and of a body in chunks
 BAD_REQUEST_STATUS: Final = 400
 CONTENT_TOO_LARGE_STATUS: Final = 413
 HEADERS_TOO_LARGE_STATUS: Final = 431
@@ -51,7 +53,7 @@
 
     method: bytes = b""
     target: bytes = b""
-    headers: Headers = field(default_factory=list)
+    headers: HeaderList = field(default_factory=HeaderList)
     body: BodyBuffer = field(default_factory=BodyBuffer)
     content_length: int | None = None
     head_bytes: int = 0
@@ -103,12 +105,41 @@
         self.current: ClientRequest | None = None
         self.complete: list[ClientRequest] = []
         self.unparsed_bytes = 0
+        self._unparsed_input = b""
         self._parser = httptools.HttpRequestParser(self)
 
+    @property
+    def has_pipelined(self) -> bool:
+        """Whether bytes behind the last complete request have been received."""
+        return bool(self.complete or self._unparsed_input)
+
     def feed(self, data: bytes) -> None:
-        """Parse more bytes. After an error all further bytes are ignored."""
-        if self.error_status:
-            return
+        """Parse more bytes, up to the end of a request. After an error all further bytes are ignored."""
+        self._unparsed_input += data
+        self.parse_next()
+
+    def parse_next(self) -> None:
+        """Parse what has been received, up to the end of the next request.
+
+        The rest stays as it is: many short requests take far more memory once they are parsed.
+        """
+        data = self._unparsed_input
+        start = 0
+        while start < len(data) and not self.complete and not self.error_status:
+            end = self._end_of_part(data, start)
+            self._parse(data[start:end])
+            start = end
+        self._unparsed_input = data[start:]
+
+    def _end_of_part(self, data: bytes, start: int) -> int:
+        """Where to stop parsing, so that a part holds the end of one request at most."""
+        request = self.current
+        if request is not None and request.head_complete and request.content_length is not None:
+            return min(len(data), start + request.content_length - request.body_bytes)
+        end = data.find(END_OF_HEAD, start)
+        return len(data) if end < 0 else end + len(END_OF_HEAD)
+
+    def _parse(self, data: bytes) -> None:
         request = self.current
         received_bytes = request.received_bytes if request is not None else 0
         try:
@@ -154,7 +185,7 @@
         """A header has been received; trailers are counted and ignored."""
         request = self._add_head_bytes(len(name) + len(value) + HEADER_LINE_EXTRA_BYTES)
         if not request.head_complete:
-            request.headers.append((name, value.strip()))
+            request.headers.append(name, value.strip())
 
     def on_headers_complete(self) -> None:
         """The head has been received."""
--- a/ashlift/proxy/request_receiver.py
+++ b/ashlift/proxy/request_receiver.py
@@ -27,6 +27,7 @@
 )
 from ashlift.proxy.responses import ClientResponse, rejection_response
 from ashlift.rpc.sockets import has_unread_input, peer_has_closed
+from ashlift.rpc.transfer_deadline import TransferDeadline
 
 BODY_TIMEOUT_SECONDS: Final = 10.0  # between two parts of a body
 MIN_TIMEOUT_SECONDS: Final = 0.001
@@ -39,7 +40,8 @@
 class RequestReceiver:
     """The receiving side of a client connection.
 
-    `memory` holds the last request returned by `receive` until it is released.
+    `memory` holds the last request returned by `receive` until it is released. `last_progress_at`: monotonic
+    time of the last bytes.
     """
 
     def __init__(self, sock: socket.socket, pools: RequestPools, write: Callable[[bytes], None]) -> None:
@@ -52,6 +54,8 @@
         self._client_deadline = 0.0  # of the request whose body is being received; 0: not known yet
         self._is_stopped = False
         self._wake = Event()
+        self.last_progress_at = time.monotonic()
+        self.is_waiting_for_memory = False
 
     def stop(self) -> None:
         """Wait no longer for memory: the request has been refused."""
@@ -71,8 +75,11 @@
         """
         reader = self.reader
         reader.limits = self._limits = limits
-        if reader.complete and peer_has_closed(self._sock):
+        if reader.has_pipelined and peer_has_closed(self._sock):
             return None  # the client no longer waits for its pipelined requests
+        if reader.has_pipelined:
+            gevent.sleep(0)  # others have their turn before the next request of this client
+        reader.parse_next()
         self._waiting_since = time.monotonic()
         self._client_deadline = 0.0
         continue_sent = False
@@ -88,6 +95,7 @@
             data = self._receive_part(reserved)
             if not isinstance(data, bytes):
                 return data
+            self.last_progress_at = time.monotonic()
             if reader.current is None:
                 self._waiting_since = time.monotonic()
             reader.feed(data)
@@ -148,7 +156,11 @@
         now = time.monotonic()
         client_waits = (self._client_deadline or now + MAX_REMAINING_SECONDS) - now
         seconds = min(MEMORY_WAIT_FRACTION * client_waits, MAX_MEMORY_WAIT_SECONDS)
-        reserved = wait_for_memory(self.memory, size, seconds, self._is_abandoned, self._wake)
+        self.is_waiting_for_memory = True
+        try:
+            reserved = wait_for_memory(self.memory, size, seconds, self._is_abandoned, self._wake)
+        finally:
+            self.is_waiting_for_memory = False
         if reserved:
             return reserved
         return None if self._is_abandoned() else rejection_response(NO_MEMORY)
@@ -163,7 +175,8 @@
         now = time.monotonic()
         request = self.reader.current
         if request is not None and request.head_complete:
-            timeout = min(BODY_TIMEOUT_SECONDS, self._client_deadline - now)
+            min_rate_deadline = TransferDeadline(self._waiting_since).at(request.received_bytes)
+            timeout = min(BODY_TIMEOUT_SECONDS, self._client_deadline - now, min_rate_deadline - now)
         else:
             timeout = self._limits.idle_timeout if request is None else self._limits.header_timeout
             timeout -= now - self._waiting_since
--- a/ashlift/proxy/response_stream.py
+++ b/ashlift/proxy/response_stream.py
@@ -14,6 +14,7 @@
 MAX_BUFFERED_BYTES: Final = 256 << 10  # longer responses are relayed while they are received
 MAX_PARTS: Final = 16  # held separately; each takes more memory than its bytes
 RECEIVE_BYTES: Final = 64 << 10
+FIRST_RECEIVE_BYTES: Final = 16 << 10  # of a response that may be held whole
 MIN_RECEIVE_BYTES: Final = 4 << 10  # when no memory is left
 SILENCE_TIMEOUT_SECONDS: Final = 5.0  # after the deadline, without anything from the worker
 
@@ -28,6 +29,8 @@
     def hold(self, response: WorkerResponse) -> bool:
         """Count what has been received of a response; returns whether all of it may be held."""
         if response.size <= UNCOUNTED_BYTES and len(response.parts) <= MAX_PARTS:
+            if response.done:
+                self.release()
             return True
         if response.not_run:
             response.parts = []  # only its head is used
@@ -46,6 +49,11 @@
         """The response holds so many bytes, which have already been received."""
         self._pool.take(self._share, held_bytes)
 
+    def first_receive_size(self, held_bytes: int) -> int:
+        """How many bytes to receive next of a response of which `held_bytes` are held."""
+        wanted_bytes = held_bytes + FIRST_RECEIVE_BYTES
+        return FIRST_RECEIVE_BYTES if self._pool.try_grow(self._share, wanted_bytes) else MIN_RECEIVE_BYTES
+
     def receive_size(self) -> int:
         """How many bytes to receive next of a response that is relayed."""
         return RECEIVE_BYTES if self._pool.try_grow(self._share, RECEIVE_BYTES) else MIN_RECEIVE_BYTES
--- a/ashlift/proxy/upstream.py
+++ b/ashlift/proxy/upstream.py
@@ -16,14 +16,15 @@
 from ashlift.proxy.attempts import AttemptOutcome, AttemptResult
 from ashlift.proxy.body_buffer import BodyBuffer
 from ashlift.proxy.idle_timeout_estimator import IdleTimeoutEstimator
-from ashlift.proxy.response_stream import RECEIVE_BYTES, ResponseMemory, ResponseStream
+from ashlift.proxy.response_stream import ResponseMemory, ResponseStream
 from ashlift.proxy.responses import ATTEMPT_ID_HEADER, KEEP_ALIVE_HEADER, WorkerResponse
 from ashlift.rpc.addresses import Address
-from ashlift.rpc.sockets import has_unread_input
+from ashlift.rpc.sockets import RECEIVE_BUFFER_BYTES, has_unread_input, limit_receive_buffer
 
 MAX_IDLE_SECONDS: Final = 4.0
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0  # subtracted from the timeout in the worker's `Keep-Alive` header
 MAX_IDLE_PER_WORKER: Final = 16
+DEFAULT_MAX_CONNECTIONS: Final = 1000
 # A worker may respond to a request of this size or more before it has read all of it.
 MIN_EARLY_RESPONSE_REQUEST_BYTES: Final = 16 << 10
 
@@ -82,8 +83,11 @@
     `memory`: for the responses.
     """
 
-    def __init__(self, memory: MemoryPool) -> None:
+    def __init__(self, memory: MemoryPool, max_connections: int = DEFAULT_MAX_CONNECTIONS) -> None:
+        """`max_connections`: to all workers together."""
         self._memory = memory
+        self._max_connections = max_connections
+        self._total_count = 0
         self._idle: dict[str, deque[WorkerConnection]] = {}
         self._open_count: dict[str, int] = {}
         self._idle_timeout_estimator = IdleTimeoutEstimator()
@@ -169,7 +173,7 @@
         while True:
             response = WorkerResponse()
             while not response.done:
-                data = connection.sock.recv(RECEIVE_BYTES)
+                data = connection.sock.recv(memory.first_receive_size(response.size))
                 if not data:
                     return None
                 response.feed(data)
@@ -223,6 +227,8 @@
             return connection
         if self._open_count.get(request.worker_id, 0) >= request.max_connections:
             return None
+        if self._total_count >= self._max_connections and not self._close_longest_idle():
+            return None
         return self._connect(
             request.worker_id, request.address, min(request.connect_timeout, request.time_left)
         )
@@ -248,6 +254,8 @@
     def _connect(self, worker_id: str, address: Address, timeout: float) -> WorkerConnection:
         """Open a connection. Raises OSError if it fails or takes longer than `timeout` seconds."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        limit_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
+        self._total_count += 1
         self._open_count[worker_id] = self._open_count.get(worker_id, 0) + 1
         connection = WorkerConnection(sock, address)
         try:
@@ -273,12 +281,26 @@
 
     def _close(self, worker_id: str, connection: WorkerConnection) -> None:
         connection.sock.close()
+        self._total_count -= 1
         open_count = self._open_count.get(worker_id, 1) - 1
         if open_count:
             self._open_count[worker_id] = open_count
         else:
             self._open_count.pop(worker_id, None)
 
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that has been idle for longest, of all workers; False if there is none."""
+        idle = [
+            (connections[0].idle_since, worker_id)
+            for worker_id, connections in self._idle.items()
+            if connections
+        ]
+        if not idle:
+            return False
+        _, worker_id = min(idle)
+        self._close(worker_id, self._idle[worker_id].popleft())
+        return True
+
     def close_expired(self, worker_ids: set[str]) -> None:
         """Close connections that have been idle for too long, or whose worker is not in `worker_ids`."""
         now = time.monotonic()
--- a/ashlift/registry/api/connection.py
+++ b/ashlift/registry/api/connection.py
@@ -13,6 +13,7 @@
 from ashlift.registry.api.messages import NO_MEMORY, HttpRequest, HttpResponse, error_response
 from ashlift.registry.api.request_memory import MIN_COUNTED_RESPONSE_BYTES, ApiMemory
 from ashlift.registry.api.request_parser import RequestParser
+from ashlift.rpc.connection_limit import ConnectionLimit
 from ashlift.rpc.sockets import (
     close_after_last_response,
     configure_socket,
@@ -34,6 +35,7 @@
 
     is_shutting_down: bool
     memory: ApiMemory
+    connection_limit: ConnectionLimit
 
     def respond(self, request: HttpRequest) -> HttpResponse:
         """The response to a request; may block."""
@@ -69,6 +71,11 @@
             self._memory.release()
             self._sock.close()
 
+    def evict(self) -> None:
+        """Close the connection at once, to make room for another."""
+        self._memory.release()
+        self._sock.close()
+
     def close_if_idle(self, now: float) -> None:
         """Close the connection if no request is being received or processed; `now`: monotonic time."""
         if self._is_responding or self._is_closing or self._parser.is_receiving:
@@ -87,12 +94,16 @@
         while data := self._receive():
             if not parser.is_receiving:
                 self._request_began_at = time.monotonic()
-            parser.feed(data)
+            parser.add(data)
             del data  # it would be held while the request waits for memory
-            last_response_at = self._respond_to_requests(not_written_before)
-            if last_response_at is None:
-                return
-            not_written_before = max(not_written_before, last_response_at)
+            responded_at = 0.0
+            while parser.parse_next():
+                last_response_at = self._respond_to_requests(not_written_before)
+                if last_response_at is None:
+                    return
+                responded_at = max(responded_at, last_response_at)
+                gevent.sleep(0)  # others have their turn before the next request of this client
+            not_written_before = max(not_written_before, responded_at)
             if parser.error:
                 self._send_last_response(parser.error.encode(close=True))
                 return
@@ -148,9 +159,11 @@
         while requests:
             request, keep_alive = requests.pop(0)
             self._is_responding = True
+            self._server.connection_limit.set_busy(self)
             self._memory.request_complete(len(request.body))
             response = self._respond(request._replace(not_written_before=not_written_before))
             self._memory.release()
+            self._server.connection_limit.set_waiting(self)
             keep_alive = keep_alive and not self._closes_after_next_response()
             responded_at = time.monotonic()
             data = response.encode(close=not keep_alive)
@@ -197,7 +210,7 @@
         if not self._server.is_shutting_down:
             return False
         parser = self._parser
-        return not (parser.requests or parser.is_receiving or has_unread_input(self._sock))
+        return not (parser.has_input or parser.is_receiving or has_unread_input(self._sock))
 
     def _send_last_response(self, response: bytes) -> None:
         """Send a response and close, after reading remaining input that would cause a connection reset."""
--- a/ashlift/registry/api/request_parser.py
+++ b/ashlift/registry/api/request_parser.py
@@ -11,6 +11,7 @@
 
 MAX_HEAD_BYTES: Final = 32 << 10  # request target and headers
 MAX_UNPARSED_BYTES: Final = 128 << 10  # of an incomplete header or trailer
+END_OF_HEAD: Final = b"\r\n\r\n"
 HEADER_OVERHEAD_BYTES: Final = 4  # `: ` and CRLF
 
 
@@ -30,12 +31,35 @@
         self.expects_continue = False
         self.unparsed_bytes = 0
         self._head_bytes = 0
+        self._input = b""
         self._body = bytearray()
         self._content_length: int | None = None
         self._max_body_bytes = 0
         self._max_body_bytes_of = max_body_bytes
         self._parser = httptools.HttpRequestParser(self)
 
+    @property
+    def has_input(self) -> bool:
+        """Whether there are complete requests, or bytes that have not been parsed."""
+        return bool(self.requests or self._input)
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes, to be parsed by `parse_next`."""
+        self._input += data
+
+    def parse_next(self) -> bool:
+        """Parse up to the end of a head or body; returns whether there was anything to parse.
+
+        The rest stays as it is: many short requests take far more memory once they are parsed.
+        """
+        if not self._input or self.error:
+            return False
+        end = self._input.find(END_OF_HEAD)
+        end = len(self._input) if end < 0 else end + len(END_OF_HEAD)
+        part, self._input = self._input[:end], self._input[end:]
+        self.feed(part)
+        return True
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
         parsed_bytes = self._parsed_bytes
--- a/ashlift/registry/api/server.py
+++ b/ashlift/registry/api/server.py
@@ -31,6 +31,7 @@
         Raises OSError if an address cannot be bound.
         """
         self.memory = memory or ApiMemory(MachineLimits())
+        self.connection_limit = self.memory.connection_limit
         self._resources = resources
         self._connections: set[ApiConnection] = set()
         self.is_shutting_down = False
@@ -85,8 +86,12 @@
 
     def _serve_connection(self, sock: socket.socket, _: Address) -> None:
         connection = ApiConnection(sock, self)
+        if not self.connection_limit.admit(connection):
+            sock.close()
+            return
         self._connections.add(connection)
         try:
             connection.run()
         finally:
             self._connections.discard(connection)
+            self.connection_limit.remove(connection)
--- a/ashlift/registry/program.py
+++ b/ashlift/registry/program.py
@@ -85,8 +85,13 @@
         if isinstance(listeners, Failure):
             return self._not_listening(listeners)
         rpc_listener, *http_listeners = listeners
-        rpc_server = serve(rpc_listener, RegistryRpcService(self._registry, self._notifier).handlers)
-        self._start_http_servers(http_listeners)
+        memory = ApiMemory(self._settings.machine_limits)
+        rpc_server = serve(
+            rpc_listener,
+            RegistryRpcService(self._registry, self._notifier).handlers,
+            max_connections=memory.max_rpc_connections,
+        )
+        self._start_http_servers(http_listeners, memory)
         self._loops.start()
         if self._metrics_port is not None:
             serve_metrics((self._settings.ip, self._metrics_port), registry_metrics(self._registry))
@@ -120,8 +125,7 @@
         log_event(SETTINGS_INVALID, level=ERROR, error=failure.detail)
         return exit_status.CANNOT_LISTEN
 
-    def _start_http_servers(self, listeners: list[socket.socket]) -> None:
-        memory = ApiMemory(self._settings.machine_limits)
+    def _start_http_servers(self, listeners: list[socket.socket], memory: ApiMemory) -> None:
         self._http_servers = [HttpServer(listener, self._resources, memory) for listener in listeners]
         for http_server in self._http_servers:
             http_server.start()
--- a/ashlift/rpc/framing.py
+++ b/ashlift/rpc/framing.py
@@ -44,6 +44,11 @@
         self._crc_seed = crc_seed
         self._buffer = bytearray()
 
+    @property
+    def partial_bytes(self) -> int:
+        """How much of an incomplete frame has been received."""
+        return len(self._buffer)
+
     @property
     def has_partial_frame(self) -> bool:
         """Whether the beginning of an incomplete frame has been received."""
--- a/ashlift/rpc/server.py
+++ b/ashlift/rpc/server.py
@@ -12,20 +12,25 @@
 from ashlift.errors import Failure, FailureReason
 from ashlift.rpc.addresses import Address
 from ashlift.rpc.concurrency_limit import ConcurrencyLimit, LimitSlot
+from ashlift.rpc.connection_limit import ConnectionLimit
 from ashlift.rpc.framing import REQUEST_CRC_SEED, FrameDecoder, decode_payload
 from ashlift.rpc.messages import Request, decode_request, encode_response, refused_request
+from ashlift.rpc.partial_frames import PartialFrames
 from ashlift.rpc.sockets import (
     RECEIVE_BYTES,
     Listener,
     as_listening_socket,
     configure_socket,
     has_unread_input,
+    limit_receive_buffer,
     send_all,
     stop_listening,
 )
 
 Handler = Callable[[Any], Any]  # takes a request's body; returns the response's body or a Failure
 ACCEPT_BACKLOG: Final = 256  # connections
+DEFAULT_MAX_CONNECTIONS: Final = 1000
+RECEIVE_BUFFER_BYTES: Final = 64 << 10  # larger than for clients: frames cross regions
 # How long a new connection may wait for its first request at shutdown.
 FIRST_REQUEST_GRACE_SECONDS: Final = 0.2
 SHUTDOWN_POLL_SECONDS: Final = 0.01
@@ -35,9 +40,17 @@
     """Serves one listener. `handlers`: by method. `limit`: of concurrent large requests."""
 
     def __init__(
-        self, listener: Listener, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
+        self,
+        listener: Listener,
+        handlers: Mapping[str, Handler],
+        limit: ConcurrencyLimit | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
-        super().__init__(as_listening_socket(listener, ACCEPT_BACKLOG), self._serve_connection)
+        listening_socket = as_listening_socket(listener, ACCEPT_BACKLOG)
+        limit_receive_buffer(listening_socket, RECEIVE_BUFFER_BYTES)
+        super().__init__(listening_socket, self._serve_connection)
+        self._connection_limit = ConnectionLimit(max_connections)
+        self._partial_frames = PartialFrames()
         self._handlers = handlers
         self._limit = limit or ConcurrencyLimit()
         self._connections: set[_ServerConnection] = set()
@@ -64,22 +77,33 @@
                 return
 
     def _serve_connection(self, sock: socket.socket, _: Address) -> None:
-        connection = _ServerConnection(sock, self._handlers, lambda: self.is_shutting_down, self._limit)
+        connection = _ServerConnection(
+            sock, self._handlers, lambda: self.is_shutting_down, self._limit, self._partial_frames
+        )
+        if not self._connection_limit.admit(connection):
+            sock.close()
+            return
+        connection.on_progress = self._connection_limit.set_waiting
         self._connections.add(connection)
         try:
             connection.run()
         finally:
             self._connections.discard(connection)
+            self._connection_limit.remove(connection)
+            self._partial_frames.remove(connection)
 
 
 def serve(
-    listener: Listener, handlers: Mapping[str, Handler], limit: ConcurrencyLimit | None = None
+    listener: Listener,
+    handlers: Mapping[str, Handler],
+    limit: ConcurrencyLimit | None = None,
+    max_connections: int = DEFAULT_MAX_CONNECTIONS,
 ) -> RpcServer:
     """Start a server that runs `handlers[method](body)` in a greenlet for each request.
 
     A handler returns a body or a Failure. Raises OSError if an address cannot be bound.
     """
-    server = RpcServer(listener, handlers, limit)
+    server = RpcServer(listener, handlers, limit, max_connections)
     server.start()
     return server
 
@@ -96,8 +120,11 @@
         handlers: Mapping[str, Handler],
         is_shutting_down: Callable[[], bool],
         limit: ConcurrencyLimit,
+        partial_frames: PartialFrames,
     ) -> None:
         """`is_shutting_down`: whether to close the connection once no request is in progress."""
+        self.on_progress: Callable[[_ServerConnection], None] = lambda _: None
+        self._partial_frames = partial_frames
         self.requests_in_progress = 0
         self._is_shutting_down = is_shutting_down
         self._sock = sock
@@ -114,6 +141,7 @@
             configure_socket(self._sock)
             while data := self._sock.recv(RECEIVE_BYTES):
                 self._start_requests(data)
+                self._partial_frames.update(self, self._decoder.partial_bytes)
         except (OSError, ValueError):
             pass
         finally:
@@ -128,9 +156,14 @@
             slot = self._limit.try_start(payload)
             request = refused_request(payload) if slot is None else decode_request(decode_payload(payload))
             self._check_number(request)
+            self.on_progress(self)
             self.requests_in_progress += 1
             gevent.spawn(self._respond, request, slot)
 
+    def evict(self) -> None:
+        """Close the connection. Requests in progress are still executed; their callers may retry them."""
+        self._sock.close()
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress and no part of another has arrived."""
         if self.requests_in_progress or self._decoder.has_partial_frame:
--- a/ashlift/rpc/sockets.py
+++ b/ashlift/rpc/sockets.py
@@ -19,6 +19,7 @@
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 2000  # TCP_USER_TIMEOUT: limit for data without an acknowledgement
 SEND_TIMEOUT_SECONDS: Final = UNACKNOWLEDGED_TIMEOUT_MS / 1000  # limit for a write without progress
 RECEIVE_BYTES: Final = 65536  # per read
+RECEIVE_BUFFER_BYTES: Final = 16 << 10  # of the kernel, for each accepted connection
 RESETTING_LINGER: Final = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 CLOSE_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 KEEPALIVE_OPTIONS: Final = {
@@ -31,10 +32,26 @@
 Listener = Address | socket.socket  # an address to bind, or a socket that listens already
 
 
+def limit_receive_buffer(sock: socket.socket, receive_buffer_bytes: int) -> None:
+    """Limit what the kernel holds of a connection's unread input, or of each that a listener accepts.
+
+    The kernel allows about one and a half times as much.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+
+
+def limit_send_buffer(sock: socket.socket, send_buffer_bytes: int) -> None:
+    """Limit what the kernel holds of output that a peer does not read, or of each peer of a listener."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+
+
 def listen(address: Address, backlog: int) -> socket.socket:
     """Return a socket that listens at `address`. Raises OSError if the address cannot be bound."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
+        limit_receive_buffer(listener, RECEIVE_BUFFER_BYTES)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(address)
         listener.listen(backlog)
