Crowd tests wait for their own processes' start, not for an address that others may hold

Seen: beside other tests, two clusters got the same loopback network; the later one waited for its addresses while the check looked at idle processes (5 descriptors) and the other one answered: a check that could not fail. Change: a cluster waits for event 101 of each of its programs.

--- a/tests/support/crowd_cluster.py
+++ b/tests/support/crowd_cluster.py
@@ -24,7 +24,7 @@
 from ashlift.rpc.addresses import Address
 from tests.support.large_bodies import USUAL_BODY_BYTES, USUAL_PATH, LargeBodyWorkers, Upload
 from tests.support.memory_sampler import MemorySampler, PeakMemory
-from tests.support.started_program import StartedProgram
+from tests.support.started_program import StartedProgram, wait_for
 
 BYTES_PER_MB = 1_000_000
 CORE_MACHINES = 3
@@ -33,6 +33,7 @@
 HEARTBEAT_SECONDS = 0.5
 CALL_SECONDS = 2.0
 READY_SECONDS = 60.0
+STARTED = " 101 started"  # log event
 ORDINARY_TRIES = 10
 ORDINARY_SECONDS = 6.0  # for one try
 ORDINARY_REMAINING_MS = 10_000
@@ -73,8 +74,8 @@
         for program in self.programs:
             program.start(descriptors=self.descriptors)
         for program in self.programs:
-            if program.kind != "configstore":
-                program.wait_until_listening()
+            # Not by its address, which a program of another test may hold.
+            assert wait_for(lambda program=program: STARTED in program.log), program.log  # type: ignore[misc]
         self._put_configuration()
         with gevent.Timeout(READY_SECONDS, AssertionError("the proxy does not become ready")):
             while not self._is_served():
