The lab reads unread bytes every 2 s, as reading all sockets held up its own clients

Cause: MemoryWatch read the machine's socket table every 50 ms in the lab's process, which plays clients and workers. Change: resident memory every 50 ms as before, unread bytes every 2 s.

--- a/ashlift/lab/system/memory_watch.py
+++ b/ashlift/lab/system/memory_watch.py
@@ -7,12 +7,13 @@
 
 from ashlift.lab.checker import Verdict
 from ashlift.lab.system.machine_settings import MEMORY_MB
-from ashlift.lab.system.process_memory import read_process_memory
+from ashlift.lab.system.process_memory import read_process_memory, resident_bytes
 from ashlift.lab.system.programs import Program
 
 VERDICT_NAME: Final = "MEMORY"
 BYTES_PER_MB: Final = 1_000_000
 SAMPLE_SECONDS: Final = 0.05
+SAMPLES_PER_UNREAD_SAMPLE: Final = 40
 MAX_NAMED_PROGRAMS: Final = 5
 
 
@@ -33,6 +34,12 @@
 
     def sample(self) -> None:
         """Update the peaks."""
+        for name, program in self._programs().items():
+            used_bytes = 0 if program.pid is None else resident_bytes(program.pid)
+            self.peaks[name] = max(self.peaks.get(name, 0), used_bytes)
+
+    def sample_unread(self) -> None:
+        """Update the peaks with unread bytes, which takes longer: the kernel lists all sockets."""
         pids = {name: program.pid or 0 for name, program in self._programs().items()}
         for name, memory in read_process_memory(pids).items():
             self.peaks[name] = max(self.peaks.get(name, 0), memory.counted_bytes)
@@ -52,5 +59,7 @@
 
     def _run(self) -> None:
         while True:
-            self.sample()
-            gevent.sleep(SAMPLE_SECONDS)
+            for _ in range(SAMPLES_PER_UNREAD_SAMPLE):
+                self.sample()
+                gevent.sleep(SAMPLE_SECONDS)
+            self.sample_unread()
