--- a/ashlift/proxy/metrics.py
+++ b/ashlift/proxy/metrics.py
@@ -30,6 +30,12 @@
 REQUEST_ENDS = Metric(
     "request_ends_total", "counter", "end", "Requests that were read whole, by how they ended."
 )
+QUOTA_DECISIONS = Metric(
+    "quota_decisions_total",
+    "counter",
+    "decision",
+    "Requests of tenants with a quota, by what the rate limiter decided and from which account.",
+)
 
 
 def proxy_metrics(handler: RequestHandler) -> MetricsRegistry:
@@ -43,6 +49,7 @@
     metrics.add(MEMORY_CAPACITY, lambda: {name: pool.capacity_bytes for name, pool in pools.items()})
     metrics.add(MEMORY_WAITS, lambda: {name: pool.waits for name, pool in pools.items()})
     metrics.add(REQUEST_ENDS, lambda: handler.request_counters.ends)
+    metrics.add(QUOTA_DECISIONS, lambda: handler.router.rate_limiter.decisions)
     metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
     metrics.add(LOG_LINES_LOST, lambda: {LOG_STREAM: lost_log_texts()})
     return metrics
--- a/ashlift/simulation/checkers/limit_checks.py
+++ b/ashlift/simulation/checkers/limit_checks.py
@@ -1,7 +1,7 @@
 """Rules for totals over all proxies: retry budget, rate limits, and slow start of workers."""
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from typing import Final
 
@@ -13,14 +13,20 @@
 from ashlift.simulation.history import HOST, Request
 
 WARMUP_WINDOW_SECONDS: Final = 1.0
+PROXIES_DESCRIBED: Final = 6  # of a violation, those with the most runs
 
 
 @frozen
 class Event:
-    """An arrival of a request or of a retry at a worker."""
+    """An arrival of a request or of a retry at a worker.
+
+    `is_repeated`: the request has run before. `proxy`: the one that sent it.
+    """
 
     at: float
     request: Request
+    is_repeated: bool = False
+    proxy: str = ""
 
 
 def check_retry_budget(checked: CheckedHistory) -> Iterator[Violation]:
@@ -83,9 +89,11 @@
 def check_rate_limits(checked: CheckedHistory) -> Iterator[Violation]:
     """QUOTA: the requests of a tenant that run stay within its rate limit, burst and allowed overrun."""
     runs: dict[str, list[Event]] = defaultdict(list)
+    run_before: set[int] = set()  # ids of requests
     for request, run in checked.runs():
         if run.tenant:
-            runs[run.tenant].append(Event(run.at, request))
+            runs[run.tenant].append(Event(run.at, request, request.id in run_before, run.proxy))
+        run_before.add(request.id)
     for tenant, tenant_runs in runs.items():
         violation = _rate_limit_violation(checked, tenant, tenant_runs)
         if violation is not None:
@@ -96,28 +104,37 @@
     """The first run over the limit, described with the highest count of any window."""
     bounds = checked.bounds
     window = bounds.quota_window
-    worst_count = 0
+    worst: list[Event] = []
     first: Violation | None = None
     for run, in_window in _windows(runs, window):
         rate, burst = _highest_limit(checked, tenant, run.at - window, run.at)
         allowed = (rate * window + burst) * (1 + bounds.quota_overrun) + bounds.quota_slack
         if len(in_window) <= allowed:
             continue
-        count = _sent_since(in_window, run.at - window)
-        if count > allowed:
-            worst_count = max(worst_count, count)
+        counted = [event for event in in_window if event.request.sent > run.at - window]
+        if len(counted) > allowed:
+            worst = max(worst, counted, key=len)
             description = (
                 f"{tenant} within {window:g} s, limit {allowed:g}, "
                 f"the first over the limit {run.request.describe()}"
             )
             first = first or Violation("QUOTA", run.at, description)
-    return (
-        None
-        if first is None
-        else evolve(first, description=f"up to {worst_count} runs of {first.description}")
+    if first is None:
+        return None
+    return evolve(
+        first, description=f"up to {len(worst)} runs of {first.description}; {_runs_by_cause(worst)}"
     )
 
 
+def _runs_by_cause(runs: list[Event]) -> str:
+    """The runs of a window by first and repeated ones, and the proxies that sent most of them."""
+    repeated = sum(run.is_repeated for run in runs)
+    by_proxy = Counter(run.proxy for run in runs).most_common(PROXIES_DESCRIBED)
+    proxies = ", ".join(f"{proxy} {count}" for proxy, count in by_proxy)
+    span = f"from {runs[0].at:.3f} to {runs[-1].at:.3f}"
+    return f"{len(runs) - repeated} first runs, {repeated} repeated, {span}, by {proxies}"
+
+
 def _sent_since(events: list[Event], start: float) -> int:
     """Count the events whose request was sent after `start`; earlier requests may have been delayed."""
     return sum(event.request.sent > start for event in events)
--- a/ashlift/traffic/rate_limiter.py
+++ b/ashlift/traffic/rate_limiter.py
@@ -14,7 +14,9 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Collection, Container, Mapping
+from enum import StrEnum
 from typing import Final
 
 from ashlift.traffic import suppression
@@ -36,6 +38,15 @@
 RETRY_AFTER_SPREAD: Final = 0.5
 
 
+class QuotaDecision(StrEnum):
+    """What was decided about a unit of quota, and from which account: the totals or a lease."""
+
+    ADMITTED_BY_TOTALS = "admitted_by_totals"
+    ADMITTED_BY_LEASE = "admitted_by_lease"
+    DECLINED = "declined"
+    REFUNDED = "refunded"
+
+
 class RateLimiter:
     """Limits of all tenants at one proxy, named `node`. It starts isolated, without a lease."""
 
@@ -47,6 +58,7 @@
         self._totals = UsageTotals(bounds)
         self._sharing = QuotaSharing(rng, bounds, self._totals)
         self._latest_time = -math.inf  # of the calls
+        self.decisions: Counter[str] = Counter({decision.value: 0 for decision in QuotaDecision})
 
     # ---- configuration
 
@@ -125,6 +137,7 @@
             self._sharing.has_isolated_room(now, tenant) if isolated else self._sharing.has_room(now, tenant)
         )
         tenant.window.record_local(now, 1.0, float(admitted))
+        self._count_decision(admitted, isolated)
         if without_totals or not isolated:  # else it is reported after isolation
             tenant.count_request(admitted)
         return None if admitted else self._retry_after(observed)
@@ -134,6 +147,15 @@
         tenant = self._tenants.get(tenant_name)
         if tenant is not None:
             tenant.refund(now)
+            self.decisions[QuotaDecision.REFUNDED] += 1
+
+    def _count_decision(self, admitted: bool, isolated: bool) -> None:
+        if not admitted:
+            self.decisions[QuotaDecision.DECLINED] += 1
+        elif isolated:
+            self.decisions[QuotaDecision.ADMITTED_BY_LEASE] += 1
+        else:
+            self.decisions[QuotaDecision.ADMITTED_BY_TOTALS] += 1
 
     def _retry_after(self, observed: ObservedUsage) -> float:
         """Seconds until the excess fits into the limit, times a random factor."""
