Usage totals carry their age: measured by registries, as a metric of proxies

A registry knows when each proxy has reported last (with the transit time of its call, a new field of pull) and tells the age of its totals in pull (lag) and swap (a/), which older programs ignore. Proxies show it as ashlift_usage_totals_age_seconds.

--- a/ashlift/proxy/metrics.py
+++ b/ashlift/proxy/metrics.py
@@ -36,6 +36,12 @@
     "decision",
     "Requests of tenants with a quota, by what the rate limiter decided and from which account.",
 )
+USAGE_TOTALS_AGE = Metric(
+    "usage_totals_age_seconds",
+    "gauge",
+    "reception",
+    "For how long requests of other proxies may have been missing in received usage totals.",
+)
 
 
 def proxy_metrics(handler: RequestHandler) -> MetricsRegistry:
@@ -50,6 +56,7 @@
     metrics.add(MEMORY_WAITS, lambda: {name: pool.waits for name, pool in pools.items()})
     metrics.add(REQUEST_ENDS, lambda: handler.request_counters.ends)
     metrics.add(QUOTA_DECISIONS, lambda: handler.router.rate_limiter.decisions)
+    metrics.add(USAGE_TOTALS_AGE, lambda: handler.router.rate_limiter.totals_ages())
     metrics.add(INVARIANT_VIOLATIONS, lambda: monitor.violations)
     metrics.add(LOG_LINES_LOST, lambda: {LOG_STREAM: lost_log_texts()})
     return metrics
--- a/ashlift/proxy/pull_messages.py
+++ b/ashlift/proxy/pull_messages.py
@@ -12,6 +12,7 @@
 
 PULL_METHOD: Final = "pull"
 KIND_LENGTH: Final = 2  # the letter and the slash before a record's name
+AGE_DECIMALS: Final = 2
 UNKNOWN_UPTIME: Final = float("inf")  # seconds; of a registry that does not report its uptime
 Json = dict[str, Any]
 
@@ -30,10 +31,14 @@
 
 
 class UsageReport(NamedTuple):
-    """Requests by tenant since the last report. `number` increases, so that no report is added twice."""
+    """Requests by tenant since the last report. `number` increases, so that no report is added twice.
+
+    `transit_seconds`: how long the report may be on its way, as the call before was.
+    """
 
     number: int
     counts: Mapping[str, tuple[int, int]]
+    transit_seconds: float = 0.0
 
 
 class PullReport(NamedTuple):
@@ -76,7 +81,11 @@
             "packs": True,
             "part": self.requested_fragment,
             "eager": self.urgent,
-            "adds": {"number": self.usage.number, "counts": self.usage.counts},
+            "adds": {
+                "number": self.usage.number,
+                "counts": self.usage.counts,
+                "age": round(self.usage.transit_seconds, AGE_DECIMALS),
+            },
         }
         if self.leases:
             body["leases"] = {
@@ -111,7 +120,8 @@
     sources of live registries, its own first. `configuration_age`: time since its configuration was confirmed
     to be the newest, None if it is unconfirmed. `hold_seconds`: how long it held the call before responding.
     `registries_uptime`: the shortest uptime of the registries that it can reach. `registries`: IPs, nearest
-    first. `newer_version_pending`: a newer configuration is about to follow.
+    first. `newer_version_pending`: a newer configuration is about to follow. `usage_age`: time since the
+    usage totals were complete, None if not reported.
     """
 
     operator_update: SourceUpdate | None
@@ -122,6 +132,7 @@
     registries_uptime: float
     registries: Sequence[str]
     newer_version_pending: bool
+    usage_age: float | None = None
 
     @classmethod
     def from_wire(cls, body: Mapping[str, Any]) -> "PullResponse":
@@ -136,4 +147,5 @@
             registries_uptime=body.get("ran", UNKNOWN_UPTIME),
             registries=body.get("controls", ()),
             newer_version_pending=bool(body.get("late")),
+            usage_age=body.get("lag"),
         )
--- a/ashlift/proxy/registry_client.py
+++ b/ashlift/proxy/registry_client.py
@@ -52,6 +52,7 @@
         self._calls = 0
         self._reassembler = Reassembler()
         self._connect_timeout = FIRST_CONNECT_TIMEOUT_SECONDS
+        self._transit_seconds = 0.0  # of the last call, both ways
 
     @property
     def seeds(self) -> list[str]:
@@ -88,7 +89,7 @@
             failures=router.load_balancer.outlier_detector.failure_counts(now),
             requested_fragment=self._reassembler.wanted_fragment(),
             urgent=configuration.age(now) > URGENT_PULL_AGE_SECONDS,
-            usage=UsageReport(self._calls, router.rate_limiter.take_new_counts()),
+            usage=UsageReport(self._calls, router.rate_limiter.take_new_counts(), self._transit_seconds),
             leases=router.rate_limiter.lease_states(now),
         )
 
@@ -101,6 +102,7 @@
         self._connect_timeout = FIRST_CONNECT_TIMEOUT_SECONDS
         self._router.rate_limiter.confirm_counts(request.report.usage.counts)
         response = PullResponse.from_wire(body)
+        self._transit_seconds = max(0.0, now - request.sent_at - response.hold_seconds)
         self._selection.record_response(request.registry_ip, response.registries)
         change = self._router.cluster.apply(request.sent_at, now, response)
         self._router.apply_change(now, change)
@@ -130,8 +132,16 @@
         load_balancer.outlier_detector.record_failure_totals(
             now, cluster.failure_totals(), from_own_source, report.failures
         )
+        complete_until = None
+        if response.usage_age is not None:
+            # The age is as of the response, which left at `sent_at` plus the hold time, or later.
+            complete_until = request.sent_at + response.hold_seconds - response.usage_age
         self._router.rate_limiter.record_usage_totals(
-            now, cluster.usage_totals(), cluster.source_coverage(), cluster.registries_started_at()
+            now,
+            cluster.usage_totals(),
+            cluster.source_coverage(),
+            cluster.registries_started_at(),
+            complete_until,
         )
         self._router.rate_limiter.set_silent_proxies(now, cluster.silent_proxies())
         self._router.rate_limiter.record_leases(now, request.sent_at, cluster.lease_tables())
--- a/ashlift/registry/codec.py
+++ b/ashlift/registry/codec.py
@@ -26,6 +26,7 @@
     LEASE_REPORT_PREFIX,
     LEASE_TABLE_PREFIX,
     SESSION_PREFIX,
+    USAGE_AGE_KEY,
     WORKER_PREFIX,
 )
 from ashlift.registry.records import SessionRecord, WorkerRecord, WorkerState
@@ -42,6 +43,7 @@
 WARM_DECIMALS: Final = 2
 UPTIME_DECIMALS: Final = 2
 AGE_DECIMALS: Final = 4
+USAGE_AGE_DECIMALS: Final = 2
 MAX_INDEX: Final = 1 << 62
 
 
@@ -173,7 +175,7 @@
 def _decode_usage_report(wire: Mapping[str, Any]) -> UsageReport:
     counts = dict(wire.get("counts") or {})
     increments = [(tenant, int(total), int(declined)) for tenant, (total, declined) in counts.items()]
-    return UsageReport(wire.get("number", 0), increments)
+    return UsageReport(wire.get("number", 0), increments, float(wire.get("age", 0.0)))
 
 
 def encode_pull_response(response: PullResponse, now: float) -> Json:
@@ -191,6 +193,7 @@
         "late": response.config_is_behind,
         "controls": response.registries,
         "members": response.proxy_count,
+        "lag": round(response.usage_age, USAGE_AGE_DECIMALS),
     }
 
 
@@ -232,6 +235,9 @@
     if response.delta is None:
         return response.version
     delta = encode_delta(response.delta, now)
+    if response.usage_age is not None:
+        ages = response.usage_age, response.held_seconds
+        delta["set"][USAGE_AGE_KEY] = [round(age, USAGE_AGE_DECIMALS) for age in ages]
     wire = [delta["version"], delta["set"], delta["gone"]]
     origin = response.origin
     if origin is not None:
@@ -247,11 +253,14 @@
     try:
         version, values, removed, *origin_fields = wire
         records = {key: decode_record(key, value, now) for key, value in values.items()}
+        ages = records.pop(USAGE_AGE_KEY, None)
+        usage_age, held_seconds = (None, 0.0) if ages is None else map(float, ages)
         delta = Delta(version, bool(origin_fields), records, removed)
-        if not origin_fields:
-            return SwapResponse(version, delta)
-        node, incarnation, zone, region, uptime = origin_fields
-        return SwapResponse(version, delta, SwapOrigin(node, incarnation, zone, region, now - uptime))
+        origin = None
+        if origin_fields:
+            node, incarnation, zone, region, uptime = origin_fields
+            origin = SwapOrigin(node, incarnation, zone, region, now - uptime)
+        return SwapResponse(version, delta, origin, usage_age, held_seconds)
     except (KeyError, TypeError, ValueError) as error:
         return Failure(FailureReason.INVALID, f"swap: {error!r}")
 
--- a/ashlift/registry/messages.py
+++ b/ashlift/registry/messages.py
@@ -26,10 +26,14 @@
 
 
 class UsageReport(NamedTuple):
-    """`(tenant, requests, declined)` since a proxy's last report; `number` identifies repeated reports."""
+    """`(tenant, requests, declined)` since a proxy's last report; `number` identifies repeated reports.
+
+    `transit_seconds`: how long the report may have been on its way.
+    """
 
     number: int
     increments: list[tuple[str, int, int]]
+    transit_seconds: float = 0.0
 
 
 class PullRequest(NamedTuple):
@@ -70,7 +74,8 @@
     `config_update`: the operator's configuration, already encoded, as it may be a fragment or packed.
     `config_is_behind`: the update does not reach the newest configuration held by this registry.
     `lease_age`: age of the freshness lease of that configuration. `uptime`: of the youngest live registry.
-    `registries`: IPs in order of preference. `proxy_count`: number of proxies with a session.
+    `registries`: IPs in order of preference. `proxy_count`: number of proxies with a session. `usage_age`:
+    seconds since the usage totals were complete.
     """
 
     updates: dict[str, SourceUpdate]
@@ -82,6 +87,7 @@
     config_is_behind: bool
     registries: list[str]
     proxy_count: int
+    usage_age: float
 
 
 class SwapRequest(NamedTuple):
@@ -108,11 +114,17 @@
 
 
 class SwapResponse(NamedTuple):
-    """Response of `swap`: no change (`delta` is None), a delta, or a snapshot with its `origin`."""
+    """Response of `swap`: no change (`delta` is None), a delta, or a snapshot with its `origin`.
+
+    `usage_age`: seconds since the usage in the records was complete, None if not reported. `held_seconds`:
+    how long the call was held before the response.
+    """
 
     version: int
     delta: Delta | None
     origin: SwapOrigin | None = None
+    usage_age: float | None = None
+    held_seconds: float = 0.0
 
 
 class WatchResponse(NamedTuple):
--- a/ashlift/registry/peer_registries.py
+++ b/ashlift/registry/peer_registries.py
@@ -15,6 +15,8 @@
 PEER_TIMEOUT_SECONDS: Final = 5.0  # without a response, after which a peer's records are dropped
 ALIVE_SECONDS: Final = 1.0  # a peer that responded within this time is reported to proxies as alive
 ISOLATION_SECONDS: Final = 1.5  # without a response, after which a peer counts as unreachable
+# Assumed for the usage totals of a registry that does not report their age.
+UNREPORTED_USAGE_AGE_SECONDS: Final = 0.5
 MIN_UPTIME_SECONDS: Final = 1.5  # a registry that started later may not know all workers and proxies yet
 
 
@@ -22,6 +24,7 @@
     """Replica of another registry's records.
 
     `started_at`: start time of that registry. `last_contact_at`: send time of the last answered request.
+    `usage_until`: the time up to which the usage in the records is complete.
     """
 
     def __init__(self, ip: str, locality: Locality, started_at: float, last_contact_at: float) -> None:
@@ -29,8 +32,14 @@
         self.locality = locality
         self.started_at = started_at
         self.last_contact_at = last_contact_at
+        self.usage_until = last_contact_at - UNREPORTED_USAGE_AGE_SECONDS
         self.source = ReplicatedSource()
 
+    def record_usage_age(self, sent_at: float, response: SwapResponse) -> None:
+        """Record the age of the usage in the response to a request sent at `sent_at`."""
+        age = UNREPORTED_USAGE_AGE_SECONDS if response.usage_age is None else response.usage_age
+        self.usage_until = max(self.usage_until, sent_at + response.held_seconds - age)
+
 
 class PeerRegistries:
     """Replicas by the name of their source, updated by `swap` calls."""
@@ -94,6 +103,7 @@
         if delta is None:
             if replica is not None:
                 replica.last_contact_at = max(replica.last_contact_at, sent_at)
+                replica.record_usage_age(sent_at, response)
             return ()
         if origin is not None:
             name = origin.source
@@ -103,6 +113,7 @@
         self._source_by_ip[ip] = name
         self.replicas[name] = replica
         replica.last_contact_at = max(replica.last_contact_at, sent_at)
+        replica.record_usage_age(sent_at, response)
         if not _apply(delta, replica.source):
             return ()
         self._changes.increment()
--- a/ashlift/registry/proxy_sessions.py
+++ b/ashlift/registry/proxy_sessions.py
@@ -8,6 +8,7 @@
 that shuts down reports `ready=False` and lets its session expire.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -30,13 +31,18 @@
 SILENT_AFTER_SECONDS: Final = 1.0  # without a pull; a proxy that hears nothing for as long is isolated
 # After the last pull; report numbers are kept that long to recognize repeated reports.
 USAGE_RETENTION_SECONDS: Final = 30.0
+USAGE_AGE_INTERVAL_SECONDS: Final = 0.05
 
 
 class ProxySession:
-    """A proxy's pulls, and the number of the last usage report of each of its incarnations."""
+    """A proxy's pulls, and the number of the last usage report of each of its incarnations.
+
+    `usage_until`: the time up to which its usage has been reported.
+    """
 
     def __init__(self, last_pull_at: float) -> None:
         self.last_pull_at = last_pull_at
+        self.usage_until = last_pull_at
         self.pulls_in_progress = 0
         self.config_index = 0  # index of the operator's configuration held by the proxy
         self.last_usage_report: dict[str, int] = {}
@@ -69,6 +75,8 @@
         self._sessions: dict[str, ProxySession] = {}
         self._recorded_count = 0
         self._recorded_count_at = -1  # change count when `_recorded_count` was computed
+        self._usage_until = -math.inf
+        self._usage_until_computed_at = -math.inf
 
     def __len__(self) -> int:
         """Number of proxies whose pulls are remembered, including recently expired sessions."""
@@ -78,6 +86,7 @@
         """Renew the session, and record the usage and load reported with the pull."""
         session = self._sessions.setdefault(request.node, ProxySession(now))
         session.last_pull_at = now
+        session.usage_until = now - request.usage.transit_seconds
         session.pulls_in_progress += 1
         session.config_index = request.config_index
         record = SessionRecord(request.client_address, request.zone, request.region, request.ready, now)
@@ -119,6 +128,22 @@
                     newest[key] = record
         return {key[PREFIX_LENGTH:]: record for key, record in newest.items()}
 
+    def usage_complete_until(self, now: float) -> float:
+        """The time up to which all proxies with a session here have reported their usage.
+
+        Not counting those that are published as silent. Recomputed after `USAGE_AGE_INTERVAL_SECONDS`.
+        """
+        if now - self._usage_until_computed_at >= USAGE_AGE_INTERVAL_SECONDS:
+            values = self._local_records.source.values
+            reported = [
+                session.usage_until
+                for node, session in self._sessions.items()
+                if SESSION_PREFIX + node in values and SILENCE_PREFIX + node not in values
+            ]
+            self._usage_until = min(reported, default=now)
+            self._usage_until_computed_at = now
+        return self._usage_until
+
     def recorded_count(self) -> int:
         """Number of proxies with a record at any registry, recounted only after a change."""
         if self._recorded_count_at != self._changes.count:
--- a/ashlift/registry/record_keys.py
+++ b/ashlift/registry/record_keys.py
@@ -12,6 +12,8 @@
 LEASE_REPORT_PREFIX: Final = "l/"
 LEASE_TABLE_PREFIX: Final = "q/"
 SILENCE_PREFIX: Final = "s/"
+# In responses to `swap` alone: the age of the usage totals, and for how long the call was held.
+USAGE_AGE_KEY: Final = "a/"
 INSIGNIFICANT_PREFIXES: Final = (
     USAGE_PREFIX,
     IN_FLIGHT_PREFIX,
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any, Final, NamedTuple
 
 from ashlift.config.settings import Bounds
@@ -165,8 +165,14 @@
             and is_partial_config_update(config_update, self.operator_config.version),
             registries=self.registries_by_distance(request.zone, request.region, now),
             proxy_count=self.sessions.recorded_count(),
+            usage_age=now - self._usage_complete_until(alive, now),
         )
 
+    def _usage_complete_until(self, alive: Collection[str], now: float) -> float:
+        """The time up to which the usage totals of this registry and these peers are complete."""
+        replicas = self.peers.replicas
+        return min([self.sessions.usage_complete_until(now), *(replicas[name].usage_until for name in alive)])
+
     def _config_update(self, request: PullRequest, now: float) -> Json | None:
         """The update of the operator's configuration that the proxy lacks: plain, packed, or a fragment."""
         if not self.operator_config.version:
@@ -272,7 +278,7 @@
             return True
         return self.local_source.last_departure_version > request.version
 
-    def swap_response(self, request: SwapRequest) -> SwapResponse:
+    def swap_response(self, request: SwapRequest, received_at: float, now: float) -> SwapResponse:
         """The response to another registry's swap request: the local records that it lacks."""
         is_current = request.incarnation == self.identity.incarnation
         delta = self.local_source.delta_since(request.version if is_current else None)
@@ -282,7 +288,8 @@
             origin = SwapOrigin(
                 identity.node, identity.incarnation, identity.zone, identity.region, self._clock.started_at
             )
-        return SwapResponse(self.local_source.version, delta, origin)
+        usage_age = now - self.sessions.usage_complete_until(now)
+        return SwapResponse(self.local_source.version, delta, origin, usage_age, now - received_at)
 
     def receive_swap_response(self, ip: str, response: SwapResponse, sent_at: float) -> None:
         """Apply the response of the registry at `ip` to a swap request sent at `sent_at`."""
--- a/ashlift/registry/rpc_service.py
+++ b/ashlift/registry/rpc_service.py
@@ -73,4 +73,5 @@
         while not self._registry.has_updates_for_peer(request):
             if not self._notifier.wait_for_change(received_at + LONG_POLL_SECONDS):
                 break
-        return codec.encode_swap_response(self._registry.swap_response(request), time.monotonic())
+        now = time.monotonic()
+        return codec.encode_swap_response(self._registry.swap_response(request, received_at, now), now)
--- a/ashlift/simulation/registry_process.py
+++ b/ashlift/simulation/registry_process.py
@@ -145,7 +145,8 @@
         deadline = started + LONG_POLL_SECONDS
         while not registry.has_updates_for_peer(request) and self.clock() < deadline:
             yield self._changed.wait(deadline - self.clock())
-        return codec.encode_swap_response(registry.swap_response(request), self.clock())
+        response = registry.swap_response(request, started, self.clock())
+        return codec.encode_swap_response(response, self.clock())
 
     # ---- loops, as `ashlift.registry.replication_loops` runs them
     def _tick(self) -> Task:
--- a/ashlift/traffic/rate_limiter.py
+++ b/ashlift/traffic/rate_limiter.py
@@ -204,19 +204,30 @@
         totals: Mapping[str, TenantTotals],
         coverage: Mapping[str, SourceCoverage] | None = None,
         started_at: Mapping[str, float] | None = None,
+        complete_until: float | None = None,
     ) -> None:
         """Record cumulative totals by source and tenant; unchanged ones may be left out.
 
         The first totals of a source are a baseline, not new requests, unless the source was started recently
-        (`started_at`) while totals were received. `coverage` is how many proxies each source names.
+        (`started_at`) while totals were received. `coverage` is how many proxies each source names. The
+        totals include all that proxies admitted until `complete_until`, or if that is not known, until the
+        usual age of totals before `now`.
         """
         self._latest_time = now
+        self._totals.set_complete_until(now, complete_until)
         self._totals.record(now, self._tenants, totals, coverage or {}, started_at or {})
 
     def retain_sources(self, now: float, alive: Container[str]) -> None:
         """Drop the totals of all other sources, except those that stalled recently."""
         self._totals.retain_sources(now, alive)
 
+    def totals_ages(self) -> dict[str, float]:
+        """Seconds for which requests of other proxies may have been missing in the totals, when received.
+
+        Of the last totals, and the highest so far; nothing before the first totals.
+        """
+        return self._totals.ages
+
     def is_isolated(self, now: float) -> bool:
         """Return whether the last totals are too old, so that this proxy only uses its own shares."""
         return self._totals.is_isolated(now)
--- a/ashlift/traffic/usage_totals.py
+++ b/ashlift/traffic/usage_totals.py
@@ -58,6 +58,8 @@
         self._bounds = bounds
         self.sources: dict[str, UsageSource] = {}
         self.received_at = -math.inf
+        self.complete_until = -math.inf  # requests of other proxies until then are in the totals
+        self.ages: dict[str, float] = {}  # at reception: the last one, and the highest
         self._changed_at = -math.inf
         self._oldest_start = -math.inf  # of the registries of the sources
         self._unreported = UnreportedUsage(bounds)
@@ -73,6 +75,14 @@
         """The time up to which the totals cover the requests of other proxies, on average."""
         return self.received_at - REPORT_LAG_SECONDS
 
+    def set_complete_until(self, now: float, complete_until: float | None) -> None:
+        """Set the time up to which the totals that are received now include all requests."""
+        if complete_until is None:
+            complete_until = now - 2 * REPORT_LAG_SECONDS
+        self.complete_until = min(now, complete_until)
+        age = now - self.complete_until
+        self.ages = {"last": age, "highest": max(age, self.ages.get("highest", 0.0))}
+
     def is_isolated(self, now: float) -> bool:
         """Return whether the last totals are too old to be used."""
         return now - self.received_at > ISOLATED_AFTER_SECONDS
--- a/benchmarks/scale/registry_figures.py
+++ b/benchmarks/scale/registry_figures.py
@@ -132,7 +132,7 @@
         request = SwapRequest(self.registry.identity.incarnation, peer_version, None)
 
         def respond() -> Any:
-            return codec.encode_swap_response(self.registry.swap_response(request), NOW)
+            return codec.encode_swap_response(self.registry.swap_response(request, NOW, NOW), NOW)
 
         response = self.recorder.record_cpu_ms(with_entries(figure_names.SWAP_MS, totals), respond)
         self.recorder.record(with_entries(figure_names.SWAP_BYTES, totals), len(encode_response(1, response)))
--- a/tests/registry/test_codec.py
+++ b/tests/registry/test_codec.py
@@ -67,6 +67,10 @@
     encoded = codec.encode_swap_response(delta, NOW)
     assert encoded == [8, {"w/1": codec.encode_worker(WORKER, NOW), "c/t": [3, 1]}, ["g/edge-1"]]
     assert codec.decode_swap_response(encoded, NOW) == delta
+    aged = SwapResponse(8, Delta(8, False, {"c/t": [3, 1]}, []), None, 0.75, 0.25)
+    encoded = codec.encode_swap_response(aged, NOW)
+    assert encoded == [8, {"c/t": [3, 1], "a/": [0.75, 0.25]}, []]
+    assert codec.decode_swap_response(encoded, NOW) == aged
     origin = SwapOrigin("core-1", "ab", "z", "r", NOW - 12.5)
     snapshot = SwapResponse(8, Delta(8, True, {"g/edge-1": SESSION}, []), origin)
     encoded = codec.encode_swap_response(snapshot, NOW)
--- a/tests/support/registry_wire.py
+++ b/tests/support/registry_wire.py
@@ -33,7 +33,7 @@
     request = codec.decode_swap_request(body)
     assert not isinstance(request, Failure), request
     registry.receive_swap_request(request, now)
-    return codec.encode_swap_response(registry.swap_response(request), now)
+    return codec.encode_swap_response(registry.swap_response(request, now, now), now)
 
 
 def receive_swap_response(registry: Registry, ip: str, answer: Any, sent_at: float, now: float) -> None:
--- a/tests/test_wire_samples.py
+++ b/tests/test_wire_samples.py
@@ -1,7 +1,7 @@
 """The responses of the three programs equal those recorded at commit 147a987, except for masked values.
 
 Records of departures (`d/`) are newer: each stands beside the tombstone that was recorded, and is removed
-before the comparison.
+before the comparison. So is the age of usage totals (`lag`), one in each response to `pull`.
 """
 
 import json
@@ -14,6 +14,8 @@
 
 RECORD = Path(__file__).parent / "wire_samples_of_147a987.json"
 DEPARTURE = re.compile(r'"d/w3": \[1099511627776, "", \d+\.\d+\], ')  # sequence number, address, age
+PULL_USAGE_AGE = re.compile(r', "lag": \d+\.\d+')
+PULL_RESPONSE = '"alive": '
 TOMBSTONE = '"w/w3": {"address": "0.0.0.0:1"'
 
 
@@ -23,8 +25,10 @@
     assert list(samples) == list(recorded_samples)
     for name, sample in recorded_samples.items():
         without_departures, count = DEPARTURE.subn("", samples[name])
-        assert without_departures == sample, name
         assert count == sample.count(TOMBSTONE), name
+        without_ages, count = PULL_USAGE_AGE.subn("", without_departures)
+        assert count == sample.count(PULL_RESPONSE), name
+        assert without_ages == sample, name
     assert any(TOMBSTONE in sample for sample in recorded_samples.values())
 
 
