A proxy's part of a quota counts from when the totals are complete, not 0.4 s back

Cause: the limiter took totals to cover the others' requests up to 0.4 s ago, whatever their age. What a proxy had admitted since then counted against its part; what it had admitted before, but the others had not heard of, counted against nothing, so every proxy got a new part of a rest that the others had spent.

Change: what a proxy has admitted since the totals are complete (the age that registries measure) counts against its part; the quota is undivided only if it is ample for that whole time. A peer registry that does not answer counts as long as a proxy may report to it alone.

--- a/ashlift/registry/proxy_sessions.py
+++ b/ashlift/registry/proxy_sessions.py
@@ -16,7 +16,7 @@
 from ashlift.registry.load_reports import LoadReports
 from ashlift.registry.local_records import ChangeCounter, LocalRecords
 from ashlift.registry.messages import PullRequest
-from ashlift.registry.peer_registries import PeerRegistries
+from ashlift.registry.peer_registries import PeerRegistries, PeerReplica
 from ashlift.registry.record_keys import (
     LEASE_REPORT_PREFIX,
     PREFIX_LENGTH,
@@ -144,6 +144,17 @@
             self._usage_until_computed_at = now
         return self._usage_until
 
+    def may_report_only_to(self, replica: PeerReplica, now: float) -> bool:
+        """Whether a proxy has a session at this peer and nowhere else, which has not expired."""
+        if self._clock.has_expired(replica.last_contact_at, SESSION_LEASE_SECONDS, now):
+            return False
+        others = [self._local_records.source, *self._peers.sources()]
+        return any(
+            key[0] == SESSION_KIND
+            and not any(key in source.values for source in others if source is not replica.source)
+            for key in replica.source.values
+        )
+
     def recorded_count(self) -> int:
         """Number of proxies with a record at any registry, recounted only after a change."""
         if self._recorded_count_at != self._changes.count:
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -169,9 +169,17 @@
         )
 
     def _usage_complete_until(self, alive: Collection[str], now: float) -> float:
-        """The time up to which the usage totals of this registry and these peers are complete."""
-        replicas = self.peers.replicas
-        return min([self.sessions.usage_complete_until(now), *(replicas[name].usage_until for name in alive)])
+        """The time up to which the usage totals of this registry and its peers are complete.
+
+        A peer that is not alive counts as long as a proxy may still report to it alone.
+        """
+        complete_until = self.sessions.usage_complete_until(now)
+        for name, replica in self.peers.replicas.items():
+            if replica.usage_until < complete_until and (
+                name in alive or self.sessions.may_report_only_to(replica, now)
+            ):
+                complete_until = replica.usage_until
+        return complete_until
 
     def _config_update(self, request: PullRequest, now: float) -> Json | None:
         """The update of the operator's configuration that the proxy lacks: plain, packed, or a fragment."""
--- a/ashlift/traffic/quota_sharing.py
+++ b/ashlift/traffic/quota_sharing.py
@@ -76,50 +76,56 @@
         The others reckon with the same share of the same rest, spent evenly except for a burst; so no
         rounding is added.
         """
-        reported_until = self._totals.reported_until
-        reported = tenant.window.sums_between(now - self._bounds.quota_window, reported_until)
-        left = max(0.0, tenant.enforced_quota - reported.local_accepted - reported.remote_accepted)
-        admitted = tenant.window.sums_since(
-            max(reported_until, now - self._bounds.quota_window)
-        ).local_accepted
+        complete, later = self._sums(now, tenant)
+        left = max(0.0, tenant.enforced_quota - _known_usage(complete, later))
         share = self.isolated_share(now, tenant)
-        since_reported = now - reported_until
+        since_reported = now - self._totals.reported_until
         left *= min(1.0, (since_reported + INITIAL_BURST_SECONDS) / DETECTION_SECONDS)
         last_second = tenant.window.sums_since(now - 1)
         asked = (last_second.local_total - PRIOR_REQUESTS) * self._bounds.quota_window
         if asked > SPIKE_FACTOR * share * tenant.enforced_quota:
             share *= SPIKE_SHARE_FACTOR
         paced = tenant.enforced_quota * (1 + SPENDING_BURST_SECONDS) / self._bounds.quota_window
-        return admitted + 1 <= share * left and last_second.local_accepted + 1 <= max(1.0, share * paced)
+        return later.local_accepted + 1 <= share * left and last_second.local_accepted + 1 <= max(
+            1.0, share * paced
+        )
 
     # ---- with totals
 
     def has_room(self, now: float, tenant: TenantUsage) -> bool:
         """Return whether this proxy's part of the remaining quota has room for one more request."""
-        reported_until = self._totals.reported_until
-        reported = tenant.window.sums_between(now - self._bounds.quota_window, reported_until)
-        since_reported = tenant.window.sums_since(reported_until)
+        complete, later = self._sums(now, tenant)
         unknown = self._unknown_usage(now, tenant)
         left = (
             tenant.enforced_quota
-            - reported.local_accepted
-            - reported.remote_accepted
+            - _known_usage(complete, later)
             - unknown
             - self._totals.estimate_unreported(now, tenant)
         )
-        if self._has_ample_quota(now, tenant, since_reported, left):
+        if self._has_ample_quota(now, tenant, later, left):
             return True
         proxy_count = self._totals.proxy_count
         # The unknown usage is assumed to be spread evenly over the proxies.
-        use_ratio = (reported.local_accepted + unknown / proxy_count) / max(
-            1.0, reported.local_accepted + reported.remote_accepted + unknown
+        use_ratio = (complete.local_accepted + unknown / proxy_count) / max(
+            1.0, complete.local_accepted + complete.remote_accepted + unknown
         )
         part = left * (EVEN_SPLIT_RATIO / proxy_count + (1 - EVEN_SPLIT_RATIO) * use_ratio)
-        return since_reported.local_accepted + 1 <= part + self._rounding(now, tenant)
+        return later.local_accepted + 1 <= part + self._rounding(now, tenant)
+
+    def _sums(self, now: float, tenant: TenantUsage) -> tuple[UsageSums, UsageSums]:
+        """The usage in the rule's window while the totals are complete, and later.
 
-    def _has_ample_quota(
-        self, now: float, tenant: TenantUsage, since_reported: UsageSums, left: float
-    ) -> bool:
+        What this proxy has admitted later counts against its part: the others may have admitted as much of
+        theirs, as their totals may miss it.
+        """
+        since = now - self._bounds.quota_window
+        complete_until = max(since, self._totals.complete_until)
+        return (
+            tenant.window.sums_between(since, complete_until),
+            tenant.window.sums_since(complete_until),
+        )
+
+    def _has_ample_quota(self, now: float, tenant: TenantUsage, later: UsageSums, left: float) -> bool:
         """Whether the remaining quota need not be divided, which is inexact for few requests.
 
         False as long as the other proxies' rate is unknown after the first totals.
@@ -129,9 +135,10 @@
         reported_until = self._totals.reported_until
         unreported_seconds = now - reported_until
         before = tenant.window.sums_between(reported_until - 1, reported_until)
+        since_reported = tenant.window.sums_since(reported_until)
         surge = surge_factor(since_reported.local_total, before.local_total * unreported_seconds)
         remote_requests = before.remote_total * unreported_seconds * surge
-        return since_reported.local_accepted + 1 + AMPLE_QUOTA_FACTOR * remote_requests <= left
+        return later.local_accepted + 1 + AMPLE_QUOTA_FACTOR * remote_requests <= left
 
     def _unknown_usage(self, now: float, tenant: TenantUsage) -> float:
         """Requests that all proxies may have admitted in the rule's window before the first totals.
@@ -175,6 +182,11 @@
         return tenant.rounding
 
 
+def _known_usage(complete: UsageSums, later: UsageSums) -> float:
+    """Requests in the rule's window that are not this proxy's part of the rest."""
+    return complete.local_accepted + complete.remote_accepted + later.remote_accepted
+
+
 def surge_factor(seen: float, expected: float) -> float:
     """Return seen over expected requests: at least 1, and near 1 for few requests."""
     ratio = (seen + SURGE_PRIOR_REQUESTS) / (max(0.0, expected) + SURGE_PRIOR_REQUESTS)
--- a/ashlift/traffic/usage_totals.py
+++ b/ashlift/traffic/usage_totals.py
@@ -26,6 +26,9 @@
 
 # Mean age of the growth of totals: a report, an exchange of registries and a pull take up to 0.25 s each.
 REPORT_LAG_SECONDS: Final = 0.4
+# Mean age of the growth of totals over that of its oldest part: proxies report at any time within it.
+MEAN_AGE_RATIO: Final = 0.5
+MIN_LAG_SECONDS: Final = 0.1
 ISOLATED_AFTER_SECONDS: Final = 1.0  # without totals
 # Age of a source below which all of its first totals were reported while this proxy received totals.
 YOUNG_SOURCE_SECONDS: Final = 2.0
@@ -60,6 +63,8 @@
         self.received_at = -math.inf
         self.complete_until = -math.inf  # requests of other proxies until then are in the totals
         self.ages: dict[str, float] = {}  # at reception: the last one, and the highest
+        # Mean age of the growth of totals, at the last reception and the one before.
+        self._lag = self._previous_lag = REPORT_LAG_SECONDS
         self._changed_at = -math.inf
         self._oldest_start = -math.inf  # of the registries of the sources
         self._unreported = UnreportedUsage(bounds)
@@ -73,7 +78,7 @@
     @property
     def reported_until(self) -> float:
         """The time up to which the totals cover the requests of other proxies, on average."""
-        return self.received_at - REPORT_LAG_SECONDS
+        return self.received_at - self._lag
 
     def set_complete_until(self, now: float, complete_until: float | None) -> None:
         """Set the time up to which the totals that are received now include all requests."""
@@ -81,6 +86,8 @@
             complete_until = now - 2 * REPORT_LAG_SECONDS
         self.complete_until = min(now, complete_until)
         age = now - self.complete_until
+        self._previous_lag = self._lag
+        self._lag = max(MIN_LAG_SECONDS, MEAN_AGE_RATIO * age)
         self.ages = {"last": age, "highest": max(age, self.ages.get("highest", 0.0))}
 
     def is_isolated(self, now: float) -> bool:
@@ -244,12 +251,12 @@
     def _growth_period(self, reception: _Reception, source: UsageSource) -> tuple[float, float, float]:
         """Start and end of the time that the growth covers, and its part in the rule's window."""
         now = reception.now
-        until = now - REPORT_LAG_SECONDS
+        until = now - self._lag
         if reception.after_isolation or source.is_stalled(now):  # the growth of a longer time
             counted_ratio = min(1.0, self._bounds.quota_window / (now - source.changed_at))
-            since = max(source.changed_at - REPORT_LAG_SECONDS, until - MAX_LATE_PERIOD_SECONDS)
+            since = max(source.changed_at - self._previous_lag, until - MAX_LATE_PERIOD_SECONDS)
             return since, until - LATE_PERIOD_END_SECONDS, counted_ratio
         since = source.changed_at
         if source.proxies_at_change:
             since = max(since, reception.previous_at)
-        return since - REPORT_LAG_SECONDS, until, 1.0
+        return min(since - self._previous_lag, until), until, 1.0
--- a/tests/support/rate_limiter_simulation.py
+++ b/tests/support/rate_limiter_simulation.py
@@ -91,6 +91,8 @@
         self._incarnation = 0  # of the registries
         bounds = Bounds()
         self._leases = SimulatedLeaseRegistries(registries, bounds.revoke, bounds.quota_window)
+        # The time up to which the totals of each source are complete, as known to each registry.
+        self._complete_until = [[0.0] * registries for _ in range(registries)]
         self._exchange_at = [self._rng.random() * PULL_SECONDS for _ in range(registries)]
         self._proxies = [
             self._start_proxy(0.0, f"e{number}", self._rng.gammavariate(1 / skew, skew) if skew else 1.0)
@@ -185,6 +187,7 @@
                 if not self._are_partitioned(now, number, other):
                     source = f"p{other}#{self._incarnation}"
                     totals[source] = dict(other_totals[source])
+                    self._complete_until[number][other] = self._reported_until(now, other)
             granting = len(self._registries) - 1
             self._leases.exchange(now, number, not self._are_partitioned(now, number, granting))
 
@@ -207,7 +210,13 @@
             and not self._are_partitioned(now, number, other)
         ]
         proxy.limiter.set_silent_proxies(now, silent)
-        proxy.limiter.record_usage_totals(now, changed, self._coverage(totals, known))
+        complete_until = [self._reported_until(now, index)]
+        for other, until in enumerate(self._complete_until[index]):
+            if other != index and not self._are_partitioned(now, index, other):
+                complete_until.append(until)
+        proxy.limiter.record_usage_totals(
+            now, changed, self._coverage(totals, known), complete_until=min(complete_until)
+        )
         states = proxy.limiter.lease_states(now)
         proxy.limiter.record_leases(now, now, self._leases.pull(now, index, proxy.name, states))
         proxy.known_totals = {name: dict(sums) for name, sums in totals.items()}
@@ -219,6 +228,15 @@
             totals[source][tenant] = (old_total + total, old_declined + declined)
         proxy.pull_at = now + PULL_SECONDS + 0.02 + 0.03 * self._rng.random()
 
+    def _reported_until(self, now: float, registry: int) -> float:
+        """The time up to which all proxies of a registry have reported, without those that are silent."""
+        reported = [
+            proxy.session_at
+            for number, proxy in enumerate(self._proxies)
+            if number % len(self._registries) == registry and now - proxy.session_at <= SILENT_AFTER_SECONDS
+        ]
+        return min(reported, default=now)
+
     def _coverage(self, totals: dict[str, UsageByTenant], known: list[int]) -> dict[str, SourceCoverage]:
         """The proxies that each source names: each reports to one registry."""
         coverage = {}
