What was admitted while totals were lost, or before a process started, is not forgotten

Cause: an account that forgets. The estimate for the time without totals ended 1.2 s after the first new ones, because the review of leases renewed the moment from which the rates are known; a rate measured while nobody admits anything took its place. Registries that had ended counted as old ones, so nothing took a hot tenant's quota for used. A process that started knew nothing of the window before.

Change: time without totals is a span of the tenant, counted for as long as it is in the window, by the rate before it (traffic/unknown_usage.py). While all registries are new, a proxy admits no more than its last lease within the window, unless quota is ample; quota is not ample for a tenant that asks for twice its rate. Proxies that have not called any new registry count as unreported since its start.

--- a/ashlift/proxy/cluster_view.py
+++ b/ashlift/proxy/cluster_view.py
@@ -20,7 +20,7 @@
 from ashlift.rpc.quota_leases import LeaseTable
 from ashlift.rpc.sources import OPERATOR_SOURCE
 from ashlift.traffic.outlier_detection import FailureTotals
-from ashlift.traffic.unreported_usage import SourceCoverage
+from ashlift.traffic.unreported_usage import RecentUsage, SourceCoverage
 
 SOURCE_TIMEOUT_SECONDS: Final = 5.0  # a source not listed by any registry for this time is dropped
 SOURCE_FRESHNESS_SECONDS: Final = 1.5  # load and failures of sources not listed for longer are ignored
@@ -187,9 +187,26 @@
             calling |= source.proxies.keys() - source.silent_proxies
         return silent - calling
 
+    def unreported_since(self) -> float:
+        """The time since which proxies may not have reported their usage to any registry; infinite if none.
+
+        Proxies that are retained have not called since the registries have restarted.
+        """
+        if not self._retained_proxies.missing_since:
+            return math.inf
+        return min((source.started_at for source in self._fresh_sources().values()), default=math.inf)
+
     def registries_started_at(self) -> dict[str, float]:
-        """When the registry of each source started; minus infinity if not reported."""
-        return {name: source.started_at for name, source in self.sources.items()}
+        """When the registry of each source that was listed lately started; minus infinity if not reported."""
+        return {name: source.started_at for name, source in self._fresh_sources().items()}
+
+    def recent_usage(self) -> dict[str, RecentUsage]:
+        """What each source whose snapshot came with the last response has reported lately."""
+        return {
+            name: source.recent_usage
+            for name, source in self.sources.items()
+            if source.snapshot_at >= self._applied_at
+        }
 
     def usage_totals(self) -> dict[str, dict[str, tuple[int, int]]]:
         """All requests and rejected requests, cumulative, by source and tenant."""
--- a/ashlift/proxy/pull_messages.py
+++ b/ashlift/proxy/pull_messages.py
@@ -98,7 +98,8 @@
 class SourceUpdate(NamedTuple):
     """Changes of one source, or its complete state if `full` is set.
 
-    `registry_uptime`: of the source's registry, in seconds; infinite if not reported.
+    `registry_uptime`: of the source's registry, in seconds; infinite if not reported. `recent_usage`: a
+    number of seconds, and the accepted requests by tenant in them; none if not reported.
     """
 
     version: int
@@ -106,11 +107,19 @@
     entries: Mapping[str, Any]
     removed: Sequence[str]
     registry_uptime: float = UNKNOWN_UPTIME
+    recent_usage: tuple[float, Mapping[str, int]] = (0.0, {})
 
     @classmethod
     def from_wire(cls, body: Mapping[str, Any]) -> "SourceUpdate":
         """Decode one value of `sources` in the response."""
-        return cls(body["version"], body["full"], body["set"], body["gone"], body.get("run", UNKNOWN_UPTIME))
+        return cls(
+            body["version"],
+            body["full"],
+            body["set"],
+            body["gone"],
+            body.get("run", UNKNOWN_UPTIME),
+            body.get("recent", (0.0, {})),
+        )
 
 
 class PullResponse(NamedTuple):
--- a/ashlift/proxy/registry_client.py
+++ b/ashlift/proxy/registry_client.py
@@ -135,13 +135,15 @@
         complete_until = None
         if response.usage_age is not None:
             # The age is as of the response, which left at `sent_at` plus the hold time, or later.
-            complete_until = request.sent_at + response.hold_seconds - response.usage_age
+            reported_until = request.sent_at + response.hold_seconds - response.usage_age
+            complete_until = min(reported_until, cluster.unreported_since())
         self._router.rate_limiter.record_usage_totals(
             now,
             cluster.usage_totals(),
             cluster.source_coverage(),
             cluster.registries_started_at(),
             complete_until,
+            cluster.recent_usage(),
         )
         self._router.rate_limiter.set_silent_proxies(now, cluster.silent_proxies())
         self._router.rate_limiter.record_leases(now, request.sent_at, cluster.lease_tables())
--- a/ashlift/proxy/source_state.py
+++ b/ashlift/proxy/source_state.py
@@ -9,6 +9,7 @@
 from ashlift.rpc.departures import Departure
 from ashlift.rpc.quota_leases import LeaseTable
 from ashlift.traffic.outlier_detection import FailureTotals
+from ashlift.traffic.unreported_usage import NO_RECENT_USAGE, RecentUsage
 
 
 # Read for every candidate of every request; slots are faster to read than fields of a named tuple.
@@ -52,6 +53,8 @@
         self.in_flight: dict[str, int] = {}
         self.failures: dict[str, FailureTotals] = {}
         self.usage: dict[str, tuple[int, int]] = {}
+        self.recent_usage = NO_RECENT_USAGE  # of the last snapshot
+        self.snapshot_at = -math.inf
         self.lease_tables: dict[str, LeaseTable] = {}  # by tenant
         self.silent_proxies: set[str] = set()
 
@@ -61,6 +64,8 @@
             change.workers |= bool(self.workers)
             change.proxies |= bool(self.proxies)
             self._clear()
+            self.recent_usage = RecentUsage(*update.recent_usage)
+            self.snapshot_at = now
         self.version = update.version
         self.last_listed_at = now
         for key, value in update.entries.items():
--- a/ashlift/registry/codec.py
+++ b/ashlift/registry/codec.py
@@ -201,6 +201,9 @@
     wire = encode_delta(update.delta, now)
     if update.uptime is not None:
         wire["run"] = round(update.uptime, UPTIME_DECIMALS)
+    if update.recent_usage is not None:
+        seconds, accepted = update.recent_usage
+        wire["recent"] = [round(seconds, USAGE_AGE_DECIMALS), accepted]
     return wire
 
 
--- a/ashlift/registry/messages.py
+++ b/ashlift/registry/messages.py
@@ -7,6 +7,7 @@
 from typing import Any, Final, NamedTuple
 
 from ashlift.registry.delta import Delta
+from ashlift.registry.usage_history import RecentUsage
 from ashlift.rpc.quota_leases import LeaseReport
 
 Json = dict[str, Any]
@@ -62,10 +63,14 @@
 
 
 class SourceUpdate(NamedTuple):
-    """A delta of one registry's records; `uptime`: of that registry, in snapshots only."""
+    """A delta of one registry's records.
+
+    In snapshots only: `uptime` of that registry, and its `recent_usage`.
+    """
 
     delta: Delta
     uptime: float | None
+    recent_usage: RecentUsage | None = None
 
 
 class PullResponse(NamedTuple):
--- a/ashlift/registry/record_keys.py
+++ b/ashlift/registry/record_keys.py
@@ -27,6 +27,7 @@
 # Loops over all records compare these with `key[0]`, which is faster than `startswith`.
 WORKER_KIND: Final = WORKER_PREFIX[0]
 SESSION_KIND: Final = SESSION_PREFIX[0]
+USAGE_KIND: Final = USAGE_PREFIX[0]
 DEPARTURE_KIND: Final = DEPARTURE_PREFIX[0]
 LEASE_REPORT_KIND: Final = LEASE_REPORT_PREFIX[0]
 LEASE_TABLE_KIND: Final = LEASE_TABLE_PREFIX[0]
--- a/ashlift/registry/registry.py
+++ b/ashlift/registry/registry.py
@@ -12,7 +12,7 @@
 from ashlift.errors import Failure, FailureReason
 from ashlift.invariants import Invariant, monitor
 from ashlift.registry.codec import encode_delta, is_partial_config_update
-from ashlift.registry.delta import without_lease_reports, without_workers
+from ashlift.registry.delta import Delta, without_lease_reports, without_workers
 from ashlift.registry.endpoint_directory import EndpointDirectory, LookupResult
 from ashlift.registry.heartbeat_trust import HeartbeatTrust
 from ashlift.registry.home_regions import CLIENT_REGION_ONLY, HomeRegions, RegionPolicy
@@ -37,6 +37,7 @@
 from ashlift.registry.quota_leases import QuotaLeases
 from ashlift.registry.records import WorkerRecord
 from ashlift.registry.replicated_source import ReplicatedSource
+from ashlift.registry.usage_history import UsageHistory
 from ashlift.registry.worker_instances import HeartbeatOutcome, WorkerInstances
 from ashlift.rpc.fragmentation import Fragmenter
 from ashlift.rpc.sources import OPERATOR_SOURCE
@@ -96,6 +97,7 @@
         self._quota_leases = QuotaLeases(
             self._local_records, self.peers, bounds.revoke, bounds.quota_window, is_first_start
         )
+        self._usage_history = UsageHistory(bounds.quota_window)
         self.directory = EndpointDirectory(self.sessions.live)
         config = self.operator_config
         self.home_regions = HomeRegions(lambda: config.values, lambda: config.version)
@@ -121,6 +123,7 @@
         was_paused = self._clock.tick(now)
         self.instances.expire(now, self._heartbeat_trust.since(now))
         self.sessions.expire(now)
+        self._usage_history.sample(now, self.sources())
         leader = self.operator_config.leader
         other_leads = leader is not None and leader != self.identity.ip
         self._quota_leases.update(now, self._grants_leases(now), other_leads, self.operator_config.term)
@@ -150,8 +153,7 @@
                 delta = without_workers(delta)
             if delta is not None:
                 delta = without_lease_reports(delta)
-                uptime = now - self.peers.started_at(name) if delta.full else None
-                updates[name] = SourceUpdate(delta, uptime)
+                updates[name] = self._source_update(now, name, source, delta)
         config_update = self._config_update(request, now)
         alive = self.peers.contacted_within(ALIVE_SECONDS, now)
         return PullResponse(
@@ -168,6 +170,13 @@
             usage_age=now - self._usage_complete_until(alive, now),
         )
 
+    def _source_update(self, now: float, name: str, source: ReplicatedSource, delta: Delta) -> SourceUpdate:
+        if not delta.full:
+            return SourceUpdate(delta, None)
+        started_at = self.peers.started_at(name)
+        recent_usage = self._usage_history.recent(now, name, source, started_at)
+        return SourceUpdate(delta, now - started_at, recent_usage)
+
     def _usage_complete_until(self, alive: Collection[str], now: float) -> float:
         """The time up to which the usage totals of this registry and its peers are complete.
 
--- a/ashlift/traffic/quota_leases.py
+++ b/ashlift/traffic/quota_leases.py
@@ -77,6 +77,15 @@
             return 0
         return self._shares.get(self._node, 0)
 
+    def last_share(self, proxy_count: int) -> float:
+        """The share of this proxy by the last table, whether or not its lease has ended.
+
+        If it had none, an even part of what was not leased.
+        """
+        if self._node in self._shares:
+            return self._shares[self._node]
+        return max(0, FULL_QUOTA - sum(self._shares.values())) / max(1, proxy_count - len(self._shares))
+
     def must_be_reported(self, now: float) -> bool:
         """Whether this proxy asks for a share, or there are leases that it may hold one of."""
         return self.wanted > 0 or now - self._renewed_at <= self._lifetime_seconds
--- a/ashlift/traffic/quota_sharing.py
+++ b/ashlift/traffic/quota_sharing.py
@@ -9,13 +9,15 @@
 Times are seconds of the monotonic clock, quantities are requests.
 """
 
+import math
 import random
 from typing import Final
 
 from ashlift.traffic.quota_leases import FULL_QUOTA
 from ashlift.traffic.tenant_usage import QuotaBounds, TenantUsage
+from ashlift.traffic.unknown_usage import UnknownUsage, surge_factor
 from ashlift.traffic.unreported_usage import SPENDING_BURST_SECONDS
-from ashlift.traffic.usage_totals import RATE_KNOWN_AFTER_SECONDS, REPORT_LAG_SECONDS, UsageTotals
+from ashlift.traffic.usage_totals import UsageTotals
 from ashlift.traffic.usage_window import UsageSums
 
 # Part of the remaining quota that is divided evenly; the rest is divided by use.
@@ -26,17 +28,11 @@
 # connected proxies may not have noticed yet that its reports are missing.
 SPIKE_FACTOR: Final = 2.5
 SPIKE_SHARE_FACTOR: Final = 0.7
-HOT_FACTOR: Final = 2.0  # demand over the rate limit, above which nothing unknown is assumed to be unused
-MIN_DEMAND_SECONDS: Final = 0.25
 # Until the others have noticed that a proxy is cut off; it spends its lease evenly until then.
 DETECTION_SECONDS: Final = 2.5
 INITIAL_BURST_SECONDS: Final = 0.5
 # Added to each proxy's admitted requests, so that a few requests do not decide the division.
 PRIOR_REQUESTS: Final = 2.0
-# Added to expected and seen requests, so that a few requests are no surge.
-SURGE_PRIOR_REQUESTS: Final = 3.0
-MAX_SURGE_FACTOR: Final = 10.0
-UNKNOWN_USAGE_FACTOR: Final = 1.2  # on the known rate, for the time before the first totals
 # Remaining quota over the estimate for other proxies since the last totals, above which it is not divided.
 AMPLE_QUOTA_FACTOR: Final = 2.0
 ROUNDING_SECONDS: Final = 1.0  # for which a random rounding is kept
@@ -49,6 +45,7 @@
         self._random = rng
         self._bounds = bounds
         self._totals = totals
+        self._unknown_usage = UnknownUsage(bounds, totals)
 
     # ---- isolated
 
@@ -95,7 +92,7 @@
     def has_room(self, now: float, tenant: TenantUsage) -> bool:
         """Return whether this proxy's part of the remaining quota has room for one more request."""
         complete, later = self._sums(now, tenant)
-        unknown = self._unknown_usage(now, tenant)
+        unknown = self._unknown_usage.estimate(now, tenant)
         left = (
             tenant.enforced_quota
             - _known_usage(complete, later)
@@ -104,6 +101,8 @@
         )
         if self._has_ample_quota(now, tenant, later, left):
             return True
+        if not self._is_within_last_lease(now, tenant, complete, later):
+            return False
         proxy_count = self._totals.proxy_count
         # The unknown usage is assumed to be spread evenly over the proxies.
         use_ratio = (complete.local_accepted + unknown / proxy_count) / max(
@@ -112,6 +111,20 @@
         part = left * (EVEN_SPLIT_RATIO / proxy_count + (1 - EVEN_SPLIT_RATIO) * use_ratio)
         return later.local_accepted + 1 <= part + self._rounding(now, tenant)
 
+    def _is_within_last_lease(
+        self, now: float, tenant: TenantUsage, complete: UsageSums, later: UsageSums
+    ) -> bool:
+        """Whether one more request fits into the share leased last, while all registries are new.
+
+        They know only a part of what was admitted within the rule's window, as the account that granted the
+        leases has ended; the shares of all proxies do not exceed the quota in sum.
+        """
+        if not self._totals.all_sources_are_young(now):
+            return True
+        share = tenant.leases.last_share(self._totals.proxy_count)
+        admitted = complete.local_accepted + later.local_accepted
+        return admitted + 1 <= tenant.enforced_quota * share / FULL_QUOTA
+
     def _sums(self, now: float, tenant: TenantUsage) -> tuple[UsageSums, UsageSums]:
         """The usage in the rule's window while the totals are complete, and later.
 
@@ -128,52 +141,24 @@
     def _has_ample_quota(self, now: float, tenant: TenantUsage, later: UsageSums, left: float) -> bool:
         """Whether the remaining quota need not be divided, which is inexact for few requests.
 
-        False as long as the other proxies' rate is unknown after the first totals.
+        False as long as the other proxies' rate is not known, and if the tenant asks for far more than its
+        rate.
         """
-        if now - tenant.totals_since <= RATE_KNOWN_AFTER_SECONDS:
+        complete_until = self._totals.complete_until
+        unreported_seconds = now - complete_until
+        if self._unknown_usage.is_rate_known(tenant):
+            before = tenant.window.sums_between(complete_until - 1, complete_until)
+            local_rate, remote_rate = before.local_total, before.remote_total
+        elif tenant.remote_rate_before < math.inf:
+            local_rate, remote_rate = tenant.local_rate_before, tenant.remote_rate_before
+        else:
+            return False
+        if self._unknown_usage.is_hot(now, tenant):
             return False
-        reported_until = self._totals.reported_until
-        unreported_seconds = now - reported_until
-        before = tenant.window.sums_between(reported_until - 1, reported_until)
-        since_reported = tenant.window.sums_since(reported_until)
-        surge = surge_factor(since_reported.local_total, before.local_total * unreported_seconds)
-        remote_requests = before.remote_total * unreported_seconds * surge
+        surge = surge_factor(later.local_total, local_rate * unreported_seconds)
+        remote_requests = remote_rate * unreported_seconds * surge
         return later.local_accepted + 1 + AMPLE_QUOTA_FACTOR * remote_requests <= left
 
-    def _unknown_usage(self, now: float, tenant: TenantUsage) -> float:
-        """Requests that all proxies may have admitted in the rule's window before the first totals.
-
-        Estimated by the rate since then, or, until that is known, by the others' rate before isolation times
-        the local surge; limited by the tenant's rate limit, or, if it asks for far more and all registries
-        have just restarted, by the whole quota.
-        """
-        known_until = tenant.rates_known_at - REPORT_LAG_SECONDS
-        unknown_seconds = tenant.totals_since - max(now - self._bounds.quota_window, known_until)
-        if unknown_seconds <= 0:
-            return 0.0
-        known_seconds = now - tenant.totals_since
-        if known_seconds > RATE_KNOWN_AFTER_SECONDS:
-            known = tenant.window.sums_between(tenant.totals_since, self._totals.reported_until)
-            rate = UNKNOWN_USAGE_FACTOR * (known.local_accepted + known.remote_accepted) / known_seconds
-        else:
-            rate = UNKNOWN_USAGE_FACTOR * tenant.remote_rate_before * self._local_surge(now, tenant)
-        highest_rate = tenant.rate_limit
-        if self._totals.all_sources_are_young(now) and self._is_hot(now, tenant):
-            highest_rate = tenant.enforced_quota / self._bounds.quota_window
-        return unknown_seconds * min(highest_rate, rate)
-
-    def _is_hot(self, now: float, tenant: TenantUsage) -> bool:
-        """Whether the tenant asks for far more than its rate, if other proxies are asked as much."""
-        seconds = max(MIN_DEMAND_SECONDS, now - tenant.totals_since)
-        asked = tenant.window.sums_since(now - seconds).local_total - PRIOR_REQUESTS
-        return asked * self._totals.proxy_count > HOT_FACTOR * tenant.rate_limit * seconds
-
-    def _local_surge(self, now: float, tenant: TenantUsage) -> float:
-        """Requests at this proxy over those expected by its rate before isolation."""
-        since = max(tenant.rates_known_at, now - self._bounds.quota_window)
-        asked = tenant.window.sums_since(since).local_total
-        return surge_factor(asked, tenant.local_rate_before * (now - since))
-
     def _rounding(self, now: float, tenant: TenantUsage) -> float:
         """A random part of a request, so that parts below one request are not rounded to 0 at all proxies."""
         if now >= tenant.rounding_until:
@@ -185,9 +170,3 @@
 def _known_usage(complete: UsageSums, later: UsageSums) -> float:
     """Requests in the rule's window that are not this proxy's part of the rest."""
     return complete.local_accepted + complete.remote_accepted + later.remote_accepted
-
-
-def surge_factor(seen: float, expected: float) -> float:
-    """Return seen over expected requests: at least 1, and near 1 for few requests."""
-    ratio = (seen + SURGE_PRIOR_REQUESTS) / (max(0.0, expected) + SURGE_PRIOR_REQUESTS)
-    return min(MAX_SURGE_FACTOR, max(1.0, ratio))
--- a/ashlift/traffic/rate_limiter.py
+++ b/ashlift/traffic/rate_limiter.py
@@ -24,7 +24,7 @@
 from ashlift.traffic.quota_sharing import QuotaSharing
 from ashlift.traffic.suppression import ObservedUsage
 from ashlift.traffic.tenant_usage import QuotaBounds, TenantUsage
-from ashlift.traffic.unreported_usage import SourceCoverage
+from ashlift.traffic.unreported_usage import RecentUsage, SourceCoverage
 from ashlift.traffic.usage_totals import TenantTotals, UsageTotals
 
 # Position (term and revision), and share by proxy.
@@ -205,17 +205,18 @@
         coverage: Mapping[str, SourceCoverage] | None = None,
         started_at: Mapping[str, float] | None = None,
         complete_until: float | None = None,
+        recent_usage: Mapping[str, RecentUsage] | None = None,
     ) -> None:
         """Record cumulative totals by source and tenant; unchanged ones may be left out.
 
         The first totals of a source are a baseline, not new requests, unless the source was started recently
         (`started_at`) while totals were received. `coverage` is how many proxies each source names. The
         totals include all that proxies admitted until `complete_until`, or if that is not known, until the
-        usual age of totals before `now`.
+        usual age of totals before `now`. `recent_usage` is what new sources have reported lately.
         """
         self._latest_time = now
         self._totals.set_complete_until(now, complete_until)
-        self._totals.record(now, self._tenants, totals, coverage or {}, started_at or {})
+        self._totals.record(now, self._tenants, totals, coverage or {}, started_at or {}, recent_usage or {})
 
     def retain_sources(self, now: float, alive: Container[str]) -> None:
         """Drop the totals of all other sources, except those that stalled recently."""
--- a/ashlift/traffic/tenant_usage.py
+++ b/ashlift/traffic/tenant_usage.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from typing import Final, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from ashlift.traffic.quota_leases import TenantLeases
 from ashlift.traffic.usage_window import UsageWindow
@@ -52,6 +52,18 @@
         self.expires_at = math.inf
 
 
+class UnknownSpan(NamedTuple):
+    """A time for which no totals show the requests of other proxies.
+
+    Accepted requests a second before it: at this proxy, and at the others (infinite if not known).
+    """
+
+    since: float
+    until: float
+    local_rate: float
+    remote_rate: float
+
+
 class TenantUsage:
     """Limits and usage of one tenant at one proxy."""
 
@@ -65,6 +77,7 @@
         self.window = UsageWindow()
         # First totals that could include the tenant; infinite before any were received.
         self.totals_since = math.inf
+        self.unknown_spans: list[UnknownSpan] = []
         # Accepted requests a second before isolation, and the time of the last totals before it.
         self.local_rate_before = 0.0
         self.remote_rate_before = math.inf
@@ -90,6 +103,20 @@
         self.retention_seconds = max(self.window_seconds, bounds.quota_window, MIN_RETENTION_SECONDS)
         self.suppression_factor_until = -math.inf
 
+    # ---- time without totals
+
+    def begin_totals(self, now: float, known_until: float) -> None:
+        """Begin to observe the others by new totals; of the time since `known_until` nothing is known."""
+        self.totals_since = now
+        self.unknown_spans.append(
+            UnknownSpan(known_until, now, self.local_rate_before, self.remote_rate_before)
+        )
+
+    def forget_unknown_before(self, since: float) -> None:
+        """Drop the spans without totals that ended by then."""
+        if self.unknown_spans and self.unknown_spans[0].until <= since:
+            self.unknown_spans = [span for span in self.unknown_spans if span.until > since]
+
     # ---- counts of this proxy
 
     def count_request(self, admitted: bool) -> None:
--- a/ashlift/traffic/unreported_usage.py
+++ b/ashlift/traffic/unreported_usage.py
@@ -59,10 +59,31 @@
 NO_COVERAGE: Final = SourceCoverage(frozenset(), frozenset())
 
 
+class RecentUsage(NamedTuple):
+    """Accepted requests by tenant that a source has reported in the last `seconds`."""
+
+    seconds: float
+    accepted: Mapping[str, int]
+
+
+NO_RECENT_USAGE: Final = RecentUsage(0.0, {})
+
+
 class UsageSource:
-    """The totals of one source, when they last changed, and its accepted rate over all tenants."""
+    """The totals of one source, when they last changed, and its accepted rate over all tenants.
+
+    `recent_usage`: before the first totals.
+    """
 
-    def __init__(self, now: float, totals: dict[str, tuple[int, int]]) -> None:
+    def __init__(
+        self,
+        now: float,
+        totals: dict[str, tuple[int, int]],
+        recent_usage: RecentUsage = NO_RECENT_USAGE,
+    ) -> None:
+        self.known_since = now - recent_usage.seconds
+        self._first_totals = dict(totals)
+        self._recent_accepted = recent_usage.accepted
         self.changed_at = now
         self.totals = totals  # by tenant: total, declined
         self.accepted_rate = 0.0  # requests a second
@@ -70,6 +91,13 @@
         self.coverage = NO_COVERAGE
         self.proxies_at_change = 1  # named by the source when it last changed
 
+    def accepted_since_known(self, tenant_name: str) -> int:
+        """The tenant's accepted requests that are in the totals, since `known_since`."""
+        first_total, first_declined = self._first_totals.get(tenant_name, (0, 0))
+        total, declined = self.totals.get(tenant_name, (0, 0))
+        recent = self._recent_accepted.get(tenant_name, 0)
+        return recent + (total - declined) - (first_total - first_declined)
+
     def unreported_spans(self) -> list[UnreportedSpan]:
         """Return the spans of requests that may be missing while the source is stalled.
 
--- a/ashlift/traffic/usage_totals.py
+++ b/ashlift/traffic/usage_totals.py
@@ -12,8 +12,10 @@
 
 from ashlift.traffic.tenant_usage import QuotaBounds, TenantUsage
 from ashlift.traffic.unreported_usage import (
+    NO_RECENT_USAGE,
     STALLED_SOURCE_KEPT_SECONDS,
     QuotaWindow,
+    RecentUsage,
     SourceCoverage,
     UnreportedSpan,
     UnreportedUsage,
@@ -28,7 +30,6 @@
 REPORT_LAG_SECONDS: Final = 0.4
 # Mean age of the growth of totals over that of its oldest part: proxies report at any time within it.
 MEAN_AGE_RATIO: Final = 0.5
-MIN_LAG_SECONDS: Final = 0.1
 ISOLATED_AFTER_SECONDS: Final = 1.0  # without totals
 # Age of a source below which all of its first totals were reported while this proxy received totals.
 YOUNG_SOURCE_SECONDS: Final = 2.0
@@ -87,7 +88,7 @@
         self.complete_until = min(now, complete_until)
         age = now - self.complete_until
         self._previous_lag = self._lag
-        self._lag = max(MIN_LAG_SECONDS, MEAN_AGE_RATIO * age)
+        self._lag = max(REPORT_LAG_SECONDS, MEAN_AGE_RATIO * age)
         self.ages = {"last": age, "highest": max(age, self.ages.get("highest", 0.0))}
 
     def is_isolated(self, now: float) -> bool:
@@ -155,6 +156,7 @@
         totals: Mapping[str, TenantTotals],
         coverage: Mapping[str, SourceCoverage],
         started_at: Mapping[str, float],
+        recent_usage: Mapping[str, RecentUsage],
     ) -> None:
         """Record totals by source and tenant (see `RateLimiter.record_usage_totals`)."""
         isolated_since = self.received_at + ISOLATED_AFTER_SECONDS
@@ -172,8 +174,14 @@
                 source = self._add_source(reception, name, source_totals, started_at.get(name, -math.inf))
                 if source is None:
                     self._restart_after_gap(reception, tenants)
+                    self._set_recent_usage(reception, name, recent_usage.get(name, NO_RECENT_USAGE), tenants)
                     continue
             self._record_source(reception, source, source_totals, tenants)
+        if self._changed_at == -math.inf:
+            self._changed_at = now
+        for name, tenant in tenants.items():
+            if tenant.totals_since > now:
+                self._begin_tenant(reception, name, tenant)
         self._unreported_spans = self._unreported.spans(now, self.sources)
 
     def _prepare_tenants(
@@ -189,7 +197,6 @@
             if reception.after_isolation:
                 self.remember_rates(tenant, reception.previous_at)
             tenant.window.discard_old(now, tenant.retention_seconds)
-            tenant.totals_since = min(tenant.totals_since, now)
             if now > reception.isolated_since > tenant.totals_since:
                 since = max(reception.isolated_since, now - self._bounds.quota_window)
                 admitted = tenant.window.sums_since(since).local_accepted
@@ -220,7 +227,35 @@
             return
         for tenant in tenants.values():
             self.remember_rates(tenant, self._changed_at)
-            tenant.totals_since = reception.now
+            if tenant.totals_since < reception.now:  # else the tenant is new
+                known_until = max(tenant.totals_since, self._changed_at - REPORT_LAG_SECONDS)
+                tenant.begin_totals(reception.now, known_until)
+
+    def _set_recent_usage(
+        self,
+        reception: _Reception,
+        name: str,
+        recent_usage: RecentUsage,
+        tenants: Mapping[str, TenantUsage],
+    ) -> None:
+        """Count what a new source had reported lately before its first totals here."""
+        now = reception.now
+        self.sources[name] = UsageSource(now, self.sources[name].totals, recent_usage)
+        for tenant_name, accepted in recent_usage.accepted.items():
+            tenant = tenants.get(tenant_name)
+            if tenant is not None and tenant.totals_since <= now:
+                tenant.record_remote(now, now - recent_usage.seconds, now - self._lag, accepted, accepted)
+
+    def _begin_tenant(self, reception: _Reception, name: str, tenant: TenantUsage) -> None:
+        """Begin to observe a tenant: of what was before the sources are known nothing is known."""
+        now = reception.now
+        known_since = max((source.known_since for source in self.sources.values()), default=now)
+        known_since = max(known_since, now - self._bounds.quota_window)
+        tenant.begin_totals(known_since, -math.inf)
+        for source in self.sources.values():
+            accepted = source.accepted_since_known(name)
+            until = max(source.known_since, now - self._lag)
+            tenant.record_remote(now, source.known_since, until, accepted, accepted)
 
     def _record_source(
         self,
@@ -243,7 +278,7 @@
             accepted = total - counts[1] + old_declined
             all_accepted += accepted
             tenant = tenants.get(name)
-            if tenant is not None:
+            if tenant is not None and tenant.totals_since <= now:
                 tenant.record_remote(now, since, until, counted_ratio * total, counted_ratio * accepted)
         if all_accepted:
             source.record_change(now, all_accepted)
--- a/tests/simulation/test_quota_accounts.py
+++ b/tests/simulation/test_quota_accounts.py
@@ -1,9 +1,13 @@
-"""What one tenant can get beyond its quota: scenarios in which totals are late."""
+"""What one tenant can get beyond its quota: scenarios in which totals are late or lost.
+
+The second part plays scenarios of the soak (`lab soak`) on simulated time, with tenants far over their quota.
+"""
 
 from pathlib import Path
 
 from ward import each, test
 
+from ashlift.lab.system.soak_scenario import soak_scenario
 from ashlift.simulation.checkers.violation import Violation
 from ashlift.simulation.scenario import Scenario, read_scenarios
 from ashlift.simulation.scenario_player import FailedExpectation, ScenarioPlayer
@@ -12,7 +16,7 @@
     scenario.title: scenario
     for scenario in read_scenarios(Path(__file__).parent.parent / "scenarios" / "quota_accounts.txt")
 }
-(LATE,) = SCENARIOS
+LATE, KILLED, CUT_OFF = SCENARIOS
 
 
 def play(scenario: Scenario, seed: int) -> Violation | FailedExpectation | None:
@@ -34,3 +38,24 @@
 @test("quota: {LATE}, seed {seed}")
 def _(seed: int = each(3, 4)) -> None:
     assert play(SCENARIOS[LATE], seed) is None
+
+
+# Guards against: processes that start do not know what was admitted within the window.
+@test("quota: {KILLED}, seed {seed}")
+def _(seed: int = each(1, 4)) -> None:
+    assert play(SCENARIOS[KILLED], seed) is None
+
+
+# Guards against: what was admitted while no registry ran is forgotten a second later.
+@test("quota: {CUT_OFF}, seed {seed}")
+def _(seed: int = each(4, 7)) -> None:
+    assert play(SCENARIOS[CUT_OFF], seed) is None
+
+
+# Guards against: overlapping restarts of registries and proxies give a hot tenant a second quota.
+@test("quota: the soak's overlapping faults on simulated time, seed {seed}")
+def _(seed: int = each(5106, 5108, 5112, 6033)) -> None:
+    player = ScenarioPlayer(soak_scenario(seed, 9, 20.0), seed)
+    failure = player.run()
+    assert not isinstance(failure, Violation) or failure.rule != "QUOTA", str(failure)
+    assert sum(request.status == 200 for request in player.world.history.requests) > 400
--- a/tests/test_wire_samples.py
+++ b/tests/test_wire_samples.py
@@ -1,7 +1,8 @@
 """The responses of the three programs equal those recorded at commit 147a987, except for masked values.
 
 Records of departures (`d/`) are newer: each stands beside the tombstone that was recorded, and is removed
-before the comparison. So is the age of usage totals (`lag`), one in each response to `pull`.
+before the comparison. So are the age of usage totals (`lag`), one in each response to `pull`, and the recent
+usage (`recent`), one in each snapshot of a registry's records.
 """
 
 import json
@@ -15,6 +16,8 @@
 RECORD = Path(__file__).parent / "wire_samples_of_147a987.json"
 DEPARTURE = re.compile(r'"d/w3": \[1099511627776, "", \d+\.\d+\], ')  # sequence number, address, age
 PULL_USAGE_AGE = re.compile(r', "lag": \d+\.\d+')
+RECENT_USAGE = re.compile(r'"recent": \[\d+\.\d+, \{[^{}]*\}\], ')
+REGISTRY_SNAPSHOT = '"run": '
 PULL_RESPONSE = '"alive": '
 TOMBSTONE = '"w/w3": {"address": "0.0.0.0:1"'
 
@@ -28,7 +31,9 @@
         assert count == sample.count(TOMBSTONE), name
         without_ages, count = PULL_USAGE_AGE.subn("", without_departures)
         assert count == sample.count(PULL_RESPONSE), name
-        assert without_ages == sample, name
+        without_recent_usage, count = RECENT_USAGE.subn("", without_ages)
+        assert count == sample.count(REGISTRY_SNAPSHOT), name
+        assert without_recent_usage == sample, name
     assert any(TOMBSTONE in sample for sample in recorded_samples.values())
 
 
--- a/tests/traffic/test_rate_limiter.py
+++ b/tests/traffic/test_rate_limiter.py
@@ -6,6 +6,7 @@
 
 from ashlift.proxy.source_state import ClusterChange
 from ashlift.traffic.rate_limiter import RateLimiter
+from ashlift.traffic.unreported_usage import RecentUsage
 from tests.support import request_router_scenarios as router_scenarios
 from tests.support.rate_limiter_scenarios import SCENARIOS, Overload, Scenario
 from tests.support.rate_limiter_simulation import Bounds, RateLimiterSimulation
@@ -136,6 +137,19 @@
         assert all(seconds is None or 0.2 < seconds < 4 for seconds in retry_after)
 
 
+# Guards against: a process that starts does not know what was admitted within the window.
+@test("rate limiter: one that starts counts what registries have received lately as used")
+def _() -> None:
+    for recently_accepted, is_admitted in ((0, True), (120, False)):
+        limiter = _limiter(rate=10.0, burst=10.0)
+        recent_usage = {"p#1": RecentUsage(5.0, {"t": recently_accepted})}
+        for step in range(5):
+            limiter.record_usage_totals(
+                100.0 + 0.25 * step, {"p#1": {"t": (900, 0)}}, recent_usage=recent_usage
+            )
+        assert (limiter.admit(101.0, "t") is None) is is_admitted
+
+
 @test("rate limiter: no limit, no counts; a tenant taken away is forgotten")
 def _() -> None:
     limiter = _limiter(rate=1.0, burst=1.0)
