A proxy that ends is charged with what it may have admitted after its last report

Cause: what a process admits between its last report and its end is in no totals.

Change: when an incarnation is followed by another one, or its session expires, its registry counts another report as large as the last one, as the time between two reports was about as long.

Evidence: tests/registry/test_usage_history.py, two cases that fail without it. A tenant inside its quota is charged with a quarter of a second of one proxy's use.

--- a/ashlift/registry/messages.py
+++ b/ashlift/registry/messages.py
@@ -36,6 +36,11 @@
     increments: list[tuple[str, int, int]]
     transit_seconds: float = 0.0
 
+    def as_admitted(self) -> "UsageReport":
+        """A report of the same admitted requests, without the declined ones."""
+        admitted = [(tenant, requests - declined, 0) for tenant, requests, declined in self.increments]
+        return self._replace(increments=[(tenant, count, 0) for tenant, count, _ in admitted if count > 0])
+
 
 class PullRequest(NamedTuple):
     """Request of `pull`: a proxy renews its session, reports usage and load, and requests updates.
--- a/ashlift/registry/proxy_sessions.py
+++ b/ashlift/registry/proxy_sessions.py
@@ -15,7 +15,7 @@
 from ashlift.registry.lease_clock import LeaseClock
 from ashlift.registry.load_reports import LoadReports
 from ashlift.registry.local_records import ChangeCounter, LocalRecords
-from ashlift.registry.messages import PullRequest
+from ashlift.registry.messages import PullRequest, UsageReport
 from ashlift.registry.peer_registries import PeerRegistries, PeerReplica
 from ashlift.registry.record_keys import (
     LEASE_REPORT_PREFIX,
@@ -37,12 +37,15 @@
 class ProxySession:
     """A proxy's pulls, and the number of the last usage report of each of its incarnations.
 
-    `usage_until`: the time up to which its usage has been reported.
+    `usage_until`: the time up to which its usage has been reported. `incarnation` and `last_usage`: of the
+    newest pull.
     """
 
     def __init__(self, last_pull_at: float) -> None:
         self.last_pull_at = last_pull_at
         self.usage_until = last_pull_at
+        self.incarnation = ""
+        self.last_usage: UsageReport | None = None
         self.pulls_in_progress = 0
         self.config_index = 0  # index of the operator's configuration held by the proxy
         self.last_usage_report: dict[str, int] = {}
@@ -95,10 +98,23 @@
         self._local_records.source.drop(SILENCE_PREFIX + request.node)
         self._load_reports.update(request.node, request.load)
         self._record_lease_reports(request)
+        if request.incarnation != session.incarnation:
+            self._charge_unreported(session)
+            session.incarnation = request.incarnation
         if request.usage.number > session.last_usage_report.get(request.incarnation, -1):
             session.last_usage_report[request.incarnation] = request.usage.number
+            session.last_usage = request.usage
             self._usage.add(request.usage)
 
+    def _charge_unreported(self, session: ProxySession) -> None:
+        """Count for an incarnation that has ended what it may have admitted after its last report.
+
+        Estimated by that report, as the time between two reports was about as long.
+        """
+        if session.last_usage is not None:
+            self._usage.add(session.last_usage.as_admitted())
+            session.last_usage = None
+
     def _record_lease_reports(self, request: PullRequest) -> None:
         key = LEASE_REPORT_PREFIX + request.node
         source = self._local_records.source
@@ -193,6 +209,8 @@
         for node, session in list(self._sessions.items()):
             self._publish_silence(node, session, now)
             if self._clock.has_expired(session.last_pull_at, SESSION_LEASE_SECONDS, now):
+                if self._local_records.get(SESSION_PREFIX + node) is not None:
+                    self._charge_unreported(session)
                 self._drop_record(node)
                 is_past_retention = now - session.last_pull_at > USAGE_RETENTION_SECONDS
                 if is_past_retention and not session.pulls_in_progress:
--- a/tests/registry/test_usage_history.py
+++ b/tests/registry/test_usage_history.py
@@ -1,4 +1,4 @@
-"""What a registry knows of usage that proxies cannot know: of the time before their start."""
+"""What a registry knows of usage that proxies cannot: of incarnations that have ended, and before a start."""
 
 from typing import Any
 
@@ -30,6 +30,27 @@
     return answer
 
 
+# Guards against: a proxy that is killed takes what it admitted after its last report with it.
+@test("usage of an ended incarnation: another report as large as its last one is counted, once")
+def _() -> None:
+    registry = _registry(100.0)
+    _pull(registry, 100.0, 1, (50, 10))
+    assert _pull(registry, 100.25, 2, (9, 2))["set"]["c/t"] == [59, 12]
+    restarted = _pull(registry, 100.5, 1, (1, 0), "2")
+    assert restarted["set"]["c/t"] == [59 + 7 + 1, 12]
+    assert _pull(registry, 100.75, 2, (1, 0), "2")["set"]["c/t"] == [68, 12]
+
+
+@test("usage of an ended incarnation: it is counted when its session expires as well")
+def _() -> None:
+    registry = _registry(100.0)
+    for step in range(20):
+        registry.tick(100.0 + 0.25 * step)
+        if step == 2:
+            _pull(registry, 100.5, 1, (9, 2))
+    assert registry.local_source.values["c/t"] == [16, 2]
+
+
 @test("recent usage: a snapshot has what was accepted in the window, or since the registry started")
 def _() -> None:
     registry = _registry(100.0)
