A repeated run of a request is charged to the tenant's quota

Cause: the limiter counted one unit for each request, at admission; a retry or a hedge of a request that has run, or may have, was charged to the retry budget of the service alone.

Change: such an attempt needs room in the quota and is counted like an admission (metric repeat_admitted, repeat_declined). An attempt after one that certainly has not run stays free.

Evidence: three cases of tests/traffic/test_rate_limiter.py and tests/simulation/test_quota_accounts.py fail without it.

--- a/ashlift/proxy/admission.py
+++ b/ashlift/proxy/admission.py
@@ -117,6 +117,10 @@
         request.allowed_regions = request.allowed_regions if regions is None else regions
         return regions is not None
 
+    def admit_repeat(self, now: float, request: AdmittedRequest) -> bool:
+        """Whether the tenant's quota admits a further attempt of a request that may have run."""
+        return request.tenant is None or self._rate_limiter.admit_repeat(now, request.tenant.name)
+
     def refund(self, now: float, request: AdmittedRequest) -> None:
         """Return the request's unit of quota to its tenant, unless a worker may have run the request."""
         if request.tenant is not None and not request.may_have_run:
--- a/ashlift/proxy/request_router.py
+++ b/ashlift/proxy/request_router.py
@@ -122,6 +122,9 @@
         worker = self._first_available(now, request, retry)
         if isinstance(worker, Rejection):
             return worker
+        may_run_twice = request.may_have_run or request.attempts_in_flight > 0
+        if may_run_twice and not self._admission.admit_repeat(now, request):
+            return self.final_rejection(request)
         if needs_retry_budget:
             self.retry_budget.record_retry(now, request.service)
         self.load_balancer.attempt_started(now, worker)
--- a/ashlift/traffic/rate_limiter.py
+++ b/ashlift/traffic/rate_limiter.py
@@ -45,6 +45,8 @@
     ADMITTED_BY_LEASE = "admitted_by_lease"
     DECLINED = "declined"
     REFUNDED = "refunded"
+    REPEAT_ADMITTED = "repeat_admitted"
+    REPEAT_DECLINED = "repeat_declined"
 
 
 class RateLimiter:
@@ -142,6 +144,27 @@
             tenant.count_request(admitted)
         return None if admitted else self._retry_after(observed)
 
+    def admit_repeat(self, now: float, tenant_name: str) -> bool:
+        """Count a further attempt of an admitted request that may have run; returns whether it is admitted.
+
+        The rule counts what runs. Only the quota decides, as the client has not asked for more.
+        """
+        tenant = self._tenants.get(tenant_name)
+        if tenant is None:
+            return True
+        self._latest_time = now
+        without_totals = tenant.totals_since > now
+        isolated = without_totals or self._totals.is_isolated(now)
+        has_room = self._sharing.has_isolated_room if isolated else self._sharing.has_room
+        if not has_room(now, tenant):
+            self.decisions[QuotaDecision.REPEAT_DECLINED] += 1
+            return False
+        tenant.window.record_local(now, 1.0, 1.0)
+        if without_totals or not isolated:  # else it is reported after isolation
+            tenant.count_request(True)
+        self.decisions[QuotaDecision.REPEAT_ADMITTED] += 1
+        return True
+
     def refund(self, now: float, tenant_name: str) -> None:
         """Count an admitted request as declined, as it will not be sent to a worker."""
         tenant = self._tenants.get(tenant_name)
--- a/tests/simulation/test_quota_accounts.py
+++ b/tests/simulation/test_quota_accounts.py
@@ -1,8 +1,9 @@
-"""What one tenant can get beyond its quota: scenarios in which totals are late or lost.
+"""What one tenant can get beyond its quota: scenarios in which totals are late, lost, or do not count a run.
 
 The second part plays scenarios of the soak (`lab soak`) on simulated time, with tenants far over their quota.
 """
 
+from collections import Counter
 from pathlib import Path
 
 from ward import each, test
@@ -16,7 +17,7 @@
     scenario.title: scenario
     for scenario in read_scenarios(Path(__file__).parent.parent / "scenarios" / "quota_accounts.txt")
 }
-LATE, KILLED, CUT_OFF = SCENARIOS
+LATE, KILLED, CUT_OFF, BROKEN = SCENARIOS
 
 
 def play(scenario: Scenario, seed: int) -> Violation | FailedExpectation | None:
@@ -52,6 +53,23 @@
     assert play(SCENARIOS[CUT_OFF], seed) is None
 
 
+# Guards against: repeated runs of requests that no account is charged with.
+@test("quota: {BROKEN}, seed {seed}")
+def _(seed: int = each(1, 2)) -> None:
+    player = ScenarioPlayer(SCENARIOS[BROKEN], seed)
+    assert player.run() is None
+    decisions: Counter[str] = Counter()
+    for proxy in player.world.proxies():
+        decisions.update(proxy.router.rate_limiter.decisions)
+    requests = player.world.history.requests
+    runs = [sum(run.ran for run in request.arrivals) for request in requests]
+    repeated = sum(max(0, count - 1) for count in runs)
+    assert repeated > 20
+    assert decisions["repeat_admitted"] >= repeated
+    admitted = decisions["admitted_by_totals"] + decisions["admitted_by_lease"] - decisions["refunded"]
+    assert admitted + decisions["repeat_admitted"] >= sum(runs)
+
+
 # Guards against: overlapping restarts of registries and proxies give a hot tenant a second quota.
 @test("quota: the soak's overlapping faults on simulated time, seed {seed}")
 def _(seed: int = each(5106, 5108, 5112, 6033)) -> None:
--- a/tests/traffic/test_rate_limiter.py
+++ b/tests/traffic/test_rate_limiter.py
@@ -150,6 +150,18 @@
         assert (limiter.admit(101.0, "t") is None) is is_admitted
 
 
+# Guards against: repeated runs of admitted requests that no account is charged with.
+@test("rate limiter: a repeat of an admitted request uses up the quota, and needs room in it")
+def _() -> None:
+    limiter = _limiter(rate=10.0, burst=10.0)
+    for step in range(32):
+        limiter.record_usage_totals(0.25 * step, {"p#1": {}})
+    repeats = sum(limiter.admit_repeat(8.0, "t") for _ in range(200))
+    assert 30 <= repeats <= 1.1 * 60 + 20
+    assert limiter.admit(8.0, "t") is not None
+    assert limiter.take_new_counts() == {"t": (repeats + 1, 1)}
+
+
 @test("rate limiter: no limit, no counts; a tenant taken away is forgotten")
 def _() -> None:
     limiter = _limiter(rate=1.0, burst=1.0)
