A refund counts at the time of its admission, and not if it comes late

Cause: a refund was counted when it was made. A request that timed out unsent after 3 s left the window 3 s before its refund, so the window's sum was too low by one for as long; requests that all workers refuse or that reach none for seconds could so give a tenant a second quota once workers were back.

Change: the refund lowers the count of the time of admission; after 0.5 s there is none, as other proxies see it later still. A tenant inside its quota is charged with its own requests that failed.

--- a/ashlift/proxy/admission.py
+++ b/ashlift/proxy/admission.py
@@ -124,7 +124,7 @@
     def refund(self, now: float, request: AdmittedRequest) -> None:
         """Return the request's unit of quota to its tenant, unless a worker may have run the request."""
         if request.tenant is not None and not request.may_have_run:
-            self._rate_limiter.refund(now, request.tenant.name)
+            self._rate_limiter.refund(now, request.tenant.name, request.admitted_at)
 
     def _admit_matched(
         self, now: float, route: Route, tenant: Tenant | None, remaining: float
--- a/ashlift/traffic/rate_limiter.py
+++ b/ashlift/traffic/rate_limiter.py
@@ -31,6 +31,7 @@
 PublishedLeases = tuple[tuple[int, int], Mapping[str, int]]
 UsageByTenant = dict[str, tuple[int, int]]  # total, declined; tuples, as in messages
 
+MAX_REFUND_AGE_SECONDS: Final = 0.5
 MIN_RETRY_AFTER_SECONDS: Final = 0.3
 MAX_RETRY_AFTER_SECONDS: Final = 3.0
 # Retry-After is multiplied by a random factor from 0.75 to 1.25, so that clients do not retry together.
@@ -165,11 +166,15 @@
         self.decisions[QuotaDecision.REPEAT_ADMITTED] += 1
         return True
 
-    def refund(self, now: float, tenant_name: str) -> None:
-        """Count an admitted request as declined, as it will not be sent to a worker."""
+    def refund(self, now: float, tenant_name: str, admitted_at: float) -> None:
+        """Count a request that was admitted at `admitted_at` as declined, as no worker has run it.
+
+        Not after `MAX_REFUND_AGE_SECONDS`: other proxies see a refund later than its admission, so the
+        admission would leave their window before the refund.
+        """
         tenant = self._tenants.get(tenant_name)
-        if tenant is not None:
-            tenant.refund(now)
+        if tenant is not None and now - admitted_at <= MAX_REFUND_AGE_SECONDS:
+            tenant.refund(admitted_at)
             self.decisions[QuotaDecision.REFUNDED] += 1
 
     def _count_decision(self, admitted: bool, isolated: bool) -> None:
--- a/ashlift/traffic/tenant_usage.py
+++ b/ashlift/traffic/tenant_usage.py
@@ -124,9 +124,9 @@
         self._new_total += 1
         self._new_declined += not admitted
 
-    def refund(self, now: float) -> None:
-        """Count an admitted request as declined after all."""
-        self.window.record_local(now, 0.0, -1.0)
+    def refund(self, admitted_at: float) -> None:
+        """Count a request that was admitted at that time as declined after all."""
+        self.window.record_local(admitted_at, 0.0, -1.0)
         self._new_declined += 1
 
     def schedule_late_report(self, total: int) -> None:
