--- a/tests/simulation/test_quota_accounts.py
+++ b/tests/simulation/test_quota_accounts.py
@@ -6,11 +6,12 @@
 from collections import Counter
 from pathlib import Path
 
+from attrs import evolve
 from ward import each, test
 
 from ashlift.lab.system.soak_scenario import soak_scenario
 from ashlift.simulation.checkers.violation import Violation
-from ashlift.simulation.scenario import Scenario, read_scenarios
+from ashlift.simulation.scenario import Scenario, ScenarioEvent, read_scenarios
 from ashlift.simulation.scenario_player import FailedExpectation, ScenarioPlayer
 
 SCENARIOS = {
@@ -79,3 +80,13 @@
     failure = player.run()
     assert not isinstance(failure, Violation) or failure.rule != "QUOTA", str(failure)
     assert sum(request.status == 200 for request in player.world.history.requests) > 400
+
+
+# Guards against: proxies that disagree on the membership, as the core is very late, each take a larger part.
+@test("not mended yet, quota: the soak's scenario 5102 with every message of the core 0.2 s late")
+def _() -> None:
+    scenario = soak_scenario(5102, 9, 20.0)
+    late_core = ScenarioEvent(6.0, ("slow", "0.2", "core", "for", "14"))
+    events = sorted([*scenario.events, late_core], key=lambda event: event.at)
+    failure = ScenarioPlayer(evolve(scenario, events=tuple(events)), 4).run()
+    assert not isinstance(failure, Violation) or failure.rule != "QUOTA", str(failure)
